Add the design and the skeleton of the decision core

Cause: the project needs fixed interfaces before its parts can be built side by side. Conclusion: the parts can start.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the built system, with regression bounds from the stated targets."""
--- /dev/null
+++ b/packaging/entry_point.py
@@ -0,0 +1,5 @@
+"""Entry point of the one-file binary."""
+
+from pimentodrift.cli import main
+
+main()
--- /dev/null
+++ b/pimentodrift/__init__.py
@@ -0,0 +1,3 @@
+"""pimentodrift, a database proxy with session consistency."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/pimentodrift/connections.py
@@ -0,0 +1,85 @@
+"""Connections to endpoints: work connections of owners and monitoring connections.
+
+Each connection runs one batch at a time. A connection whose batch has not been
+answered is never reused: it is closed when the batch is given up.
+"""
+
+from .dispatch import handle
+from .messages import (
+    CloseEndpoint,
+    EndpointAnswered,
+    EndpointClosed,
+    EndpointOpened,
+    MonitorAnswered,
+    MonitorConnectionLost,
+    MonitorConnectionReady,
+    OpenEndpoint,
+    RunBatch,
+    Statement,
+    WorkAnswered,
+    WorkConnectionLost,
+    WorkConnectionReady,
+)
+from .tables import ConnectionPurpose, ConnectionRow, State
+
+
+def open_connection(endpoint: str, purpose: ConnectionPurpose, state: State) -> int:
+    """Begin to open a connection and return its number."""
+    row = ConnectionRow(
+        state.number(), endpoint, purpose, opened_at=state.clock.monotonic()
+    )
+    state.connections[row.connection] = row
+    address = state.endpoints[endpoint].address
+    state.outbox.append(OpenEndpoint(row.connection, endpoint, address))
+    return row.connection
+
+
+def run_batch(
+    connection: int, segments: tuple[tuple[Statement, ...], ...], state: State
+) -> int:
+    """Send pipeline segments on an idle connection and return the batch's number."""
+    row = state.connections[connection]
+    row.batch = state.number()
+    state.outbox.append(RunBatch(connection, row.batch, segments))
+    return row.batch
+
+
+def close_connection(connection: int, state: State) -> None:
+    """Close a connection; its batch, if any, gets no answer."""
+    if state.connections.pop(connection, None) is not None:
+        state.outbox.append(CloseEndpoint(connection))
+
+
+@handle.register
+def _(message: EndpointOpened, state: State) -> None:
+    row = state.connections.get(message.connection)
+    if row is None:
+        return
+    row.is_open = True
+    if row.purpose is ConnectionPurpose.WORK:
+        handle(WorkConnectionReady(row.connection), state)
+    else:
+        handle(MonitorConnectionReady(row.connection), state)
+
+
+@handle.register
+def _(message: EndpointAnswered, state: State) -> None:
+    row = state.connections.get(message.connection)
+    if row is None or row.batch != message.batch:
+        return
+    row.batch = 0
+    if row.purpose is ConnectionPurpose.WORK:
+        handle(WorkAnswered(row.connection, message.batch, message.results), state)
+    else:
+        handle(MonitorAnswered(row.connection, message.batch, message.results), state)
+
+
+@handle.register
+def _(message: EndpointClosed, state: State) -> None:
+    row = state.connections.pop(message.connection, None)
+    if row is None:
+        return
+    if row.purpose is ConnectionPurpose.WORK:
+        handle(WorkConnectionLost(row.connection, row.endpoint, row.batch), state)
+    else:
+        handle(MonitorConnectionLost(row.connection, row.endpoint, row.batch), state)
--- /dev/null
+++ b/pimentodrift/core.py
@@ -0,0 +1,42 @@
+"""The decision core: handlers of messages and the systems of each tick.
+
+The shell calls `handle` for each message and `tick` every `TICK`, and then carries
+out what `take_outbox` returns. The core performs no input or output.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from . import connections, membership, peers, view
+from .dispatch import handle
+from .tables import State
+
+TICK = timedelta(milliseconds=20)
+
+# In the order of a tick: knowledge first, then the decisions that rest on it.
+SYSTEMS: tuple[Callable[[State], None], ...] = (
+    view.run,
+    membership.run,
+)
+
+__all__ = [
+    "SYSTEMS",
+    "TICK",
+    "connections",  # Imported for their handlers.
+    "handle",
+    "peers",
+    "take_outbox",
+    "tick",
+]
+
+
+def tick(state: State) -> None:
+    """Run every system once."""
+    for system in SYSTEMS:
+        system(state)
+
+
+def take_outbox(state: State) -> list[object]:
+    """Remove and return the messages for the shell."""
+    messages, state.outbox = state.outbox, []
+    return messages
--- /dev/null
+++ b/pimentodrift/membership.py
@@ -0,0 +1,146 @@
+"""Which instances are usable, and which of them owns an endpoint.
+
+Ownership follows from rendezvous hashing over the platform's list less the instances
+that this one suspects. Instances may disagree for a while: two owners of an endpoint
+cost efficiency, never correctness.
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+import xxhash
+
+from .messages import StoreObject
+from .tables import EndpointRow, GroupRow, InstanceRow, Presence, State
+
+SUSPICION = timedelta(seconds=2)
+
+
+def apply(item: StoreObject, state: State) -> None:
+    """Update the rows that a changed object of the store describes."""
+    value = item.value
+    match item.kind:
+        case "instance" if value is None:
+            state.instances.pop(item.name, None)
+        case "instance":
+            apply_instance(item.name, value or {}, state)
+        case "endpoint" if value is None:
+            state.endpoints.pop(item.name, None)
+        case "endpoint":
+            apply_endpoint(item.name, value or {}, state)
+        case "group" if value is not None:
+            apply_group(item, value, state)
+
+
+def apply_instance(name: str, value: dict[str, str], state: State) -> None:
+    """Add or change an instance; keep what was observed about it."""
+    row = state.instances.get(name)
+    if row is None:
+        row = InstanceRow(name, "", "", "")
+        state.instances[name] = row
+    row.address = value["address"]
+    row.region = value["region"]
+    row.data_centre = value["data_centre"]
+    row.presence = Presence(value.get("state", "live"))
+
+
+def apply_endpoint(name: str, value: dict[str, object], state: State) -> None:
+    """Add or change an endpoint; keep its observed position."""
+    row = state.endpoints.get(name)
+    if row is None:
+        row = EndpointRow(name, "", "", "", 1, 2)
+        state.endpoints[name] = row
+    row.group = str(value["group"])
+    row.region = str(value["region"])
+    row.address = str(value["address"])
+    row.slots = int(str(value["slots"]))
+    row.connections = int(str(value["connections"]))
+    row.presence = Presence(str(value.get("state", "live")))
+    state.groups.setdefault(row.group, GroupRow(row.group))
+
+
+def apply_group(item: StoreObject, value: dict[str, object], state: State) -> None:
+    """Take over a group's object; its term and primary only if the term is higher."""
+    row = state.groups.setdefault(item.name, GroupRow(item.name))
+    row.version = item.version
+    reservations = value.get("reservations")
+    if isinstance(reservations, dict):
+        row.reservations = {name: int(term) for name, term in reservations.items()}
+    starts = value.get("term_starts")
+    learn_primary(
+        row,
+        int(str(value["term"])),
+        str(value["primary"]),
+        {int(term): int(start) for term, start in starts.items()}
+        if isinstance(starts, dict)
+        else {},
+    )
+
+
+def learn_primary(
+    row: GroupRow, term: int, primary: str, term_starts: dict[int, int]
+) -> bool:
+    """Record a primary unless a higher or equal term is known; tell whether it was."""
+    if term <= row.term:
+        return False
+    row.term = term
+    row.primary = primary
+    row.term_starts.update(term_starts)
+    return True
+
+
+def usable(row: InstanceRow, state: State) -> bool:
+    """Return whether new work may go to an instance."""
+    if row.presence is not Presence.LIVE:
+        return False
+    return row.suspected_until <= state.clock.monotonic()
+
+
+def suspect(name: str, state: State) -> None:
+    """Leave an instance out of ownership for a while."""
+    row = state.instances.get(name)
+    if row is None or name == state.settings.name:
+        return
+    row.suspected_until = state.clock.monotonic() + SUSPICION
+    state.counters["membership.suspected"] += 1
+
+
+def ranked(key: str, rows: Iterable[InstanceRow]) -> list[InstanceRow]:
+    """Return the rows in rendezvous order for a key."""
+    return sorted(
+        rows,
+        key=lambda row: xxhash.xxh3_64_intdigest(f"{key}\0{row.name}".encode()),
+        reverse=True,
+    )
+
+
+def owners(endpoint: EndpointRow, state: State) -> list[InstanceRow]:
+    """Return the usable instances in the order in which they own an endpoint.
+
+    Instances of the endpoint's region go first, so that a database in a region
+    without usable instances still has an owner.
+    """
+    rows = [row for row in state.instances.values() if usable(row, state)]
+    ordered = ranked(endpoint.name, rows)
+    return sorted(ordered, key=lambda row: row.region != endpoint.region)
+
+
+def owner(endpoint: EndpointRow, state: State) -> str | None:
+    """Return the name of the instance that owns an endpoint."""
+    rows = owners(endpoint, state)
+    return rows[0].name if rows else None
+
+
+def owns(endpoint: EndpointRow, state: State) -> bool:
+    """Return whether this instance owns an endpoint."""
+    return owner(endpoint, state) == state.settings.name
+
+
+def group_endpoints(group: str, state: State) -> list[EndpointRow]:
+    """Return the endpoints of a group, by name."""
+    rows = (row for row in state.endpoints.values() if row.group == group)
+    return sorted(rows, key=lambda row: row.name)
+
+
+def run(state: State) -> None:
+    """Send heartbeats on the streams in use and suspect silent instances."""
--- /dev/null
+++ b/pimentodrift/peers.py
@@ -0,0 +1,24 @@
+"""Sends messages to other instances, and to this one without a stream."""
+
+from .dispatch import handle, handle_peer
+from .membership import suspect
+from .messages import InstanceDown, PeerLost, PeerMessage, SendPeer
+from .tables import State
+
+
+def send(instance: str, message: PeerMessage, state: State) -> bool:
+    """Send a message; return False if the instance is not listed."""
+    if instance == state.settings.name:
+        handle_peer(message, instance, state)
+        return True
+    row = state.instances.get(instance)
+    if row is None:
+        return False
+    state.outbox.append(SendPeer(instance, row.address, message))
+    return True
+
+
+@handle.register
+def _(message: PeerLost, state: State) -> None:
+    suspect(message.instance, state)
+    handle(InstanceDown(message.instance, message.unsent), state)
--- /dev/null
+++ b/pimentodrift/tables.py
@@ -0,0 +1,200 @@
+"""The core's state: rows of entities in tables (dicts by their key).
+
+Rows hold data only. Each section names the module that owns its rows; other modules
+read them. Times are monotonic times of the instance's own clock, unless stated.
+"""
+
+from collections import Counter
+from datetime import timedelta
+from enum import StrEnum
+from random import Random
+
+from attrs import define, field
+
+from .clock import Clock
+from .messages import Access, Durability, Position, Statement, StoreObject
+from .settings import Settings
+
+NEVER = timedelta(days=-1)
+
+
+class Presence(StrEnum):
+    """Whether an instance or endpoint may receive new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+# --- view: the copy of the store
+
+
+@define
+class View:
+    """The instance's copy of the store's objects."""
+
+    version: int = 0
+    objects: dict[tuple[str, str], StoreObject] = field(factory=dict)
+    confirmed_at: timedelta = NEVER  # When the store last confirmed the copy.
+
+
+# --- membership
+
+
+@define
+class InstanceRow:
+    """An instance that the platform lists."""
+
+    name: str
+    address: str
+    region: str
+    data_centre: str
+    presence: Presence = Presence.LIVE
+    suspected_until: timedelta = NEVER
+    last_heard: timedelta = NEVER
+    store_age: timedelta | None = None  # As its last Pong told.
+
+
+@define
+class EndpointRow:
+    """A database of a group."""
+
+    name: str
+    group: str
+    region: str
+    address: str
+    slots: int
+    connections: int
+    presence: Presence = Presence.LIVE
+    # The newest known state, an estimate that only guides choices.
+    position: Position = Position(0, 0)
+    is_primary: bool = False
+    sampled_at: timedelta = NEVER
+    failing_until: timedelta = NEVER
+
+
+@define
+class GroupRow:
+    """A group of endpoints; `term_starts` maps a term to its first offset."""
+
+    name: str
+    term: int = 0
+    primary: str = ""
+    term_starts: dict[int, int] = field(factory=dict)
+    reservations: dict[str, int] = field(factory=dict)
+    version: int = 0  # Of the store's object.
+
+
+# --- configuration
+
+
+@define
+class OpenRoute:
+    """A read that runs without a key, for the workspace that declares it."""
+
+    name: str
+    group: str
+    statement: str
+    max_age: timedelta = timedelta(0)
+
+
+@define
+class WorkspaceRow:
+    """A tenant as the operators' files declare it; `rate` is in requests/s."""
+
+    name: str
+    rate: float
+    burst: float
+    share: float = 1.0
+    groups: frozenset[str] = frozenset()
+    durability: Durability = Durability.MAJORITY
+    # The age that reads may accept, by group.
+    max_ages: dict[str, timedelta] = field(factory=dict)
+
+
+@define
+class KeyRow:
+    """A key, found by the SHA-256 digest of its text (hex)."""
+
+    digest: str
+    key_id: str
+    workspace: str
+
+
+@define
+class Configuration:
+    """The configuration in force."""
+
+    publication: str = ""
+    version: int = 0  # Of the manifest.
+    workspaces: dict[str, WorkspaceRow] = field(factory=dict)
+    keys: dict[str, KeyRow] = field(factory=dict)
+    key_ids: frozenset[str] = frozenset()
+    open_routes: dict[str, tuple[str, OpenRoute]] = field(factory=dict)
+
+
+# --- admission and routing (the entry's side)
+
+
+@define
+class PendingRequest:
+    """A caller's request from its admission to its answer."""
+
+    request: int
+    workspace: str
+    key_id: str
+    group: str
+    access: Access
+    statement: Statement
+    deadline: timedelta
+
+
+# --- connections
+
+
+class ConnectionPurpose(StrEnum):
+    """What a connection to an endpoint carries."""
+
+    WORK = "work"
+    MONITOR = "monitor"
+
+
+@define
+class ConnectionRow:
+    """A connection to an endpoint; `batch` is in flight, or 0."""
+
+    connection: int
+    endpoint: str
+    purpose: ConnectionPurpose
+    opened_at: timedelta
+    is_open: bool = False
+    batch: int = 0
+
+
+# --- the state
+
+
+@define
+class State:
+    """Everything one instance knows; systems and handlers get it passed in."""
+
+    settings: Settings
+    clock: Clock
+    random: Random
+    outbox: list[object] = field(factory=list)  # Messages for the shell, in order.
+    counters: Counter[str] = field(factory=Counter)
+    # State changes to be logged: (event name, fields).
+    events: list[tuple[str, dict[str, object]]] = field(factory=list)
+    next_number: int = 0
+    stopping: bool = False
+    view: View = field(factory=View)
+    instances: dict[str, InstanceRow] = field(factory=dict)
+    endpoints: dict[str, EndpointRow] = field(factory=dict)
+    groups: dict[str, GroupRow] = field(factory=dict)
+    configuration: Configuration = field(factory=Configuration)
+    pending: dict[int, PendingRequest] = field(factory=dict)
+    connections: dict[int, ConnectionRow] = field(factory=dict)
+
+    def number(self) -> int:
+        """Return a number unused so far by this instance."""
+        self.next_number += 1
+        return self.next_number
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,38 @@
+"""A clock that tests move by hand and a state to begin with."""
+
+from datetime import UTC, datetime, timedelta
+from random import Random
+
+from attrs import define, field
+
+from pimentodrift.settings import Settings
+from pimentodrift.tables import State
+
+
+@define
+class ManualClock:
+    """A clock that tests move by hand."""
+
+    time: timedelta = timedelta(0)
+    origin: datetime = field(default=datetime(2026, 1, 1, tzinfo=UTC))
+
+    def now(self) -> datetime:
+        return self.origin + self.time
+
+    def monotonic(self) -> timedelta:
+        return self.time
+
+    def advance(self, step: timedelta) -> None:
+        self.time += step
+
+
+def make_state(name: str = "a", region: str = "r1") -> State:
+    settings = Settings(
+        name=name,
+        region=region,
+        data_centre=f"{region}-1",
+        listen="127.0.0.1:0",
+        peer_listen="127.0.0.1:0",
+        platform="http://127.0.0.1:1",
+    )
+    return State(settings, ManualClock(), Random(1))
