Add the copy of the store and the rate shares

Cause: a rate counted over all instances needs one place where tokens exist, without a request to a central bucket and without clocks that agree. Ruled out: denying a request when the reported tokens are gone.

--- a/pimentodrift/core.py
+++ b/pimentodrift/core.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from . import connections, membership, peers, view
+from . import allocation, connections, membership, peers, rates, view
 from .dispatch import handle
 from .tables import State
 
@@ -17,6 +17,8 @@
 SYSTEMS: tuple[Callable[[State], None], ...] = (
     view.run,
     membership.run,
+    allocation.run,
+    rates.run,
 )
 
 __all__ = [
--- a/pimentodrift/messages.py
+++ b/pimentodrift/messages.py
@@ -175,20 +175,29 @@
 
 @frozen
 class Subscribe(PeerMessage):
-    """Ask a relay for all objects changed after `version`, now and later."""
+    """Ask a relay for all objects changed after `version`, now and later.
+
+    Sent again each second; `number` tells the subscriber which request was answered.
+    """
 
     version: int
+    number: int = 0
 
 
 @frozen
 class ViewUpdate(PeerMessage):
     """Carry changed objects from a relay; confirm freshness when there are none.
 
-    `age_ms` is the time since the relay last heard from the store.
+    `age_ms` is the time since the store last confirmed the relay's copy. `number` is
+    that of the subscriber's last `Subscribe`. The items are all changes after `after`
+    up to `version`, so a subscriber whose copy is older than `after` has missed some.
+    `version` is 0 while more items follow.
     """
 
     version: int
     age_ms: int
+    number: int = 0
+    after: int = 0
     items: tuple[StoreObject, ...] = ()
 
 
@@ -204,7 +213,8 @@
 class ShareReport(PeerMessage):
     """Tell the allocator of a workspace what this holder has and needs.
 
-    `demand` is in requests per second; `tokens_needed` counts requests that wait.
+    `demand` is in requests per second; `tokens_needed` counts requests that wait;
+    `admitted` counts the requests admitted since the holder started.
     """
 
     workspace: str
@@ -214,14 +224,20 @@
     tokens: float
     demand: float
     tokens_needed: float
+    number: int = 0
+    admitted: int = 0
 
 
 @frozen
 class ShareRenew(PeerMessage):
-    """Confirm a holder's share; a newer epoch binds the holder to the new allocator."""
+    """Confirm a holder's share; a newer epoch binds the holder to the new allocator.
+
+    `number` is that of the `ShareReport` that it answers, or 0.
+    """
 
     workspace: str
     epoch: Epoch
+    number: int = 0
 
 
 @frozen
@@ -345,10 +361,13 @@
     """The stream to an instance closed or could not be opened.
 
     `unsent` has the request numbers of `Forward` messages of which no byte was sent.
+    `refused` tells that the machine answered and nothing listens on the address any
+    more, which proves that the process has ended; a paused process still accepts.
     """
 
     instance: str
     unsent: frozenset[int] = frozenset()
+    refused: bool = False
 
 
 @frozen
@@ -611,3 +630,4 @@
 
     instance: str
     unsent: frozenset[int]
+    refused: bool = False
--- a/pimentodrift/peers.py
+++ b/pimentodrift/peers.py
@@ -21,4 +21,6 @@
 @handle.register
 def _(message: PeerLost, state: State) -> None:
     suspect(message.instance, state)
-    handle(InstanceDown(message.instance, message.unsent), state)
+    if message.refused:
+        state.ended.add(message.instance)
+    handle(InstanceDown(message.instance, message.unsent, message.refused), state)
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -23,6 +23,8 @@
     peer_listen: str = field(validator=matches_re(HOST_PORT))
     platform: str = field(validator=matches_re(r"http://.+"))
     statsd: str = ""
+    # Peer addresses (host:port) to ask when the store is down at start.
+    seeds: tuple[str, ...] = ()
     request_timeout: timedelta = field(
         default=timedelta(seconds=10),
         validator=[ge(timedelta(milliseconds=100)), le(timedelta(minutes=5))],
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -4,7 +4,7 @@
 read them. Times are monotonic times of the instance's own clock, unless stated.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from datetime import timedelta
 from enum import StrEnum
 from random import Random
@@ -12,7 +12,17 @@
 from attrs import define, field
 
 from .clock import Clock
-from .messages import Access, Durability, Position, Statement, StoreObject
+from .messages import (
+    Access,
+    Durability,
+    Epoch,
+    Position,
+    ShareLower,
+    ShareLowered,
+    ShareRaise,
+    Statement,
+    StoreObject,
+)
 from .settings import Settings
 
 NEVER = timedelta(days=-1)
@@ -28,6 +38,16 @@
 # --- view: the copy of the store
 
 
+@define
+class SubscriberRow:
+    """An instance that follows this one's copy of the store."""
+
+    instance: str
+    version: int
+    number: int
+    heard_at: timedelta
+
+
 @define
 class View:
     """The instance's copy of the store's objects."""
@@ -35,6 +55,15 @@
     version: int = 0
     objects: dict[tuple[str, str], StoreObject] = field(factory=dict)
     confirmed_at: timedelta = NEVER  # When the store last confirmed the copy.
+    watch_sent_at: timedelta | None = None  # Of the watch in progress.
+    watch_after: timedelta = NEVER  # No watch before this time.
+    watch_failures: int = 0
+    relay: str = ""
+    relay_heard_at: timedelta = NEVER
+    # When each recent Subscribe was sent, by number.
+    subscriptions_sent: dict[int, timedelta] = field(factory=dict)
+    subscribe_at: timedelta = NEVER
+    subscribers: dict[str, SubscriberRow] = field(factory=dict)
 
 
 # --- membership
@@ -170,6 +199,91 @@
     batch: int = 0
 
 
+# --- rates
+
+
+@define
+class WaitingRequest:
+    """A request that waits for a token."""
+
+    request: int
+    since: timedelta
+    deadline: timedelta
+
+
+@define
+class ShareRow:
+    """This instance's share of a workspace's rate (requests/s) and burst (requests)."""
+
+    workspace: str
+    epoch: Epoch = Epoch(0, "")
+    rate: float = 0.0
+    burst: float = 0.0
+    tokens: float = 0.0
+    refilled_at: timedelta = NEVER
+    renewed_at: timedelta = NEVER
+    last_number: int = 0  # Of the last share operation applied in this epoch.
+    last_lowered: ShareLowered | None = None
+    waiting: deque[WaitingRequest] = field(factory=deque)
+    arrivals: int = 0
+    admitted: int = 0
+    demand: float = 0.0  # Requests/s, moving average.
+    measured_at: timedelta = NEVER
+    denied_until: timedelta = NEVER
+    report_at: timedelta = NEVER
+    reports_sent: dict[int, timedelta] = field(factory=dict)
+
+
+@define
+class HoldingRow:
+    """What the allocator knows of a holder's share."""
+
+    instance: str
+    rate: float = 0.0
+    burst: float = 0.0
+    tokens: float = 0.0
+    demand: float = 0.0
+    tokens_needed: float = 0.0
+    admitted: int | None = None  # None before the first report.
+    heard_at: timedelta = NEVER
+    # The share operation without an answer so far, sent again until answered.
+    operation: ShareLower | ShareRaise | None = None
+    operation_sent_at: timedelta = NEVER
+
+
+@define
+class AllocationRow:
+    """The ledger of the allocator of a workspace.
+
+    `locked_*` is what holders may have that have not reported to this epoch.
+    """
+
+    workspace: str
+    epoch: Epoch
+    taken_at: timedelta
+    store_version: int  # Of the store's object with this epoch.
+    locked_rate: float = 0.0
+    locked_burst: float = 0.0
+    free_tokens: float = 0.0
+    holdings: dict[str, HoldingRow] = field(factory=dict)
+    predecessor: str = ""
+    balance_at: timedelta = NEVER
+    # The bucket as it would be in one place: what the workspace is still owed.
+    level: float = 0.0
+    level_at: timedelta = NEVER
+
+
+@define
+class ClaimRow:
+    """A conditional update by which this instance wants to become the allocator."""
+
+    workspace: str
+    epoch: Epoch
+    call: int
+    predecessor: str
+    sent_at: timedelta
+
+
 # --- the state
 
 
@@ -188,11 +302,18 @@
     stopping: bool = False
     view: View = field(factory=View)
     instances: dict[str, InstanceRow] = field(factory=dict)
+    # Instances whose machine refuses connections: their processes have ended.
+    ended: set[str] = field(factory=set)
     endpoints: dict[str, EndpointRow] = field(factory=dict)
     groups: dict[str, GroupRow] = field(factory=dict)
     configuration: Configuration = field(factory=Configuration)
     pending: dict[int, PendingRequest] = field(factory=dict)
     connections: dict[int, ConnectionRow] = field(factory=dict)
+    shares: dict[str, ShareRow] = field(factory=dict)
+    allocations: dict[str, AllocationRow] = field(factory=dict)
+    claims: dict[str, ClaimRow] = field(factory=dict)
+    # What each store write in progress is for, by call number.
+    store_calls: dict[int, object] = field(factory=dict)
 
     def number(self) -> int:
         """Return a number unused so far by this instance."""
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -2,19 +2,47 @@
 
 Objects only move to higher versions, so an old update that arrives late changes
 nothing. Two instances of each data centre, the relays, watch the store; the others
-subscribe to a relay, so that the store's calls do not grow with the fleet.
+subscribe to a relay, so that the store's calls do not grow with the fleet. An
+instance without a reachable relay watches the store itself, and one that starts
+during an outage of the store subscribes to the addresses in its settings.
+
+Freshness counts from the moment a watch or subscription was sent, never from the
+arrival of its answer, because an answer may have waited in a network buffer.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
-from . import configuration, membership
-from .messages import StoreObject
-from .tables import State
+from . import configuration, membership, peers
+from .dispatch import handle, handle_peer
+from .messages import (
+    ObjectsReceived,
+    SendPeer,
+    StoreFailed,
+    StoreObject,
+    Subscribe,
+    ViewUpdate,
+    WatchStore,
+)
+from .tables import State, SubscriberRow
 
-FRESH = timedelta(seconds=3)
+# An instance whose copy is older refuses keyed requests, except in an outage.
+FRESH = timedelta(milliseconds=3500)
+# A peer whose copy is older counts as having no store. It is lower than FRESH because
+# the ages of two instances that lose the store together differ by up to 1.5 s.
+PEER_FRESH = timedelta(seconds=2)
+PEER_HEARD = timedelta(seconds=2)
 # A watch returns at least this often, which confirms that the copy is current.
 WATCH_WAIT = timedelta(seconds=1)
+WATCH_RETRY = timedelta(milliseconds=200)
+WATCH_RETRY_MAX = timedelta(seconds=2)
+SUBSCRIBE_INTERVAL = timedelta(milliseconds=500)
+RELAY_TIMEOUT = timedelta(milliseconds=1500)
+SUBSCRIBER_TIMEOUT = timedelta(seconds=5)
+RELAYS_PER_DATA_CENTRE = 2
+ITEMS_PER_UPDATE = 32  # Pieces of up to 64 KiB stay below the stream's message limit.
+# Fleets up to this size are judged by all listed instances, larger ones by contacts.
+SMALL_FLEET = 16
 
 
 def apply(items: Iterable[StoreObject], state: State) -> list[StoreObject]:
@@ -31,18 +59,209 @@
         membership.apply(item, state)
     if changed:
         configuration.refresh(state)
+        push(changed, state)
     return changed
 
 
+def age(state: State) -> timedelta:
+    """Return the time since the copy was certainly current."""
+    return state.clock.monotonic() - state.view.confirmed_at
+
+
 def is_fresh(state: State) -> bool:
     """Return whether the store has confirmed the copy recently."""
-    return state.clock.monotonic() - state.view.confirmed_at <= FRESH
+    return age(state) <= FRESH
+
+
+def is_outage(state: State) -> bool:
+    """Return whether a majority of the instances is without the store."""
+    if is_fresh(state):
+        return False
+    now = state.clock.monotonic()
+    others = [
+        row for row in state.instances.values() if row.name != state.settings.name
+    ]
+    if len(others) >= SMALL_FLEET:
+        others = [row for row in others if now - row.last_heard <= PEER_HEARD]
+    without_store = 1
+    for row in others:
+        silence = now - row.last_heard
+        if silence > PEER_HEARD or row.store_age is None:
+            continue
+        if row.store_age + silence > PEER_FRESH:
+            without_store += 1
+    return without_store * 2 > len(others) + 1
 
 
 def is_isolated(state: State) -> bool:
     """Return whether keyed requests must be refused: a withdrawal may be unseen."""
-    return False
+    return not is_fresh(state) and not is_outage(state)
+
+
+def relays(state: State) -> list[str]:
+    """Return the names of the relays of this instance's data centre."""
+    rows = [
+        row
+        for row in state.instances.values()
+        if row.data_centre == state.settings.data_centre
+        and membership.usable(row, state)
+    ]
+    ordered = membership.ranked(f"relay/{state.settings.data_centre}", rows)
+    return [row.name for row in ordered[:RELAYS_PER_DATA_CENTRE]]
+
+
+def choose_relay(state: State) -> str:
+    """Return the relay to follow, or "" to watch the store.
+
+    The subscribers spread over the relays by hashing.
+    """
+    names = relays(state)
+    if state.settings.name in names or not names:
+        return ""
+    rows = [state.instances[name] for name in names]
+    return membership.ranked(state.settings.name, rows)[0].name
 
 
 def run(state: State) -> None:
     """Keep the watch or the subscription alive."""
+    now = state.clock.monotonic()
+    relay = choose_relay(state)
+    if relay != state.view.relay:
+        state.view.relay = relay
+        state.view.relay_heard_at = now
+        state.view.subscribe_at = now
+    if relay:
+        subscribe(relay, state)
+    relay_silent = now - state.view.relay_heard_at > RELAY_TIMEOUT
+    if not relay or relay_silent:
+        watch(state)
+    forget_subscribers(state)
+
+
+def watch(state: State) -> None:
+    """Start a watch of the store unless one is in progress."""
+    now = state.clock.monotonic()
+    if state.view.watch_sent_at is not None or now < state.view.watch_after:
+        return
+    state.view.watch_sent_at = now
+    wait_ms = int(WATCH_WAIT.total_seconds() * 1000)
+    state.outbox.append(WatchStore(state.view.version, wait_ms))
+    state.counters["store.watches"] += 1
+
+
+def subscribe(relay: str, state: State) -> None:
+    """Ask the relay for changes, and again at each interval."""
+    now = state.clock.monotonic()
+    if now < state.view.subscribe_at:
+        return
+    state.view.subscribe_at = now + SUBSCRIBE_INTERVAL
+    peers.send(relay, next_subscription(state), state)
+
+
+def next_subscription(state: State) -> Subscribe:
+    """Return a numbered subscription and remember when it was sent."""
+    now = state.clock.monotonic()
+    sent = state.view.subscriptions_sent
+    number = state.number()
+    sent[number] = now
+    for old in [key for key, at in sent.items() if now - at > FRESH]:
+        del sent[old]
+    return Subscribe(state.view.version, number)
+
+
+def ask_seeds(state: State) -> None:
+    """Subscribe to the configured peers while the store cannot tell the list."""
+    for address in state.settings.seeds:
+        message = next_subscription(state)
+        state.outbox.append(SendPeer(address, address, message))
+
+
+def confirm(since: timedelta, state: State) -> None:
+    """Record that the copy was current at `since`."""
+    state.view.confirmed_at = max(state.view.confirmed_at, since)
+
+
+def push(items: list[StoreObject], state: State) -> None:
+    """Send changed objects to all subscribers."""
+    for row in list(state.view.subscribers.values()):
+        send_update(row, items, state)
+
+
+def send_update(row: SubscriberRow, items: list[StoreObject], state: State) -> None:
+    """Send items in parts; only the last part moves the subscriber's version."""
+    age_ms = max(0, int(age(state).total_seconds() * 1000))
+    if state.view.confirmed_at < timedelta(0):
+        age_ms = int(timedelta(days=1).total_seconds() * 1000)
+    for part, is_last in parts(items):
+        version = state.view.version if is_last else 0
+        message = ViewUpdate(version, age_ms, row.number, row.version, tuple(part))
+        if row.instance in state.instances:
+            peers.send(row.instance, message, state)
+        else:
+            state.outbox.append(SendPeer(row.instance, row.instance, message))
+    row.version = state.view.version
+
+
+def parts(items: list[StoreObject]) -> Iterator[tuple[list[StoreObject], bool]]:
+    """Split items into parts and tell which one is the last."""
+    starts = range(0, max(len(items), 1), ITEMS_PER_UPDATE)
+    for start in starts:
+        end = start + ITEMS_PER_UPDATE
+        yield items[start:end], end >= len(items)
+
+
+def forget_subscribers(state: State) -> None:
+    """Drop subscribers that no longer ask."""
+    now = state.clock.monotonic()
+    rows = state.view.subscribers
+    for name in [
+        name for name, row in rows.items() if now - row.heard_at > SUBSCRIBER_TIMEOUT
+    ]:
+        del rows[name]
+
+
+@handle.register
+def _(message: ObjectsReceived, state: State) -> None:
+    sent_at, state.view.watch_sent_at = state.view.watch_sent_at, None
+    state.view.watch_failures = 0
+    state.view.version = max(state.view.version, message.version)
+    if sent_at is not None:
+        confirm(sent_at, state)
+    apply(message.items, state)
+
+
+def watch_failed(message: StoreFailed, state: State) -> None:
+    """Retry the watch after a pause with jitter, which spreads a fleet's return."""
+    now = state.clock.monotonic()
+    state.view.watch_sent_at = None
+    state.view.watch_failures += 1
+    pause = min(WATCH_RETRY * 2 ** min(state.view.watch_failures, 6), WATCH_RETRY_MAX)
+    state.view.watch_after = now + pause * state.random.uniform(0.5, 1.0)
+    state.counters["store.watch_failures"] += 1
+    if state.view.version == 0:
+        ask_seeds(state)
+
+
+@handle_peer.register
+def _(message: Subscribe, sender: str, state: State) -> None:
+    now = state.clock.monotonic()
+    row = SubscriberRow(sender, message.version, message.number, now)
+    state.view.subscribers[sender] = row
+    newer = [
+        item for item in state.view.objects.values() if item.version > message.version
+    ]
+    send_update(row, newer, state)
+
+
+@handle_peer.register
+def _(message: ViewUpdate, sender: str, state: State) -> None:
+    now = state.clock.monotonic()
+    if sender == state.view.relay:
+        state.view.relay_heard_at = now
+    complete = message.after <= state.view.version
+    if complete:
+        state.view.version = max(state.view.version, message.version)
+    apply(message.items, state)
+    sent_at = state.view.subscriptions_sent.get(message.number)
+    if complete and sent_at is not None and message.version >= state.view.version:
+        confirm(sent_at - timedelta(milliseconds=message.age_ms), state)
--- /dev/null
+++ b/tests/test_rates.py
@@ -0,0 +1,222 @@
+"""Rate shares under failures: never above rate and burst, and few wrongful refusals."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+import pytest
+from attrs import define, field
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from pimentodrift import configuration, peers, rates
+from pimentodrift.messages import Admitted, Refused
+from pimentodrift.tables import State
+
+from .network import Network
+
+SECOND = timedelta(seconds=1)
+STEP = timedelta(milliseconds=20)
+RATE = 50.0
+BURST = 25.0
+NAMES = ("a", "b", "c", "d", "e", "f")
+
+
+@define
+class Load:
+    """Counts what the instances admit and refuse for workspace `w`."""
+
+    network: Network
+    admitted: list[timedelta] = field(factory=list)
+    refused: int = 0
+    credit: float = 0.0
+
+    def request(self, name: str) -> None:
+        node = self.network.nodes[name]
+        if not node.alive or node.paused:
+            return
+        state = node.state
+        if rates.take("w", state):
+            self.admitted.append(self.network.time)
+            return
+        deadline = state.clock.monotonic() + 10 * SECOND
+        rates.wait("w", state.number(), deadline, state)
+        self.network.carry_out(name)
+
+    def offer(
+        self, rate: float, duration: timedelta, choose: Callable[[], str]
+    ) -> None:
+        """Send `rate` requests/s for a time, each to the instance that is chosen."""
+        for _ in range(int(duration / STEP)):
+            self.credit += rate * STEP.total_seconds()
+            while self.credit >= 1:
+                self.credit -= 1
+                self.request(choose())
+            self.network.run(STEP)
+
+    def worst_excess(self) -> float:
+        """Return the most requests over burst + rate x window, over all windows."""
+        worst, level, last = 0.0, 0.0, timedelta(0)
+        for at in self.admitted:
+            level = max(0.0, level - RATE * (at - last).total_seconds())
+            level += 1
+            last = at
+            worst = max(worst, level - BURST)
+        return worst
+
+
+CURRENT: list[Load] = []
+
+
+@pytest.fixture(autouse=True)
+def outcomes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Collects the outcomes of waiting requests in place of the routing module."""
+
+    def collect(message: object, state: State) -> None:
+        if isinstance(message, Admitted):
+            CURRENT[-1].admitted.append(CURRENT[-1].network.time)
+        elif isinstance(message, Refused):
+            CURRENT[-1].refused += 1
+
+    monkeypatch.setattr(rates, "handle", collect)
+    monkeypatch.setattr(configuration, "handle", lambda *_: None)
+    monkeypatch.setattr(peers, "handle", lambda *_: None)
+
+
+def make_load(names: tuple[str, ...] = NAMES, seed: int = 1) -> Load:
+    network = Network(Random(seed))
+    workspace = {"rate": RATE, "burst": BURST, "groups": []}
+    network.put("piece", "p", {"workspaces": {"w": workspace}})
+    network.put("manifest", "current", {"publication": "1", "pieces": ["p"]})
+    for name in names:
+        network.add(name, f"r{ord(name) % 3}")
+    load = Load(network)
+    CURRENT[:] = [load]
+    network.run(3 * SECOND)
+    return load
+
+
+def allocator(load: Load) -> str:
+    item = load.network.objects["allocator", "w"]
+    assert item.value is not None
+    return str(item.value["holder"])
+
+
+def test_steady_load_is_not_refused() -> None:
+    """Guards against refusals inside the rate when callers use all instances."""
+    load = make_load()
+    load.offer(0.9 * RATE, 20 * SECOND, lambda: load.network.random.choice(NAMES))
+    assert load.refused == 0
+    assert load.worst_excess() <= 1e-6
+
+
+def test_load_that_moves_is_not_refused() -> None:
+    """Guards against static shares: all callers sit on one instance, then another."""
+    load = make_load()
+    for name in ("a", "d", "f", "b"):
+        load.offer(0.8 * RATE, 5 * SECOND, lambda name=name: name)
+    assert load.refused == 0
+    assert load.worst_excess() <= 1e-6
+
+
+def test_flood_gets_its_rate_and_no_more() -> None:
+    """Guards against both sides of the bound in a five-fold flood."""
+    load = make_load()
+    load.offer(5 * RATE, 20 * SECOND, lambda: load.network.random.choice(NAMES))
+    assert load.worst_excess() <= 1e-6
+    assert len(load.admitted) >= 0.95 * RATE * 20
+
+
+def test_death_of_the_allocator() -> None:
+    """Guards against shares that lapse or are granted twice at a change."""
+    load = make_load()
+    load.offer(0.8 * RATE, 5 * SECOND, lambda: load.network.random.choice(NAMES))
+    dead = allocator(load)
+    load.network.kill(dead)
+    rest = [name for name in NAMES if name != dead]
+    before = len(load.admitted)
+    load.offer(0.8 * RATE, 30 * SECOND, lambda: load.network.random.choice(rest))
+    assert allocator(load) != dead
+    assert load.worst_excess() <= 1e-6
+    assert load.refused <= 0.001 * (len(load.admitted) - before + load.refused)
+
+
+@pytest.mark.parametrize("store_down", [False, True])
+def test_paused_allocator_does_not_grant_again(store_down: bool) -> None:
+    """Guards against a stale allocator that resumes after its replacement."""
+    load = make_load()
+    old = allocator(load)
+    load.network.nodes[old].paused = True
+    for node in load.network.nodes.values():
+        node.state.instances[old].suspected_until = timedelta(days=1)
+    rest = [name for name in NAMES if name != old]
+    load.offer(2 * RATE, 8 * SECOND, lambda: load.network.random.choice(rest))
+    load.network.store_down = store_down
+    load.network.resume(old)
+    load.offer(2 * RATE, 20 * SECOND, lambda: load.network.random.choice(NAMES))
+    assert load.worst_excess() <= 1e-6
+
+
+class RateMachine(RuleBasedStateMachine):
+    """Any failures in any order never admit more than rate and burst."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.load = make_load(NAMES[:4])
+        self.names = list(NAMES[:4])
+
+    @rule(index=st.integers(0, 3), paused=st.booleans())
+    def pause(self, index: int, paused: bool) -> None:
+        name = self.names[index]
+        if paused:
+            self.load.network.nodes[name].paused = True
+        elif self.load.network.nodes[name].paused:
+            self.load.network.resume(name)
+
+    @rule(index=st.integers(0, 3))
+    def kill(self, index: int) -> None:
+        if sum(node.alive for node in self.load.network.nodes.values()) > 2:
+            self.load.network.kill(self.names[index])
+
+    @rule(one=st.integers(0, 3), other=st.sampled_from([0, 1, 2, 3, "store"]))
+    def cut(self, one: int, other: int | str) -> None:
+        name = self.names[other] if isinstance(other, int) else other
+        self.load.network.cuts.add(frozenset((self.names[one], name)))
+
+    @rule()
+    def heal(self) -> None:
+        self.load.network.cuts.clear()
+
+    @rule(down=st.booleans())
+    def store(self, down: bool) -> None:
+        self.load.network.store_down = down
+
+    @rule(lose=st.booleans(), loss=st.sampled_from([0.0, 0.1, 0.5]))
+    def lossy(self, lose: bool, loss: float) -> None:
+        self.load.network.lose_answers = lose
+        self.load.network.loss = loss
+
+    @rule(index=st.integers(0, 3))
+    def suspect(self, index: int) -> None:
+        until = self.load.network.time + 20 * SECOND
+        for node in self.load.network.nodes.values():
+            row = node.state.instances.get(self.names[index])
+            if row is not None and node.state.settings.name != self.names[index]:
+                row.suspected_until = until
+
+    @rule(seconds=st.sampled_from([0.2, 1.0, 6.0]), focus=st.integers(0, 4))
+    def flood(self, seconds: float, focus: int) -> None:
+        names = self.names if focus == 4 else [self.names[focus]]
+        choose = self.load.network.random.choice
+        self.load.offer(3 * RATE, seconds * SECOND, lambda: choose(names))
+
+    @invariant()
+    def within_rate_and_burst(self) -> None:
+        assert self.load.worst_excess() <= 1e-6
+
+
+RateMachine.TestCase.settings = hypothesis_settings(
+    derandomize=True, deadline=None, max_examples=30, stateful_step_count=12
+)
+TestRateMachine = RateMachine.TestCase
