Keep small bursts at the allocator's instance

Cause: a burst of 5 over six instances leaves each bucket under one token, where refills overflow while other instances starve. Change: below 4 requests of burst per holder the allocator's instance holds the share and the others ask for each token. A burst of 1 or 2 still refuses requests inside the rate; the docs recommend a burst of at least 5.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -47,6 +47,9 @@
 HEADROOM = 1.1
 # A share moves only by more than this part of an even share, to avoid endless moves.
 DEAD_BAND = 0.1
+# A smaller burst is not worth dividing: the allocator's instance holds all of it and
+# the others ask for each token, because many buckets under one token overflow.
+MIN_BURST_PER_HOLDER = 4.0
 CLAIM_TIMEOUT = timedelta(seconds=3)
 EPSILON = 1e-9
 
@@ -322,6 +325,9 @@
 ) -> dict[str, float]:
     """Return each holder's rate: its demand first, then an even part of the rest."""
     available = workspace.rate - row.locked_rate
+    own = state.settings.name
+    if workspace.burst < MIN_BURST_PER_HOLDER * len(row.holdings):
+        return {name: available if name == own else 0.0 for name in row.holdings}
     active = [
         holding
         for holding in row.holdings.values()
