--- /dev/null
+++ b/standins/client_protocol.py
@@ -0,0 +1,258 @@
+"""One client of the database stand-in: the PostgreSQL protocol over a session.
+
+Sqlite knows a statement's columns only when it runs, so a portal runs at Describe and
+Execute sends the rows that it kept.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from attrs import define, field
+
+from . import wire
+from .results import Result
+from .sql_errors import SqlError
+from .sql_session import SqlSession
+from .statements import Kind, Parsed, Value, parse, split
+
+MAX_MESSAGE_BYTES = 2**26
+UNDEFINED_STATEMENT = "26000"
+UNDEFINED_CURSOR = "34000"
+NOT_SUPPORTED = "0A000"
+PROTOCOL_VIOLATION = "08P01"
+
+
+@define
+class Prepared:
+    """A parsed statement with the parameter types that the client declared."""
+
+    parsed: Parsed
+    oids: tuple[int, ...]
+
+    def oid(self, number: int) -> int:
+        """Return the type of a parameter, counted from 1; text if undeclared."""
+        declared = self.oids[number - 1] if number <= len(self.oids) else 0
+        return declared or self.parsed.oids.get(number, wire.TEXT)
+
+
+@define
+class Portal:
+    """A statement with its parameters, and its result once it ran."""
+
+    parsed: Parsed
+    parameters: tuple[Value, ...]
+    result: Result | None = None
+    sent_rows: int = 0
+
+
+@define(eq=False)
+class Client:
+    """Protocol state of one client."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    session: SqlSession
+    statements: dict[str, Prepared] = field(factory=dict)
+    portals: dict[str, Portal] = field(factory=dict)
+    is_skipping: bool = False  # After an error, until Sync.
+
+    async def serve(self) -> None:
+        """Answer messages until the client leaves."""
+        self.send_ready()
+        await self.writer.drain()
+        while True:
+            kind, body = await self.read_message()
+            if kind == b"X":
+                return
+            await self.handle(kind, body)
+
+    async def read_message(self) -> tuple[bytes, wire.Reader]:
+        """Return the next message."""
+        kind = await self.reader.readexactly(1)
+        (length,) = wire.INT32.unpack(await self.reader.readexactly(4))
+        if not wire.LENGTH_BYTES <= length <= MAX_MESSAGE_BYTES:
+            raise EOFError(f"message of {length} bytes")
+        return kind, wire.Reader(
+            await self.reader.readexactly(length - wire.LENGTH_BYTES)
+        )
+
+    async def handle(self, kind: bytes, body: wire.Reader) -> None:
+        """Carry out one message; after an error skip up to Sync."""
+        if kind == b"S":
+            await self.sync()
+        elif kind == b"Q":
+            await self.simple_query(body.text())
+        elif kind == b"H":
+            await self.writer.drain()
+        elif not self.is_skipping:
+            try:
+                await self.extended(kind, body)
+            except SqlError as error:
+                self.is_skipping = True
+                self.session.fail()
+                self.writer.write(wire.error_response(error))
+
+    async def extended(self, kind: bytes, body: wire.Reader) -> None:
+        """Carry out a message of the extended query protocol."""
+        handlers: dict[bytes, Callable[[wire.Reader], Awaitable[None]]] = {
+            b"P": self.on_parse,
+            b"B": self.on_bind,
+            b"D": self.on_describe,
+            b"E": self.on_execute,
+            b"C": self.on_close,
+        }
+        if kind not in handlers:
+            raise SqlError(PROTOCOL_VIOLATION, f"unsupported message {kind!r}")
+        await handlers[kind](body)
+
+    async def sync(self) -> None:
+        """End a pipeline segment."""
+        if not self.is_skipping:
+            try:
+                self.session.end_segment()
+            except SqlError as error:
+                self.writer.write(wire.error_response(error))
+        self.is_skipping = False
+        self.portals.clear()
+        self.send_ready()
+        await self.writer.drain()
+
+    def send_ready(self) -> None:
+        """Tell the client the transaction state."""
+        self.writer.write(wire.ready_for_query(self.session.state))
+
+    # --- Simple query
+
+    async def simple_query(self, text: str) -> None:
+        """Run all statements of a text, as one transaction outside BEGIN."""
+        try:
+            parts = split(text)
+            if not parts:
+                self.writer.write(wire.message(b"I"))
+            for part in parts:
+                result = await self.session.execute(parse(part), ())
+                self.send_description(result)
+                self.send_rows(result)
+            self.session.end_segment()
+        except SqlError as error:
+            self.writer.write(wire.error_response(error))
+        self.send_ready()
+        await self.writer.drain()
+
+    def send_description(self, result: Result) -> None:
+        """Send the columns of a result that has any."""
+        if result.columns is None:
+            return
+        self.writer.write(wire.row_description(columns_of(result)))
+
+    def send_rows(self, result: Result) -> None:
+        """Send the rows and the command tag."""
+        for row in result.rows:
+            self.writer.write(wire.data_row(row))
+        self.writer.write(wire.command_complete(result.tag))
+
+    # --- Extended query
+
+    async def on_parse(self, body: wire.Reader) -> None:
+        """Parse a statement."""
+        name, text = body.text(), body.text()
+        oids = tuple(body.int32() for _ in range(body.int16()))
+        self.statements[name] = Prepared(parse(text.rstrip("; \n\t")), oids)
+        self.writer.write(wire.message(b"1"))
+
+    async def on_bind(self, body: wire.Reader) -> None:
+        """Bind parameters to a statement."""
+        portal_name, statement_name = body.text(), body.text()
+        prepared = self.statement(statement_name)
+        formats = [body.int16() for _ in range(body.int16())]
+        raw = [body.counted() for _ in range(body.int16())]
+        result_formats = [body.int16() for _ in range(body.int16())]
+        if any(result_formats):
+            raise SqlError(NOT_SUPPORTED, "results in binary format are not supported")
+        if len(formats) != len(raw):
+            formats = (formats or [0]) * len(raw)
+        parameters = tuple(
+            wire.decode_parameter(data, prepared.oid(number), bool(form))
+            for number, (data, form) in enumerate(zip(raw, formats, strict=True), 1)
+        )
+        self.portals[portal_name] = Portal(prepared.parsed, parameters)
+        self.writer.write(wire.message(b"2"))
+
+    async def on_describe(self, body: wire.Reader) -> None:
+        """Describe a portal, which runs it, or a statement."""
+        what, name = body.octets(1), body.text()
+        if what == b"S":
+            await self.describe_statement(self.statement(name))
+            return
+        self.send_columns(await self.run_portal(self.portal(name)))
+
+    async def describe_statement(self, prepared: Prepared) -> None:
+        """Describe parameters, and the columns of a read by running it on NULLs."""
+        parsed = prepared.parsed
+        oids = [prepared.oid(number + 1) for number in range(parsed.parameter_count)]
+        self.writer.write(wire.parameter_description(oids))
+        if parsed.kind is not Kind.READ:
+            self.writer.write(wire.message(b"n"))
+            return
+        nulls = (None,) * parsed.parameter_count
+        result = await self.session.execute(parsed, nulls)
+        self.send_columns(result)
+
+    def send_columns(self, result: Result) -> None:
+        """Send a RowDescription, or NoData."""
+        if result.columns is None:
+            self.writer.write(wire.message(b"n"))
+        else:
+            self.send_description(result)
+
+    async def on_execute(self, body: wire.Reader) -> None:
+        """Send a portal's rows, at most the given number of them if it is not 0."""
+        portal, limit = self.portal(body.text()), body.int32()
+        if portal.parsed.kind is Kind.EMPTY:
+            self.writer.write(wire.message(b"I"))
+            return
+        result = await self.run_portal(portal)
+        end = portal.sent_rows + limit if limit > 0 else len(result.rows)
+        for row in result.rows[portal.sent_rows : end]:
+            self.writer.write(wire.data_row(row))
+        portal.sent_rows = end
+        if end < len(result.rows):
+            self.writer.write(wire.message(b"s"))
+        else:
+            self.writer.write(wire.command_complete(result.tag))
+
+    async def run_portal(self, portal: Portal) -> Result:
+        """Run a portal once and keep its result."""
+        if portal.result is None:
+            portal.result = await self.session.execute(portal.parsed, portal.parameters)
+        return portal.result
+
+    async def on_close(self, body: wire.Reader) -> None:
+        """Forget a statement or portal."""
+        what, name = body.octets(1), body.text()
+        if what == b"S":
+            self.statements.pop(name, None)
+        else:
+            self.portals.pop(name, None)
+        self.writer.write(wire.message(b"3"))
+
+    def statement(self, name: str) -> Prepared:
+        """Return a prepared statement; raise `SqlError` if there is none."""
+        if name not in self.statements:
+            raise SqlError(UNDEFINED_STATEMENT, f"no prepared statement {name!r}")
+        return self.statements[name]
+
+    def portal(self, name: str) -> Portal:
+        """Return a portal; raise `SqlError` if there is none."""
+        if name not in self.portals:
+            raise SqlError(UNDEFINED_CURSOR, f"no portal {name!r}")
+        return self.portals[name]
+
+
+def columns_of(result: Result) -> list[wire.Column]:
+    """Return the columns with the types that their values have."""
+    names = result.columns or ()
+    return [
+        wire.Column(name, wire.oid_of([row[index] for row in result.rows]))
+        for index, name in enumerate(names)
+    ]
--- /dev/null
+++ b/standins/database.py
@@ -0,0 +1,264 @@
+"""One database of a group: its role, its log and the functions of the platform.
+
+All methods run to their end without awaiting, so a fence, a promotion and a commit
+never overlap. The term of an endpoint is the term of the last entry in its log; a
+promotion writes an entry without writes, so a primary has its new term at once and a
+replica has it when it holds the log up to that promotion.
+"""
+
+import asyncio
+from collections.abc import Callable
+from enum import StrEnum
+
+from attrs import define, field, frozen
+
+from .group_log import Entry, GroupLog, Write
+from .sql_errors import SqlError
+from .statements import with_literals
+from .storage import Storage
+
+READ_ONLY = "25006"
+INVALID_PARAMETER = "22023"
+
+Address = tuple[str, int]
+
+
+class Role(StrEnum):
+    """The role that group_status() reports."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+    FENCED = "fenced"
+
+
+@define
+class Options:
+    """Settings of the stand-in; times are in milliseconds."""
+
+    name: str
+    region: str = ""
+    term: int = 1
+    slots: int = 1000
+    connect_ms: float = 0
+    service_ms: float = 0
+    lag_ms: float = 0
+    max_connections: int = 1000
+
+
+# Settings that `SELECT standin_set(NAME, VALUE)` changes.
+CONTROLS = ("lag_ms", "service_ms", "connect_ms", "frozen", "cut")
+
+
+@frozen(eq=False)
+class Upstream:
+    """The primary that a replica follows; compared by identity."""
+
+    host: str
+    port: int
+
+
+@frozen
+class ReplicaState:
+    """What a replica has acknowledged."""
+
+    term: int
+    received: int
+
+
+@define
+class Status:
+    """One row of group_status()."""
+
+    role: Role
+    term: int
+    received: int
+    replayed: int
+
+
+@define
+class Wakeups:
+    """Events of the tasks that wait for a change of the database."""
+
+    events: set[asyncio.Event] = field(factory=set)
+
+    def wake(self) -> None:
+        """Set all events."""
+        for event in self.events:
+            event.set()
+
+
+@define(eq=False)
+class Database:
+    """The state of one endpoint."""
+
+    options: Options
+    storage: Storage
+    role: Role
+    log: GroupLog
+    tenure: int  # The term of the primary that this endpoint is or follows.
+    seen_term: int
+    fenced_term: int = 0
+    promoted_at: int = 0  # Offset of the own promotion's entry.
+    upstream: Upstream | None = None
+    replayed: int = 0
+    frozen: bool = False
+    cut: bool = False
+    # Loop times at which the entries of the log arrived, by offset - 1.
+    arrivals: list[float] = field(factory=list)
+    dropped: list[Entry] = field(factory=list)
+    replicas: dict[str, ReplicaState] = field(factory=dict)
+    write_lock: asyncio.Lock = field(factory=asyncio.Lock)
+    # Ends the open write transaction with an error.
+    interrupt_writer: Callable[[SqlError], None] | None = None
+    replication_transports: set[asyncio.WriteTransport] = field(factory=set)
+    wakeups: Wakeups = field(factory=Wakeups)
+
+    # --- Writing
+
+    def check_writable(self) -> None:
+        """Raise `SqlError` unless this endpoint is an unfenced primary."""
+        if self.role is not Role.PRIMARY:
+            raise self.read_only()
+
+    def read_only(self) -> SqlError:
+        """Return the error of a write on an endpoint that takes none."""
+        return SqlError(READ_ONLY, f"endpoint {self.options.name} is {self.role}")
+
+    def committed(self, writes: tuple[Write, ...]) -> None:
+        """Append a transaction that sqlite has just committed."""
+        self.log.append(self.tenure, writes)
+        self.arrivals.append(0)
+        self.replayed = self.log.last_offset
+        self.wakeups.wake()
+
+    # --- The functions of the platform
+
+    def status(self) -> Status:
+        """Return the row of group_status()."""
+        log = self.log
+        return Status(self.role, log.last_term, log.last_offset, self.replayed)
+
+    def fence(self, term: int) -> bool:
+        """Stop taking writes, and log entries of terms below `term`."""
+        if term <= self.seen_term:
+            return False
+        self.seen_term = self.fenced_term = term
+        self.role = Role.FENCED
+        self.end_open_write()
+        self.wakeups.wake()
+        return True
+
+    def promote(self, term: int) -> int | None:
+        """Become primary of the fenced term; return its first offset.
+
+        A repeated promotion of the same term returns the same offset.
+        """
+        if term != self.fenced_term or term != self.seen_term:
+            return None
+        if self.role is Role.PRIMARY:
+            return self.promoted_at
+        if self.role is not Role.FENCED:
+            return None
+        self.upstream = None
+        self.close_replication()
+        self.replay_up_to(self.log.last_offset)
+        self.role = Role.PRIMARY
+        self.tenure = term
+        self.replicas.clear()
+        self.promoted_at = self.log.last_offset + 1
+        self.committed(())
+        return self.promoted_at
+
+    def follow(self, term: int, address: Address, start: int) -> bool:
+        """Replicate from the primary of `term`, whose first offset is `start`."""
+        if term < self.seen_term:
+            return False
+        if self.role is Role.PRIMARY and self.tenure == term:
+            return False
+        self.seen_term = term
+        self.role = Role.REPLICA
+        self.end_open_write()
+        self.replicas.clear()
+        if self.log.last_offset >= start and self.log.term_at(start) < term:
+            self.drop_after(start - 1)
+        self.upstream = Upstream(*address)
+        self.close_replication()
+        self.wakeups.wake()
+        return True
+
+    def end_open_write(self) -> None:
+        """End the open write transaction, if any."""
+        if self.interrupt_writer is not None:
+            self.interrupt_writer(self.read_only())
+
+    # --- Replication, as a replica
+
+    def accepts(self, upstream: Upstream, tenure: int) -> bool:
+        """Return whether log entries from a primary of a term may be taken."""
+        return upstream is self.upstream and not self.cut and tenure >= self.seen_term
+
+    def drop_after(self, offset: int) -> None:
+        """Move the log's tail to the dropped entries; rebuild if it was replayed."""
+        self.dropped += self.log.truncate(offset)
+        del self.arrivals[offset:]
+        if self.replayed > offset:
+            self.storage.rebuild(self.log.entries)
+            self.replayed = offset
+
+    def receive(self, tenure: int, entries: list[Entry], now: float) -> None:
+        """Store entries of the primary; they are replayed later."""
+        self.tenure = tenure
+        self.seen_term = max(self.seen_term, tenure)
+        for entry in entries:
+            if entry.offset == self.log.last_offset + 1:
+                self.log.entries.append(entry)
+                self.arrivals.append(now)
+        self.wakeups.wake()
+
+    def replay_up_to(self, offset: int) -> None:
+        """Replay received entries."""
+        if offset <= self.replayed:
+            return
+        self.storage.replay(self.log.entries[self.replayed : offset])
+        self.replayed = offset
+
+    def replay_due(self, now: float) -> float | None:
+        """Replay what has lagged long enough; return when the next entry is due."""
+        if self.frozen or self.role is Role.PRIMARY:
+            return None
+        lag = self.options.lag_ms / 1000
+        offset = self.replayed
+        while offset < self.log.last_offset and self.arrivals[offset] + lag <= now:
+            offset += 1
+        self.replay_up_to(offset)
+        if offset == self.log.last_offset:
+            return None
+        return self.arrivals[offset] + lag
+
+    def close_replication(self) -> None:
+        """Abort all replication connections; replicas connect again."""
+        for transport in list(self.replication_transports):
+            transport.abort()
+
+    # --- Controls of tests
+
+    def set_control(self, name: str, value: float) -> None:
+        """Change a setting while running."""
+        if name not in CONTROLS:
+            raise SqlError(INVALID_PARAMETER, f"{name!r} is not one of {CONTROLS}")
+        if name == "frozen":
+            self.frozen = bool(value)
+        elif name == "cut":
+            self.cut = bool(value)
+            self.close_replication()
+        else:
+            setattr(self.options, name, value)
+        self.wakeups.wake()
+
+    def dropped_statements(self) -> list[tuple[int, int, str]]:
+        """Return (term, offset, statement) of each write that was dropped."""
+        return [
+            (entry.term, entry.offset, with_literals(text, parameters))
+            for entry in self.dropped
+            for text, parameters in entry.writes
+        ]
--- /dev/null
+++ b/standins/database_server.py
@@ -0,0 +1,195 @@
+"""A database of a group as a process: PostgreSQL protocol in front of sqlite.
+
+Clients and replicas connect with a startup packet; the parameter `replication` tells
+them apart. The data is in a temporary directory that is removed at exit.
+"""
+
+import argparse
+import asyncio
+import itertools
+import sys
+from collections.abc import Iterator
+from contextlib import suppress
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from attrs import define, field
+
+from . import replication, wire
+from .client_protocol import Client
+from .database import Database, Options, Role, Upstream
+from .group_log import GroupLog
+from .processes import CONNECTION_ENDS, host_port, run_until_signal
+from .sql_errors import SqlError
+from .sql_session import SqlSession
+from .storage import Storage
+
+TOO_MANY_CONNECTIONS = "53300"
+MIN_STARTUP_BYTES = 8  # Length and version.
+MAX_STARTUP_BYTES = 10_000
+PARAMETERS = {
+    "server_version": "16.0",
+    "server_encoding": "UTF8",
+    "client_encoding": "UTF8",
+    "DateStyle": "ISO, MDY",
+    "TimeZone": "UTC",
+    "integer_datetimes": "on",
+    "standard_conforming_strings": "on",
+}
+
+
+@define(eq=False)
+class Server:
+    """Accepts clients and replicas of one database."""
+
+    database: Database
+    slots: asyncio.Semaphore
+    open_clients: int = 0
+    numbers: Iterator[int] = field(factory=itertools.count)
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until it ends."""
+        with suppress(*CONNECTION_ENDS):
+            parameters = await self.startup(reader, writer)
+            if parameters is None:
+                pass
+            elif "replication" in parameters:
+                name = parameters["user"]
+                await replication.serve_replica(name, reader, writer, self.database)
+            else:
+                await self.serve_client(reader, writer)
+        writer.close()
+
+    async def startup(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> dict[str, str] | None:
+        """Return the parameters of the startup packet; None for a cancel request."""
+        while True:
+            (length,) = wire.INT32.unpack(await reader.readexactly(4))
+            if not MIN_STARTUP_BYTES <= length <= MAX_STARTUP_BYTES:
+                return None
+            body = await reader.readexactly(length - wire.LENGTH_BYTES)
+            (code,) = wire.INT32.unpack(body[:4])
+            if code in (wire.SSL_REQUEST, wire.GSS_REQUEST):
+                writer.write(b"N")
+            elif code == wire.CANCEL_REQUEST:
+                return None
+            else:
+                return wire.startup_parameters(body[4:])
+
+    async def serve_client(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve a client within the connection limit."""
+        options = self.database.options
+        if self.open_clients >= options.max_connections:
+            error = SqlError(TOO_MANY_CONNECTIONS, "too many connections", "FATAL")
+            writer.write(wire.error_response(error))
+            await writer.drain()
+            return
+        self.open_clients += 1
+        try:
+            await asyncio.sleep(options.connect_ms / 1000)
+            self.greet(writer)
+            session = SqlSession(self.database, self.slots)
+            try:
+                await Client(reader, writer, session).serve()
+            finally:
+                session.close()
+        finally:
+            self.open_clients -= 1
+
+    def greet(self, writer: asyncio.StreamWriter) -> None:
+        """Accept the client without a password."""
+        writer.write(wire.message(b"R", wire.INT32.pack(0)))
+        for name, value in PARAMETERS.items():
+            writer.write(wire.parameter_status(name, value))
+        key = wire.INT32.pack(next(self.numbers)) + wire.INT32.pack(0)
+        writer.write(wire.message(b"K", key))
+
+
+def make_database(
+    options: Options, directory: Path, upstream: Upstream | None
+) -> Database:
+    """Return an empty database, a primary unless it has an upstream."""
+    return Database(
+        options,
+        Storage(directory),
+        role=Role.PRIMARY if upstream is None else Role.REPLICA,
+        log=GroupLog(options.term),
+        tenure=options.term,
+        seen_term=options.term,
+        upstream=upstream,
+    )
+
+
+def stop_on_failure(task: asyncio.Task[None]) -> None:
+    """End the process when a background task fails: its state is then unreliable."""
+    if task.cancelled() or task.exception() is None:
+        return
+    print(f"replication failed: {task.exception()!r}", file=sys.stderr, flush=True)
+    task.get_loop().stop()
+
+
+async def serve(arguments: argparse.Namespace, database: Database) -> None:
+    """Serve until a signal arrives."""
+    server = Server(database, asyncio.Semaphore(database.options.slots))
+    listeners = [
+        await asyncio.start_server(server.accept, host, port, backlog=1024)
+        for host, port in filter(None, (arguments.listen, arguments.replication_listen))
+    ]
+    tasks = [
+        asyncio.create_task(replication.follow_forever(database)),
+        asyncio.create_task(replication.replay_forever(database)),
+    ]
+    for task in tasks:
+        task.add_done_callback(stop_on_failure)
+    await run_until_signal()
+    for listener in listeners:
+        listener.close()
+    for task in tasks:
+        task.cancel()
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Parse the command line."""
+    parser = argparse.ArgumentParser(description="Stand-in for a database of a group.")
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--region", default="")
+    parser.add_argument("--listen", required=True, type=host_port)
+    parser.add_argument("--replication-listen", type=host_port)
+    role = parser.add_mutually_exclusive_group(required=True)
+    role.add_argument("--primary", action="store_true")
+    role.add_argument("--follow", type=host_port, metavar="HOST:PORT")
+    parser.add_argument("--term", type=int, default=1)
+    parser.add_argument("--slots", type=int, default=1000)
+    parser.add_argument("--connect-ms", type=float, default=0)
+    parser.add_argument("--service-ms", type=float, default=0)
+    parser.add_argument("--lag-ms", type=float, default=0)
+    parser.add_argument("--max-connections", type=int, default=1000)
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Run the database as a process."""
+    arguments = parse_arguments()
+    options = Options(
+        name=arguments.name,
+        region=arguments.region,
+        term=arguments.term,
+        slots=arguments.slots,
+        connect_ms=arguments.connect_ms,
+        service_ms=arguments.service_ms,
+        lag_ms=arguments.lag_ms,
+        max_connections=arguments.max_connections,
+    )
+    upstream = Upstream(*arguments.follow) if arguments.follow else None
+    with TemporaryDirectory(prefix="pimentodrift-database-") as directory:
+        database = make_database(options, Path(directory), upstream)
+        asyncio.run(serve(arguments, database))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/group_functions.py
@@ -0,0 +1,138 @@
+"""The platform's SQL functions and the tests' controls, recognised by their text.
+
+Only the form `SELECT columns [FROM] function(arguments)` is understood, which is how
+the platform documents them.
+"""
+
+import re
+from collections.abc import Callable
+
+from .database import Database
+from .results import Result
+from .sql_errors import SqlError
+from .statements import Value
+
+CALL = re.compile(
+    r"^\s*SELECT\s+(?:(?P<columns>[\w\s,.*]+?)\s+FROM\s+)?"
+    r"(?P<function>\w+)\s*\((?P<arguments>[^)]*)\)\s*$",
+    re.IGNORECASE,
+)
+SYNTAX_ERROR = "42601"
+UNDEFINED_COLUMN = "42703"
+INVALID_TEXT = "22P02"
+
+Table = tuple[tuple[str, ...], list[tuple[Value, ...]]]
+
+
+def run(text: str, parameters: tuple[Value, ...], database: Database) -> Result:
+    """Run a statement that calls one of the functions."""
+    match = CALL.match(text)
+    function = FUNCTIONS.get(match["function"].lower()) if match else None
+    if match is None or function is None:
+        raise SqlError(SYNTAX_ERROR, f"unsupported form of a group function: {text}")
+    arguments = [
+        argument(part.strip(), parameters)
+        for part in match["arguments"].split(",")
+        if part.strip()
+    ]
+    try:
+        names, rows = function(database, *arguments)
+    except TypeError:
+        raise SqlError(SYNTAX_ERROR, f"wrong number of arguments: {text}") from None
+    return select(match["columns"] or "*", names, rows)
+
+
+def argument(text: str, parameters: tuple[Value, ...]) -> Value:
+    """Return the value of a literal or parameter."""
+    if text.startswith("?"):
+        return parameters[int(text[1:]) - 1]
+    if text.startswith("'"):
+        return text[1:-1].replace("''", "'")
+    return text
+
+
+def select(
+    columns: str, names: tuple[str, ...], rows: list[tuple[Value, ...]]
+) -> Result:
+    """Return the wanted columns of a function's rows."""
+    wanted = [name.strip().lower() for name in columns.split(",")]
+    if wanted == ["*"]:
+        wanted = list(names)
+    for name in wanted:
+        if name not in names:
+            raise SqlError(UNDEFINED_COLUMN, f'column "{name}" does not exist')
+    indexes = [names.index(name) for name in wanted]
+    picked = [tuple(row[index] for index in indexes) for row in rows]
+    return Result(f"SELECT {len(picked)}", tuple(wanted), picked)
+
+
+def integer(value: Value) -> int:
+    """Return an argument as an integer."""
+    try:
+        return int(value)  # type: ignore[arg-type]
+    except (TypeError, ValueError):
+        raise SqlError(INVALID_TEXT, f"{value!r} is no integer") from None
+
+
+def group_status(database: Database) -> Table:
+    """Tell role, term and positions."""
+    status = database.status()
+    row = (str(status.role), status.term, status.received, status.replayed)
+    return ("role", "term", "received", "replayed"), [row]
+
+
+def group_replicas(database: Database) -> Table:
+    """Tell what each replica has acknowledged."""
+    rows: list[tuple[Value, ...]] = [
+        (name, state.term, state.received)
+        for name, state in sorted(database.replicas.items())
+    ]
+    return ("endpoint", "term", "received"), rows
+
+
+def group_fence(database: Database, term: Value) -> Table:
+    """Fence the endpoint and tell the end of its log."""
+    accepted = database.fence(integer(term))
+    row = (accepted, database.log.last_term, database.log.last_offset)
+    return ("accepted", "last_term", "received"), [row]
+
+
+def group_promote(database: Database, term: Value) -> Table:
+    """Promote the fenced endpoint and tell the new term's first offset."""
+    start = database.promote(integer(term))
+    return ("accepted", "start_position"), [(start is not None, start)]
+
+
+def group_follow(
+    database: Database, term: Value, host: Value, port: Value, start: Value
+) -> Table:
+    """Follow another primary."""
+    address = (str(host), integer(port))
+    accepted = database.follow(integer(term), address, integer(start))
+    return ("accepted",), [(accepted,)]
+
+
+def group_dropped(database: Database) -> Table:
+    """List the writes that were dropped."""
+    rows: list[tuple[Value, ...]] = list(database.dropped_statements())
+    return ("term", "position", "statement"), rows
+
+
+def standin_set(database: Database, name: Value, value: Value) -> Table:
+    """Change a control of tests."""
+    database.set_control(str(name), integer(value))
+    return ("standin_set",), [(True,)]
+
+
+FUNCTIONS: dict[str, Callable[..., Table]] = {
+    function.__name__: function
+    for function in (
+        group_status,
+        group_replicas,
+        group_fence,
+        group_promote,
+        group_follow,
+        group_dropped,
+        standin_set,
+    )
+}
--- /dev/null
+++ b/standins/link.py
@@ -0,0 +1,214 @@
+"""A network link between regions: TCP forwarding with delay, cuts and resets.
+
+A cut holds all bytes and connection attempts back, as a partition does; after healing
+they go on in order. Cut and heal with SIGUSR1 and SIGUSR2, or over the control port
+with lines `cut`, `heal`, `reset` (close all connections) and `delay MS`, each answered
+by `ok`.
+"""
+
+import argparse
+import asyncio
+import signal
+from contextlib import suppress
+
+from attrs import define, field, frozen
+
+from .processes import CONNECTION_ENDS, host_port, run_until_signal
+
+CHUNK_BYTES = 65536
+QUEUE_CHUNKS = 1024
+PAIR_PARTS = 3
+
+Address = tuple[str, int]
+
+
+@frozen
+class Pair:
+    """One forwarded address; the delay is one way, in milliseconds."""
+
+    listen: Address
+    to: Address
+    delay_ms: float | None = None
+
+
+@define(eq=False)
+class Link:
+    """All pairs of the process, cut and healed together."""
+
+    delay_ms: float
+    healed: asyncio.Event = field(factory=asyncio.Event)
+    transports: set[asyncio.WriteTransport] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin without a cut."""
+        self.healed.set()
+
+    def delay_s(self, pair: Pair) -> float:
+        """Return the delay of a pair in seconds."""
+        delay_ms = self.delay_ms if pair.delay_ms is None else pair.delay_ms
+        return delay_ms / 1000
+
+    def reset(self) -> None:
+        """Abort all connections."""
+        for transport in list(self.transports):
+            transport.abort()
+
+    async def listen(self, pair: Pair) -> None:
+        """Forward the connections to one address."""
+
+        async def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            with suppress(*CONNECTION_ENDS):
+                await self.forward(pair, reader, writer)
+
+        host, port = pair.listen
+        await asyncio.start_server(accept, host, port, backlog=1024)
+
+    async def forward(
+        self, pair: Pair, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward one connection in both directions."""
+        self.transports.add(writer.transport)
+        try:
+            await self.healed.wait()
+            far_reader, far_writer = await asyncio.open_connection(*pair.to)
+        except OSError:
+            writer.transport.abort()
+            return
+        finally:
+            self.transports.discard(writer.transport)
+        pipes = (
+            Pipe(self, pair, reader, far_writer),
+            Pipe(self, pair, far_reader, writer),
+        )
+        transports = {writer.transport, far_writer.transport}
+        self.transports |= transports
+        try:
+            await asyncio.gather(*(pipe.run() for pipe in pipes))
+        finally:
+            self.transports -= transports
+            for transport in transports:
+                transport.abort()
+
+
+@define(eq=False)
+class Pipe:
+    """One direction of a connection."""
+
+    link: Link
+    pair: Pair
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    # Bytes with the loop time at which they are due; empty at the end of the stream.
+    queue: asyncio.Queue[tuple[float, bytes]] = field(
+        factory=lambda: asyncio.Queue(QUEUE_CHUNKS)
+    )
+
+    async def run(self) -> None:
+        """Move bytes until the end of the stream has been passed on."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.receive())
+            group.create_task(self.send())
+
+    async def receive(self) -> None:
+        """Queue what arrives."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                data = await self.reader.read(CHUNK_BYTES)
+            except OSError:
+                data = b""
+            await self.queue.put((loop.time() + self.link.delay_s(self.pair), data))
+            if not data:
+                return
+
+    async def send(self) -> None:
+        """Send each chunk when it is due and the link is not cut."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due, data = await self.queue.get()
+            await asyncio.sleep(due - loop.time())
+            await self.link.healed.wait()
+            with suppress(OSError):
+                if not data:
+                    self.writer.write_eof()
+                    return
+                self.writer.write(data)
+                await self.writer.drain()
+
+
+async def control(
+    link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Carry out the lines of one control connection."""
+    while line := await reader.readline():
+        match line.decode().split():
+            case ["cut"]:
+                link.healed.clear()
+            case ["heal"]:
+                link.healed.set()
+            case ["reset"]:
+                link.reset()
+            case ["delay", delay_ms]:
+                link.delay_ms = float(delay_ms)
+            case _:
+                writer.write(b"unknown command\n")
+                continue
+        writer.write(b"ok\n")
+    writer.close()
+
+
+async def serve(
+    pairs: list[Pair], delay_ms: float, control_listen: Address | None
+) -> None:
+    """Forward until a signal arrives."""
+    link = Link(delay_ms)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, link.healed.clear)
+    loop.add_signal_handler(signal.SIGUSR2, link.healed.set)
+    for pair in pairs:
+        await link.listen(pair)
+    if control_listen is not None:
+        await asyncio.start_server(
+            lambda reader, writer: control(link, reader, writer), *control_listen
+        )
+    await run_until_signal()
+
+
+def parse_pair(text: str) -> Pair:
+    """Parse LISTEN=TO or LISTEN=TO=DELAY_MS."""
+    parts = text.split("=")
+    if len(parts) not in (PAIR_PARTS - 1, PAIR_PARTS):
+        raise argparse.ArgumentTypeError(f"{text!r} is not LISTEN=TO[=DELAY_MS]")
+    delay_ms = float(parts[2]) if len(parts) == PAIR_PARTS else None
+    return Pair(host_port(parts[0]), host_port(parts[1]), delay_ms)
+
+
+def main() -> None:
+    """Run the link as a process."""
+    parser = argparse.ArgumentParser(description="Link with delay and cuts.")
+    parser.add_argument("--listen", type=host_port)
+    parser.add_argument("--to", type=host_port)
+    parser.add_argument("--delay-ms", type=float, default=0)
+    parser.add_argument(
+        "--pair",
+        action="append",
+        default=[],
+        type=parse_pair,
+        metavar="LISTEN=TO[=DELAY_MS]",
+    )
+    parser.add_argument("--control", type=host_port, metavar="HOST:PORT")
+    arguments = parser.parse_args()
+    pairs: list[Pair] = arguments.pair
+    if (arguments.listen is None) != (arguments.to is None):
+        parser.error("--listen and --to go together")
+    if arguments.listen is not None:
+        pairs.append(Pair(arguments.listen, arguments.to))
+    if not pairs:
+        parser.error("--listen and --to, or --pair, are required")
+    asyncio.run(serve(pairs, arguments.delay_ms, arguments.control))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,294 @@
+"""The platform's store: versioned objects with conditional updates and a watch.
+
+It implements the protocol of the design's section 4 in memory. Each `--listen` address
+may name a region; the `address` values that it hands out can be rewritten per region,
+so that a test can put delayed links between regions. Faults are set over
+`/standin/faults`.
+"""
+
+import argparse
+import asyncio
+from collections import Counter
+from typing import Any
+
+import orjson
+from aiohttp import web
+from attrs import define, field
+
+from .processes import host_port, run_until_signal
+
+MAX_VALUE_BYTES = 2**20
+MAX_WAIT_MS = 60_000
+
+Key = tuple[str, str]
+
+
+@define
+class Faults:
+    """Misbehaviour that a test asks for."""
+
+    down: bool = False
+    delay_ms: float = 0
+    lose_next_answers: int = 0
+
+
+@define
+class StoredObject:
+    """An object with its version; `value` is None when it was deleted."""
+
+    kind: str
+    name: str
+    version: int = 0
+    value: dict[str, Any] | None = None
+
+
+@define
+class Store:
+    """All objects, and the faults and rewrites that a test asks for."""
+
+    version: int = 0
+    objects: dict[Key, StoredObject] = field(factory=dict)
+    faults: Faults = field(factory=Faults)
+    rewrites: dict[str, dict[str, str]] = field(factory=dict)
+    calls: Counter[str] = field(factory=Counter)
+    changed: asyncio.Event = field(factory=asyncio.Event)
+
+    def current(self, key: Key) -> StoredObject:
+        """Return an object; version 0 stands for one that never existed."""
+        return self.objects.get(key) or StoredObject(*key)
+
+    def write(self, key: Key, value: dict[str, Any] | None) -> StoredObject:
+        """Store a value under the next version and wake the watches."""
+        self.version += 1
+        item = StoredObject(*key, self.version, value)
+        self.objects[key] = item
+        self.wake()
+        return item
+
+    def wake(self) -> None:
+        """Let all waiting watches look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def changed_after(self, version: int) -> list[StoredObject]:
+        """Return the objects with a higher version, oldest first."""
+        items = [item for item in self.objects.values() if item.version > version]
+        return sorted(items, key=lambda item: item.version)
+
+
+def answer(value: object, status: int = 200) -> web.Response:
+    """Return a JSON answer."""
+    return web.Response(
+        body=orjson.dumps(value), status=status, content_type="application/json"
+    )
+
+
+@define
+class RegionalApi:
+    """The HTTP interface as one region sees it."""
+
+    store: Store
+    region: str
+
+    def application(self) -> web.Application:
+        """Return the aiohttp application of this region's port."""
+        app = web.Application(
+            client_max_size=2 * MAX_VALUE_BYTES, middlewares=[self.misbehave]
+        )
+        app.router.add_get("/v1/objects", self.watch)
+        app.router.add_get("/v1/objects/{kind}/{name}", self.get)
+        app.router.add_put("/v1/objects/{kind}/{name}", self.put)
+        app.router.add_delete("/v1/objects/{kind}/{name}", self.delete)
+        app.router.add_post("/standin/faults", self.set_faults)
+        app.router.add_post("/standin/rewrites", self.set_rewrites)
+        app.router.add_get("/standin/calls", self.get_calls)
+        return app
+
+    @web.middleware
+    async def misbehave(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        """Apply the delay and the outage to the calls of the protocol."""
+        if request.path.startswith("/standin/"):
+            return await self.call(request, handler)
+        if self.store.faults.delay_ms:
+            await asyncio.sleep(self.store.faults.delay_ms / 1000)
+        if self.store.faults.down:
+            self.store.calls["unavailable"] += 1
+            return answer({"error": "the store is down"}, 503)
+        response = await self.call(request, handler)
+        if (
+            request.method in ("PUT", "DELETE")
+            and response.status == web.HTTPOk.status_code
+        ):
+            self.lose_answer(request)
+        return response
+
+    async def call(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        """Run a handler with the type that aiohttp's middleware leaves out."""
+        response: web.StreamResponse = await handler(request)
+        return response
+
+    def lose_answer(self, request: web.Request) -> None:
+        """Drop the connection of an applied write if a test asked for it."""
+        if not self.store.faults.lose_next_answers:
+            return
+        self.store.faults.lose_next_answers -= 1
+        self.store.calls["lost_answers"] += 1
+        if request.transport is not None:
+            request.transport.abort()
+
+    def describe(self, item: StoredObject) -> dict[str, object]:
+        """Return an object as JSON with the region's address rewrites applied."""
+        value = item.value
+        rewrites = self.store.rewrites.get(self.region, {})
+        if value is not None and value.get("address") in rewrites:
+            value = {**value, "address": rewrites[value["address"]]}
+        return {
+            "kind": item.kind,
+            "name": item.name,
+            "version": item.version,
+            "value": value,
+        }
+
+    async def get(self, request: web.Request) -> web.Response:
+        """Answer with one object."""
+        self.store.calls["get"] += 1
+        item = self.store.current(key_of(request))
+        if item.value is None:
+            return answer({"error": "no such object"}, 404)
+        return answer(self.describe(item))
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Create or replace an object if the precondition holds."""
+        self.store.calls["put"] += 1
+        body = await request.read()
+        if len(body) > MAX_VALUE_BYTES:
+            return answer({"error": f"over {MAX_VALUE_BYTES} bytes"}, 413)
+        try:
+            value = orjson.loads(body)
+        except orjson.JSONDecodeError as error:
+            return answer({"error": str(error)}, 400)
+        if not isinstance(value, dict):
+            return answer({"error": "the value is no JSON object"}, 400)
+        return self.write(request, value)
+
+    async def delete(self, request: web.Request) -> web.Response:
+        """Delete an object if the precondition holds."""
+        self.store.calls["delete"] += 1
+        return self.write(request, None)
+
+    def write(self, request: web.Request, value: dict[str, Any] | None) -> web.Response:
+        """Write a value if the precondition holds, else answer with the object."""
+        key = key_of(request)
+        item = self.store.current(key)
+        if "If-None-Match" in request.headers:
+            matches = item.value is None
+        elif "If-Match" in request.headers:
+            wanted = request.headers["If-Match"].strip('" ')
+            matches = item.value is not None and wanted == str(item.version)
+        else:
+            return answer({"error": "If-Match or If-None-Match is required"}, 428)
+        if not matches:
+            self.store.calls["conflict"] += 1
+            return answer(self.describe(item), 409)
+        return answer(self.describe(self.store.write(key, value)))
+
+    async def watch(self, request: web.Request) -> web.Response:
+        """Answer with the objects changed after a version, waiting for the first."""
+        self.store.calls["watch"] += 1
+        try:
+            after = int(request.query.get("after", "0"))
+            wait_ms = min(int(request.query.get("wait_ms", "0")), MAX_WAIT_MS)
+        except ValueError as error:
+            return answer({"error": str(error)}, 400)
+        deadline = asyncio.get_running_loop().time() + wait_ms / 1000
+        while not (items := self.store.changed_after(after)):
+            if self.store.faults.down:
+                return answer({"error": "the store is down"}, 503)
+            if not await self.wait_for_change(deadline):
+                break
+        return answer(
+            {
+                "version": max(self.store.version, after),
+                "items": [self.describe(item) for item in items],
+            }
+        )
+
+    async def wait_for_change(self, deadline: float) -> bool:
+        """Wait for a change; return False when the loop's time is at the deadline."""
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self.store.changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Change the faults that the body names."""
+        body = orjson.loads(await request.read())
+        faults = self.store.faults
+        faults.down = bool(body.get("down", faults.down))
+        faults.delay_ms = float(body.get("delay_ms", faults.delay_ms))
+        faults.lose_next_answers = int(
+            body.get("lose_next_answers", faults.lose_next_answers)
+        )
+        self.store.wake()
+        return answer(
+            {
+                "down": faults.down,
+                "delay_ms": faults.delay_ms,
+                "lose_next_answers": faults.lose_next_answers,
+            }
+        )
+
+    async def set_rewrites(self, request: web.Request) -> web.Response:
+        """Replace the address rewrites of the regions that the body names."""
+        body = orjson.loads(await request.read())
+        self.store.rewrites.update(body)
+        return answer(self.store.rewrites)
+
+    async def get_calls(self, request: web.Request) -> web.Response:
+        """Answer with the number of calls by kind."""
+        return answer(dict(self.store.calls))
+
+
+def key_of(request: web.Request) -> Key:
+    """Return the kind and name in a request's path."""
+    return request.match_info["kind"], request.match_info["name"]
+
+
+def listen_address(text: str) -> tuple[str, str, int]:
+    """Parse [REGION=]HOST:PORT."""
+    region, _, address = text.rpartition("=")
+    return (region, *host_port(address))
+
+
+async def serve(listen: list[tuple[str, str, int]]) -> None:
+    """Serve one store on all addresses until a signal arrives."""
+    store = Store()
+    runners = []
+    for region, host, port in listen:
+        app = RegionalApi(store, region).application()
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, host, port).start()
+        runners.append(runner)
+    await run_until_signal()
+    for runner in runners:
+        await runner.cleanup()
+
+
+def main() -> None:
+    """Run the store as a process."""
+    parser = argparse.ArgumentParser(description="Stand-in for the platform's store.")
+    parser.add_argument(
+        "--listen",
+        action="append",
+        required=True,
+        type=listen_address,
+        metavar="[REGION=]HOST:PORT",
+    )
+    asyncio.run(serve(parser.parse_args().listen))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/replication.py
@@ -0,0 +1,179 @@
+"""Ships the log from a primary to its replicas over TCP.
+
+A replica opens the connection with a PostgreSQL startup packet that names the
+parameter `replication`, so it may dial the replication port or the SQL port. It then
+describes its log, drops what the primary lacks, and acknowledges what it receives.
+Frames are JSON with a length in front.
+"""
+
+import asyncio
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from typing import Any
+
+import orjson
+
+from . import wire
+from .database import Database, ReplicaState, Role, Upstream
+from .group_log import Entry, Write
+
+LENGTH = struct.Struct("!I")
+RETRY_S = 0.02
+BATCH_ENTRIES = 500
+
+
+def send_frame(writer: asyncio.StreamWriter, value: object) -> None:
+    """Write one frame."""
+    data = orjson.dumps(value)
+    writer.write(LENGTH.pack(len(data)) + data)
+
+
+async def read_frame(reader: asyncio.StreamReader) -> Any:
+    """Return the next frame; raise `IncompleteReadError` at the end."""
+    (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+    return orjson.loads(await reader.readexactly(length))
+
+
+def decode_writes(writes: list[Any]) -> tuple[Write, ...]:
+    """Return the writes of an entry; JSON has lists in place of tuples."""
+    return tuple((text, tuple(parameters)) for text, parameters in writes)
+
+
+@asynccontextmanager
+async def woken(database: Database) -> AsyncIterator[asyncio.Event]:
+    """Provide an event that is set at each change of the database."""
+    event = asyncio.Event()
+    database.wakeups.events.add(event)
+    try:
+        yield event
+    finally:
+        database.wakeups.events.discard(event)
+
+
+@asynccontextmanager
+async def registered(
+    writer: asyncio.StreamWriter, database: Database
+) -> AsyncIterator[None]:
+    """Let the database abort a replication connection."""
+    database.replication_transports.add(writer.transport)
+    try:
+        yield
+    finally:
+        database.replication_transports.discard(writer.transport)
+        writer.transport.abort()
+
+
+# --- Primary
+
+
+async def serve_replica(
+    name: str,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    database: Database,
+) -> None:
+    """Ship the log to one replica until the connection ends."""
+    if database.cut or database.role is not Role.PRIMARY:
+        return
+    async with registered(writer, database):
+        term_starts, last, seen_term = await read_frame(reader)
+        if seen_term > database.tenure or database.role is not Role.PRIMARY:
+            return
+        common = database.log.common_offset(
+            [(term, start) for term, start in term_starts], last
+        )
+        send_frame(writer, (database.tenure, common))
+        ship = asyncio.create_task(ship_log(common, writer, database))
+        try:
+            await take_acknowledgments(name, reader, database)
+        finally:
+            ship.cancel()
+
+
+async def take_acknowledgments(
+    name: str, reader: asyncio.StreamReader, database: Database
+) -> None:
+    """Record what a replica says it has received."""
+    while True:
+        term, received = await read_frame(reader)
+        database.replicas[name] = ReplicaState(term, received)
+
+
+async def ship_log(
+    offset: int, writer: asyncio.StreamWriter, database: Database
+) -> None:
+    """Send all entries after an offset, now and later."""
+    async with woken(database) as event:
+        while True:
+            event.clear()
+            while offset < database.log.last_offset:
+                batch = database.log.entries[offset : offset + BATCH_ENTRIES]
+                entries = [(entry.term, entry.writes) for entry in batch]
+                send_frame(writer, (database.tenure, offset + 1, entries))
+                offset += len(batch)
+                await writer.drain()
+            await event.wait()
+
+
+# --- Replica
+
+
+async def follow_forever(database: Database) -> None:
+    """Keep the connection to the current primary open."""
+    while True:
+        upstream = database.upstream
+        if upstream is not None and not database.cut:
+            with suppress(OSError, EOFError):
+                await receive_log(upstream, database)
+        await asyncio.sleep(RETRY_S)
+
+
+async def receive_log(upstream: Upstream, database: Database) -> None:
+    """Receive the log of a primary until the connection ends or is refused."""
+    reader, writer = await asyncio.open_connection(upstream.host, upstream.port)
+    async with registered(writer, database):
+        parameters = {"user": database.options.name, "replication": "standin"}
+        writer.write(wire.startup_packet(parameters))
+        log = database.log
+        send_frame(writer, (log.term_starts(), log.last_offset, database.seen_term))
+        tenure, common = await read_frame(reader)
+        if not database.accepts(upstream, tenure):
+            return
+        if common < log.last_offset:
+            database.drop_after(common)
+        database.receive(tenure, [], 0)
+        send_frame(writer, (log.last_term, log.last_offset))
+        await store_entries(upstream, reader, writer, database)
+
+
+async def store_entries(
+    upstream: Upstream,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    database: Database,
+) -> None:
+    """Store each batch and acknowledge it."""
+    loop = asyncio.get_running_loop()
+    while True:
+        tenure, first, batch = await read_frame(reader)
+        if not database.accepts(upstream, tenure):
+            return
+        entries = [
+            Entry(term, first + index, decode_writes(writes))
+            for index, (term, writes) in enumerate(batch)
+        ]
+        database.receive(tenure, entries, loop.time())
+        send_frame(writer, (database.log.last_term, database.log.last_offset))
+
+
+async def replay_forever(database: Database) -> None:
+    """Replay received entries when their lag has passed."""
+    loop = asyncio.get_running_loop()
+    async with woken(database) as event:
+        while True:
+            event.clear()
+            due = database.replay_due(loop.time())
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(due):
+                    await event.wait()
--- /dev/null
+++ b/standins/sql_errors.py
@@ -0,0 +1,50 @@
+"""The error that a client of the database stand-in sees, and sqlite's as such."""
+
+import sqlite3
+
+from attrs import frozen
+
+SQLSTATES = {
+    "SQLITE_CONSTRAINT_UNIQUE": "23505",
+    "SQLITE_CONSTRAINT_PRIMARYKEY": "23505",
+    "SQLITE_CONSTRAINT_ROWID": "23505",
+    "SQLITE_CONSTRAINT_NOTNULL": "23502",
+    "SQLITE_CONSTRAINT_CHECK": "23514",
+    "SQLITE_CONSTRAINT_FOREIGNKEY": "23503",
+    "SQLITE_BUSY": "40001",
+    "SQLITE_BUSY_SNAPSHOT": "40001",
+    "SQLITE_LOCKED": "40001",
+    "SQLITE_MISMATCH": "22P02",
+}
+# Parts of sqlite's messages for errors that share one error code.
+MESSAGE_SQLSTATES = {
+    "no such table": "42P01",
+    "already exists": "42P07",
+    "no such column": "42703",
+    "has no column": "42703",
+    "no such function": "42883",
+    "syntax error": "42601",
+    "incomplete input": "42601",
+}
+INTERNAL_ERROR = "XX000"
+
+
+@frozen
+class SqlError(Exception):
+    """A refusal with its SQLSTATE."""
+
+    sqlstate: str
+    message: str
+    severity: str = "ERROR"
+
+
+def from_sqlite(error: sqlite3.Error) -> SqlError:
+    """Return the error with the SQLSTATE that PostgreSQL would give."""
+    message = str(error)
+    name = getattr(error, "sqlite_errorname", "")
+    if name in SQLSTATES:
+        return SqlError(SQLSTATES[name], message)
+    for part, sqlstate in MESSAGE_SQLSTATES.items():
+        if part in message:
+            return SqlError(sqlstate, message)
+    return SqlError(INTERNAL_ERROR, message)
--- /dev/null
+++ b/standins/sql_session.py
@@ -0,0 +1,234 @@
+"""The transactions of one client, on a sqlite connection of its own.
+
+Reads run outside sqlite's transactions until the first write, so each sees the newest
+committed data, as in PostgreSQL's read committed. The first write waits for the
+database's write lock and then begins sqlite's transaction, which therefore never finds
+the file busy. Outside BEGIN, everything up to the protocol's Sync is one transaction.
+"""
+
+import asyncio
+import sqlite3
+from contextlib import suppress
+
+from attrs import define, field
+
+from . import group_functions
+from .database import Database
+from .group_log import Write
+from .results import Result
+from .sql_errors import SqlError, from_sqlite
+from .statements import Kind, Parsed, Value
+
+IDLE = "I"
+IN_TRANSACTION = "T"
+FAILED = "E"
+
+IN_FAILED_TRANSACTION = "25P02"
+PROTOCOL_VIOLATION = "08P01"
+
+
+@define(eq=False)
+class SqlSession:
+    """One client's connection to sqlite and its transaction."""
+
+    database: Database
+    slots: asyncio.Semaphore
+    connection: sqlite3.Connection = field(init=False)
+    generation: int = field(init=False)
+    state: str = IDLE
+    is_writing: bool = False
+    writes: list[Write] = field(factory=list)
+    interruption: SqlError | None = None
+
+    def __attrs_post_init__(self) -> None:
+        """Open the connection."""
+        self.connection = self.database.storage.connect()
+        self.generation = self.database.storage.generation
+
+    async def execute(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
+        """Run a statement; a `SqlError` fails the transaction."""
+        try:
+            return await self.run(parsed, parameters)
+        except sqlite3.Error as error:
+            self.fail()
+            raise from_sqlite(error) from error
+        except SqlError:
+            self.fail()
+            raise
+
+    async def run(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
+        """Run a statement by its kind."""
+        if len(parameters) != parsed.parameter_count:
+            raise SqlError(
+                PROTOCOL_VIOLATION,
+                f"{parsed.parameter_count} parameters expected, got {len(parameters)}",
+            )
+        match parsed.kind:
+            case Kind.ROLLBACK:
+                self.rollback()
+                return Result("ROLLBACK")
+            case Kind.COMMIT:
+                return self.commit()
+        self.raise_interruption()
+        if self.state == FAILED:
+            raise SqlError(
+                IN_FAILED_TRANSACTION,
+                "current transaction is aborted, commands ignored until end of block",
+            )
+        match parsed.kind:
+            case Kind.BEGIN:
+                self.state = IN_TRANSACTION
+                return Result("BEGIN")
+            case Kind.SETTING | Kind.EMPTY:
+                return Result(parsed.tag)
+            case Kind.GROUP_FUNCTION:
+                return group_functions.run(parsed.text, parameters, self.database)
+            case Kind.WRITE:
+                return await self.write(parsed, parameters)
+        return await self.read(parsed, parameters)
+
+    async def read(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
+        """Run a statement that changes nothing."""
+        async with self.slots:
+            await self.serve()
+            self.raise_interruption()
+            return self.run_in_sqlite(parsed, parameters)
+
+    async def write(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
+        """Run a statement that changes data, in sqlite's transaction."""
+        self.database.check_writable()
+        # The lock comes before the slot: its holder needs slots to finish.
+        await self.begin_write()
+        async with self.slots:
+            await self.serve()
+            self.raise_interruption()
+            result = self.run_in_sqlite(parsed, parameters)
+        self.writes.append((parsed.text, parameters))
+        return result
+
+    async def serve(self) -> None:
+        """Wait for as long as a statement takes."""
+        if self.database.options.service_ms:
+            await asyncio.sleep(self.database.options.service_ms / 1000)
+
+    def run_in_sqlite(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
+        """Run a statement and fetch its rows."""
+        if self.generation != self.database.storage.generation:
+            self.reconnect()
+        cursor = self.connection.execute(parsed.text, parameters)
+        rows = cursor.fetchall()
+        columns = None
+        if cursor.description is not None:
+            columns = tuple(str(item[0]) for item in cursor.description)
+        count = len(rows) if columns is not None else max(cursor.rowcount, 0)
+        return Result(full_tag(parsed.tag, count), columns, rows)
+
+    def reconnect(self) -> None:
+        """Open the file that replaced the one of this connection."""
+        self.connection.close()
+        self.connection = self.database.storage.connect()
+        self.generation = self.database.storage.generation
+
+    # --- Transactions
+
+    async def begin_write(self) -> None:
+        """Take the write lock and begin sqlite's transaction, once."""
+        if self.is_writing:
+            return
+        await self.database.write_lock.acquire()
+        try:
+            self.database.check_writable()
+            if self.generation != self.database.storage.generation:
+                self.reconnect()
+            self.connection.execute("BEGIN IMMEDIATE")
+        except BaseException:
+            self.database.write_lock.release()
+            raise
+        self.is_writing = True
+        self.database.interrupt_writer = self.interrupt
+
+    def interrupt(self, error: SqlError) -> None:
+        """Roll the open write back; the client's next statement gets the error."""
+        self.undo_writes()
+        self.interruption = error
+
+    def raise_interruption(self) -> None:
+        """Raise the error that ended the open write, once."""
+        if self.interruption is not None:
+            error, self.interruption = self.interruption, None
+            raise error
+
+    def end_write(self) -> None:
+        """Release the write lock."""
+        self.is_writing = False
+        self.writes = []
+        self.database.interrupt_writer = None
+        self.database.write_lock.release()
+
+    def undo_writes(self) -> None:
+        """Roll sqlite's transaction back, if there is one."""
+        if not self.is_writing:
+            return
+        # Some errors of sqlite have already ended its transaction.
+        with suppress(sqlite3.Error):
+            self.connection.execute("ROLLBACK")
+        self.end_write()
+
+    def commit_writes(self) -> None:
+        """Commit sqlite's transaction and append it to the log."""
+        self.raise_interruption()
+        if not self.is_writing:
+            return
+        self.database.check_writable()
+        self.connection.execute("COMMIT")
+        self.database.committed(tuple(self.writes))
+        self.end_write()
+
+    def commit(self) -> Result:
+        """End the transaction; a failed one is rolled back."""
+        if self.state == FAILED:
+            self.rollback()
+            return Result("ROLLBACK")
+        # Errors of the commit end the transaction too.
+        self.state = IDLE
+        self.commit_writes()
+        return Result("COMMIT")
+
+    def rollback(self) -> None:
+        """End the transaction without its writes."""
+        self.interruption = None
+        self.undo_writes()
+        self.state = IDLE
+
+    def fail(self) -> None:
+        """Undo the writes after an error; an explicit transaction stays failed."""
+        self.undo_writes()
+        if self.state == IN_TRANSACTION:
+            self.state = FAILED
+
+    def end_segment(self) -> None:
+        """Commit the implicit transaction at Sync; raise `SqlError` if it can't."""
+        if self.state != IDLE:
+            return
+        try:
+            self.commit_writes()
+        except sqlite3.Error as error:
+            self.fail()
+            raise from_sqlite(error) from error
+        except SqlError:
+            self.fail()
+            raise
+
+    def close(self) -> None:
+        """Roll back and close the connection."""
+        self.rollback()
+        self.connection.close()
+
+
+def full_tag(tag: str, count: int) -> str:
+    """Return a command tag with its row count."""
+    if tag == "INSERT":
+        return f"INSERT 0 {count}"
+    if tag in ("SELECT", "UPDATE", "DELETE"):
+        return f"{tag} {count}"
+    return tag
--- /dev/null
+++ b/standins/statements.py
@@ -0,0 +1,159 @@
+"""Reads SQL text as far as the database stand-in needs: kind, parameters, splitting.
+
+Texts come in PostgreSQL's form ($1, casts with ::) and are translated to sqlite's.
+"""
+
+import re
+from enum import Enum, auto
+from functools import lru_cache
+
+from attrs import field, frozen
+
+# A parameter or result value that sqlite, msgpack and the wire protocol can carry.
+Value = str | int | float | bytes | None
+
+TOKEN = re.compile(
+    r"""(?P<skip>'(?:[^']|'')*'|"(?:[^"]|"")*"|--[^\n]*|/\*.*?\*/)"""
+    r"""|\$(?P<number>\d+)(?:\s*::\s*(?P<cast>\w+))?"""
+    r"""|(?P<drop>::\s*\w+)|(?P<end>;)""",
+    re.DOTALL,
+)
+SQLITE_PARAMETER = re.compile(r"""'(?:[^']|'')*'|"(?:[^"]|"")*"|\?(\d+)""")
+CHANGE = re.compile(r"\b(INSERT|UPDATE|DELETE|REPLACE)\b", re.IGNORECASE)
+WORD = re.compile(r"[A-Za-z_]+")
+GROUP_FUNCTION = re.compile(
+    r"\b(?:group_(?:status|replicas|fence|promote|follow|dropped)|standin_set)\s*\(",
+    re.IGNORECASE,
+)
+
+CAST_OIDS = {
+    "int": 23,
+    "integer": 23,
+    "int4": 23,
+    "int8": 20,
+    "bigint": 20,
+    "smallint": 21,
+    "int2": 21,
+    "float8": 701,
+    "real": 700,
+    "numeric": 1700,
+    "bool": 16,
+    "boolean": 16,
+}
+
+
+class Kind(Enum):
+    """What a statement does to the session."""
+
+    EMPTY = auto()
+    BEGIN = auto()
+    COMMIT = auto()
+    ROLLBACK = auto()
+    SETTING = auto()  # Answered without effect.
+    GROUP_FUNCTION = auto()
+    READ = auto()
+    WRITE = auto()
+
+
+KINDS = {
+    "BEGIN": Kind.BEGIN,
+    "START": Kind.BEGIN,
+    "COMMIT": Kind.COMMIT,
+    "END": Kind.COMMIT,
+    "ROLLBACK": Kind.ROLLBACK,
+    "ABORT": Kind.ROLLBACK,
+    "SET": Kind.SETTING,
+    "RESET": Kind.SETTING,
+    "DISCARD": Kind.SETTING,
+    "DEALLOCATE": Kind.SETTING,
+    "SELECT": Kind.READ,
+    "VALUES": Kind.READ,
+    "EXPLAIN": Kind.READ,
+}
+
+
+@frozen
+class Parsed:
+    """A statement ready for sqlite; `oids` has the types that casts declare."""
+
+    text: str
+    kind: Kind
+    tag: str
+    parameter_count: int = 0
+    oids: dict[int, int] = field(factory=dict)
+
+
+def split(text: str) -> list[str]:
+    """Split a text at the semicolons between statements; drop empty statements."""
+    parts = []
+    begin = 0
+    for match in TOKEN.finditer(text):
+        if match["end"]:
+            parts.append(text[begin : match.start()])
+            begin = match.end()
+    parts.append(text[begin:])
+    return [part for part in parts if part.strip()]
+
+
+@lru_cache(maxsize=1024)
+def parse(text: str) -> Parsed:
+    """Translate a statement and classify it."""
+    highest = 0
+    oids: dict[int, int] = {}
+
+    def translate(match: re.Match[str]) -> str:
+        nonlocal highest
+        if match["skip"]:
+            return match["skip"]
+        if match["number"]:
+            number = int(match["number"])
+            highest = max(highest, number)
+            if match["cast"] and match["cast"].lower() in CAST_OIDS:
+                oids[number] = CAST_OIDS[match["cast"].lower()]
+            return f"?{number}"
+        return ""
+
+    translated = TOKEN.sub(translate, text).strip()
+    kind, tag = classify(translated)
+    return Parsed(translated, kind, tag, highest, oids)
+
+
+def classify(text: str) -> tuple[Kind, str]:
+    """Return the kind and the command tag (without row count) of a statement."""
+    words = [word.upper() for word in WORD.findall(text[:200])[:2]]
+    if not words:
+        return Kind.EMPTY, ""
+    first = words[0]
+    if GROUP_FUNCTION.search(text):
+        return Kind.GROUP_FUNCTION, "SELECT"
+    if first == "WITH":
+        change = CHANGE.search(text)
+        return (Kind.WRITE, change[1].upper()) if change else (Kind.READ, "SELECT")
+    if first == "ROLLBACK" and words[1:] == ["TO"]:
+        return Kind.WRITE, "ROLLBACK"
+    kind = KINDS.get(first, Kind.WRITE)
+    if kind is Kind.READ:
+        return kind, "SELECT"
+    if kind is not Kind.WRITE:
+        return kind, first if first != "START" else "BEGIN"
+    if first in ("CREATE", "DROP", "ALTER"):
+        return kind, " ".join(words)
+    return kind, first
+
+
+def with_literals(text: str, parameters: tuple[Value, ...]) -> str:
+    """Return a translated statement with its parameters written into the text."""
+
+    def literal(match: re.Match[str]) -> str:
+        if match[1] is None:
+            return match[0]
+        value = parameters[int(match[1]) - 1]
+        if value is None:
+            return "NULL"
+        if isinstance(value, bytes):
+            return f"x'{value.hex()}'"
+        if isinstance(value, str):
+            return "'" + value.replace("'", "''") + "'"
+        return repr(value)
+
+    return SQLITE_PARAMETER.sub(literal, text)
--- /dev/null
+++ b/standins/storage.py
@@ -0,0 +1,59 @@
+"""The sqlite file of a database stand-in, which replays the group's log.
+
+The file lives in a temporary directory. A rebuild makes a new file from the log and
+raises `generation`; sessions then open a new connection.
+"""
+
+import sqlite3
+from collections.abc import Iterable
+from pathlib import Path
+
+from attrs import define, field
+
+from .group_log import Entry
+
+MEMORY_PAGES = 2000
+
+
+@define
+class Storage:
+    """A sqlite database with one connection for replay."""
+
+    directory: Path
+    generation: int = 0
+    replay_connection: sqlite3.Connection = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the first file."""
+        self.replay_connection = self.connect()
+
+    @property
+    def path(self) -> Path:
+        """Return the current file."""
+        return self.directory / f"database-{self.generation}.sqlite"
+
+    def connect(self) -> sqlite3.Connection:
+        """Open a connection to the current file."""
+        connection = sqlite3.connect(self.path, isolation_level=None, timeout=0)
+        connection.execute("PRAGMA journal_mode=WAL")
+        # The directory does not outlive the process, so nothing needs to reach a disk.
+        connection.execute("PRAGMA synchronous=OFF")
+        connection.execute(f"PRAGMA cache_size={MEMORY_PAGES}")
+        return connection
+
+    def replay(self, entries: Iterable[Entry]) -> None:
+        """Apply the writes of entries in one sqlite transaction."""
+        self.replay_connection.execute("BEGIN IMMEDIATE")
+        for entry in entries:
+            for text, parameters in entry.writes:
+                self.replay_connection.execute(text, parameters).fetchall()
+        self.replay_connection.execute("COMMIT")
+
+    def rebuild(self, entries: Iterable[Entry]) -> None:
+        """Replace the file by one that has exactly the given entries."""
+        self.replay_connection.close()
+        for file in self.directory.glob(f"{self.path.name}*"):
+            file.unlink()
+        self.generation += 1
+        self.replay_connection = self.connect()
+        self.replay(entries)
--- /dev/null
+++ b/standins/wire.py
@@ -0,0 +1,224 @@
+"""Messages of the PostgreSQL protocol, version 3, as the database stand-in uses them.
+
+Parameters are accepted in text and binary format; results are sent as text.
+"""
+
+import struct
+from collections.abc import Sequence
+
+from attrs import frozen
+
+from .sql_errors import SqlError
+from .statements import Value
+
+PROTOCOL_VERSION = 196608  # 3.0
+CANCEL_REQUEST = 80877102
+SSL_REQUEST = 80877103
+GSS_REQUEST = 80877104
+
+BOOL = 16
+BYTEA = 17
+INT8 = 20
+INT2 = 21
+INT4 = 23
+TEXT = 25
+FLOAT4 = 700
+FLOAT8 = 701
+NUMERIC = 1700
+INTEGERS = frozenset({INT8, INT2, INT4})
+FLOATS = frozenset({FLOAT4, FLOAT8, NUMERIC})
+TYPE_SIZES = {BOOL: 1, INT8: 8, FLOAT8: 8}
+BINARY_FORMATS = {
+    BOOL: struct.Struct("!?"),
+    INT8: struct.Struct("!q"),
+    INT2: struct.Struct("!h"),
+    INT4: struct.Struct("!i"),
+    FLOAT4: struct.Struct("!f"),
+    FLOAT8: struct.Struct("!d"),
+}
+
+INT16 = struct.Struct("!h")
+INT32 = struct.Struct("!i")
+LENGTH_BYTES = 4  # A message's length counts itself.
+INVALID_TEXT = "22P02"
+NOT_SUPPORTED = "0A000"
+
+
+@frozen
+class Column:
+    """A result column."""
+
+    name: str
+    oid: int
+
+
+class Reader:
+    """Takes the fields of one message in order."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.at = 0
+
+    def int16(self) -> int:
+        """Take a 16-bit integer."""
+        (value,) = INT16.unpack_from(self.data, self.at)
+        self.at += 2
+        return int(value)
+
+    def int32(self) -> int:
+        """Take a 32-bit integer."""
+        (value,) = INT32.unpack_from(self.data, self.at)
+        self.at += 4
+        return int(value)
+
+    def octets(self, count: int) -> bytes:
+        """Take a number of bytes."""
+        self.at += count
+        return self.data[self.at - count : self.at]
+
+    def text(self) -> str:
+        """Take a string that ends with a zero byte."""
+        end = self.data.index(0, self.at)
+        value = self.data[self.at : end].decode()
+        self.at = end + 1
+        return value
+
+    def counted(self) -> bytes | None:
+        """Take a value with its length in front; -1 stands for NULL."""
+        length = self.int32()
+        return None if length < 0 else self.octets(length)
+
+
+def message(kind: bytes, *parts: bytes) -> bytes:
+    """Return a message with its kind and length."""
+    body = b"".join(parts)
+    return kind + INT32.pack(len(body) + 4) + body
+
+
+def string(text: str) -> bytes:
+    """Return a string as the protocol ends it."""
+    return text.encode() + b"\0"
+
+
+def startup_packet(parameters: dict[str, str]) -> bytes:
+    """Return the first packet of a client."""
+    pairs = b"".join(string(name) + string(text) for name, text in parameters.items())
+    body = INT32.pack(PROTOCOL_VERSION) + pairs + b"\0"
+    return INT32.pack(len(body) + 4) + body
+
+
+def startup_parameters(data: bytes) -> dict[str, str]:
+    """Return the parameters of a startup packet's body after the version."""
+    words = data.rstrip(b"\0").split(b"\0")
+    pairs = zip(words[::2], words[1::2], strict=False)
+    return {name.decode(): text.decode() for name, text in pairs}
+
+
+def error_response(error: SqlError) -> bytes:
+    """Return an ErrorResponse."""
+    fields = (
+        ("S", error.severity),
+        ("V", error.severity),
+        ("C", error.sqlstate),
+        ("M", error.message),
+    )
+    body = b"".join(kind.encode() + string(text) for kind, text in fields)
+    return message(b"E", body, b"\0")
+
+
+def ready_for_query(state: str) -> bytes:
+    """Return a ReadyForQuery with the transaction state I, T or E."""
+    return message(b"Z", state.encode())
+
+
+def parameter_status(name: str, value: str) -> bytes:
+    """Return a ParameterStatus."""
+    return message(b"S", string(name), string(value))
+
+
+def command_complete(tag: str) -> bytes:
+    """Return a CommandComplete."""
+    return message(b"C", string(tag))
+
+
+def parameter_description(oids: Sequence[int]) -> bytes:
+    """Return a ParameterDescription."""
+    parts = (INT32.pack(oid) for oid in oids)
+    return message(b"t", INT16.pack(len(oids)), *parts)
+
+
+def row_description(columns: Sequence[Column]) -> bytes:
+    """Return a RowDescription with all columns in text format."""
+    parts = [INT16.pack(len(columns))]
+    for column in columns:
+        size = TYPE_SIZES.get(column.oid, -1)
+        parts.append(string(column.name))
+        parts.append(struct.pack("!ihihih", 0, 0, column.oid, size, -1, 0))
+    return message(b"T", *parts)
+
+
+def data_row(row: Sequence[Value]) -> bytes:
+    """Return a DataRow in text format."""
+    parts = [INT16.pack(len(row))]
+    for value in row:
+        if value is None:
+            parts.append(INT32.pack(-1))
+            continue
+        data = encode_text(value)
+        parts += (INT32.pack(len(data)), data)
+    return message(b"D", *parts)
+
+
+def encode_text(value: Value) -> bytes:
+    """Return a value in text format."""
+    if isinstance(value, bool):
+        return b"t" if value else b"f"
+    if isinstance(value, bytes):
+        return b"\\x" + value.hex().encode()
+    return str(value).encode()
+
+
+def oid_of(values: Sequence[Value]) -> int:
+    """Return the column type that fits all values."""
+    types = {type(value) for value in values if value is not None}
+    if types == {bool}:
+        return BOOL
+    if types == {bytes}:
+        return BYTEA
+    if types == {int}:
+        return INT8
+    if types and types <= {int, float}:
+        return FLOAT8
+    return TEXT
+
+
+def decode_parameter(data: bytes | None, oid: int, is_binary: bool) -> Value:
+    """Return a parameter as a number if its type says so, else as text."""
+    if data is None:
+        return None
+    if is_binary:
+        return decode_binary(data, oid)
+    text = data.decode()
+    try:
+        if oid in INTEGERS:
+            return int(text)
+        if oid in FLOATS:
+            return float(text)
+    except ValueError:
+        raise SqlError(INVALID_TEXT, f"{text!r} is no number") from None
+    if oid == BOOL:
+        return int(text.lower() in ("t", "true", "1", "on", "yes"))
+    if oid == BYTEA:
+        # The log is shipped as JSON.
+        raise SqlError(NOT_SUPPORTED, "bytea parameters are not supported")
+    return text
+
+
+def decode_binary(data: bytes, oid: int) -> Value:
+    """Return a parameter that came in binary format."""
+    if oid in BINARY_FORMATS:
+        (value,) = BINARY_FORMATS[oid].unpack(data)
+        return int(value) if oid == BOOL else value
+    if oid in (BYTEA, NUMERIC):
+        raise SqlError(NOT_SUPPORTED, f"binary parameters of type {oid}")
+    return data.decode()
