Fail transactions that a rebuild overtakes and bound shipped values

A read that spans a rebuild could report a position that the endpoint no longer has; its transaction now fails with 40001. Integers beyond 64 bits and numbers that are not finite get an error instead of ending the connection, a repeated group_follow leaves the replication connection alone.

--- a/standins/client_protocol.py
+++ b/standins/client_protocol.py
@@ -119,7 +119,7 @@
 
     def send_ready(self) -> None:
         """Tell the client the transaction state."""
-        self.writer.write(wire.ready_for_query(self.session.state))
+        self.writer.write(wire.ready_for_query(self.session.ready()))
 
     # --- Simple query
 
--- a/standins/database.py
+++ b/standins/database.py
@@ -175,6 +175,8 @@
             return False
         if self.role is Role.PRIMARY and self.tenure == term:
             return False
+        if self.is_following(address) and term == self.seen_term:
+            return True  # A repeated call leaves the connection alone.
         self.seen_term = term
         self.role = Role.REPLICA
         self.end_open_write()
@@ -186,6 +188,13 @@
         self.wakeups.wake()
         return True
 
+    def is_following(self, address: Address) -> bool:
+        """Return whether this endpoint is a replica of the given address."""
+        upstream = self.upstream
+        if self.role is not Role.REPLICA or upstream is None:
+            return False
+        return (upstream.host, upstream.port) == address
+
     def end_open_write(self) -> None:
         """End the open write transaction, if any."""
         if self.interrupt_writer is not None:
--- a/standins/link.py
+++ b/standins/link.py
@@ -130,10 +130,10 @@
             due, data = await self.queue.get()
             await asyncio.sleep(due - loop.time())
             await self.link.healed.wait()
+            if not data:
+                self.writer.write_eof()
+                return
             with suppress(OSError):
-                if not data:
-                    self.writer.write_eof()
-                    return
                 self.writer.write(data)
                 await self.writer.drain()
 
--- a/standins/replication.py
+++ b/standins/replication.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from typing import Any
 
@@ -85,12 +85,23 @@
         )
         send_frame(writer, (database.tenure, common))
         ship = asyncio.create_task(ship_log(common, writer, database))
+        ship.add_done_callback(end_with(writer))
         try:
             await take_acknowledgments(name, reader, database)
         finally:
             ship.cancel()
 
 
+def end_with(writer: asyncio.StreamWriter) -> Callable[[asyncio.Task[None]], None]:
+    """Return a callback that ends the connection when shipping has failed."""
+
+    def end(task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            writer.transport.abort()
+
+    return end
+
+
 async def take_acknowledgments(
     name: str, reader: asyncio.StreamReader, database: Database
 ) -> None:
@@ -103,7 +114,7 @@
 async def ship_log(
     offset: int, writer: asyncio.StreamWriter, database: Database
 ) -> None:
-    """Send all entries after an offset, now and later."""
+    """Send all entries after an offset, now and later, until the connection ends."""
     async with woken(database) as event:
         while True:
             event.clear()
@@ -124,7 +135,7 @@
     while True:
         upstream = database.upstream
         if upstream is not None and not database.cut:
-            with suppress(OSError, EOFError):
+            with suppress(OSError, EOFError, orjson.JSONDecodeError):
                 await receive_log(upstream, database)
         await asyncio.sleep(RETRY_S)
 
--- a/standins/sql_session.py
+++ b/standins/sql_session.py
@@ -25,6 +25,8 @@
 
 IN_FAILED_TRANSACTION = "25P02"
 PROTOCOL_VIOLATION = "08P01"
+OUT_OF_RANGE = "22003"
+SERIALIZATION_FAILURE = "40001"
 
 
 @define(eq=False)
@@ -39,6 +41,8 @@
     is_writing: bool = False
     writes: list[Write] = field(factory=list)
     interruption: SqlError | None = None
+    # The storage's generation when the transaction began.
+    began_in: int | None = None
 
     def __attrs_post_init__(self) -> None:
         """Open the connection."""
@@ -52,6 +56,9 @@
         except sqlite3.Error as error:
             self.fail()
             raise from_sqlite(error) from error
+        except OverflowError as error:
+            self.fail()
+            raise SqlError(OUT_OF_RANGE, str(error)) from error
         except SqlError:
             self.fail()
             raise
@@ -75,6 +82,8 @@
                 IN_FAILED_TRANSACTION,
                 "current transaction is aborted, commands ignored until end of block",
             )
+        if self.began_in is None:
+            self.began_in = self.database.storage.generation
         match parsed.kind:
             case Kind.BEGIN:
                 self.state = IN_TRANSACTION
@@ -113,8 +122,7 @@
 
     def run_in_sqlite(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
         """Run a statement and fetch its rows."""
-        if self.generation != self.database.storage.generation:
-            self.reconnect()
+        self.use_current_file()
         cursor = self.connection.execute(parsed.text, parameters)
         rows = cursor.fetchall()
         columns = None
@@ -123,8 +131,16 @@
         count = len(rows) if columns is not None else max(cursor.rowcount, 0)
         return Result(full_tag(parsed.tag, count), columns, rows)
 
-    def reconnect(self) -> None:
-        """Open the file that replaced the one of this connection."""
+    def use_current_file(self) -> None:
+        """Open the file that replaced the one of this connection, if any.
+
+        A transaction from before the rebuild fails: it may have read a position that
+        the endpoint no longer has.
+        """
+        if self.began_in != self.database.storage.generation:
+            raise SqlError(SERIALIZATION_FAILURE, "the log's tail was dropped")
+        if self.generation == self.database.storage.generation:
+            return
         self.connection.close()
         self.connection = self.database.storage.connect()
         self.generation = self.database.storage.generation
@@ -138,8 +154,7 @@
         await self.database.write_lock.acquire()
         try:
             self.database.check_writable()
-            if self.generation != self.database.storage.generation:
-                self.reconnect()
+            self.use_current_file()
             self.connection.execute("BEGIN IMMEDIATE")
         except BaseException:
             self.database.write_lock.release()
@@ -219,6 +234,12 @@
             self.fail()
             raise
 
+    def ready(self) -> str:
+        """Return the state for ReadyForQuery; the next segment may begin."""
+        if self.state == IDLE:
+            self.began_in = None
+        return self.state
+
     def close(self) -> None:
         """Roll back and close the connection."""
         self.rollback()
--- a/standins/statements.py
+++ b/standins/statements.py
@@ -124,7 +124,7 @@
     if not words:
         return Kind.EMPTY, ""
     first = words[0]
-    if GROUP_FUNCTION.search(text):
+    if first == "SELECT" and GROUP_FUNCTION.search(text):
         return Kind.GROUP_FUNCTION, "SELECT"
     if first == "WITH":
         change = CHANGE.search(text)
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -5,6 +5,7 @@
 
 import struct
 from collections.abc import Sequence
+from math import isfinite
 
 from attrs import frozen
 
@@ -203,7 +204,7 @@
         if oid in INTEGERS:
             return int(text)
         if oid in FLOATS:
-            return float(text)
+            return finite(float(text))
     except ValueError:
         raise SqlError(INVALID_TEXT, f"{text!r} is no number") from None
     if oid == BOOL:
@@ -214,11 +215,20 @@
     return text
 
 
+def finite(value: float) -> float:
+    """Return a number; raise `SqlError` for one that the log's JSON cannot carry."""
+    if not isfinite(value):
+        raise SqlError(NOT_SUPPORTED, f"{value} is not supported")
+    return value
+
+
 def decode_binary(data: bytes, oid: int) -> Value:
     """Return a parameter that came in binary format."""
     if oid in BINARY_FORMATS:
         (value,) = BINARY_FORMATS[oid].unpack(data)
-        return int(value) if oid == BOOL else value
+        if isinstance(value, float):
+            return finite(value)
+        return int(value)
     if oid in (BYTEA, NUMERIC):
         raise SqlError(NOT_SUPPORTED, f"binary parameters of type {oid}")
     return data.decode()
