Add a load tool that checks sessions and writes

Sessions send at the rate of their workspace to random proxies, keep their tokens and check read-your-writes, acknowledged writes, refusals that say not run, and writes that ran twice; the report has ends, latencies, shares and write gaps.

--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,333 @@
+"""Load tool: an open loop of sessions over several proxies, with consistency checks.
+
+    python -m bench.load --target ready.json --duration 10 --rate 50
+
+`--target` takes the line of JSON that `pimentodrift local` prints; `--proxy`,
+`--workspace` and `--group` name the same by hand. Requests arrive at the rate of each
+workspace whatever the answers are, and latencies count from the intended time. The run
+is bounded in time and count and accepts loopback addresses only. The exit status is 1
+when a check failed.
+"""
+
+import argparse
+import asyncio
+import ipaddress
+import random
+import sys
+from collections import deque
+from pathlib import Path
+from time import monotonic, time_ns
+from urllib.parse import urlsplit
+
+import aiohttp
+import orjson
+from attrs import define, field, frozen
+
+from .load_report import Report, Request
+from .load_sessions import (
+    CREATE_INDEX,
+    CREATE_TABLE,
+    Answer,
+    Client,
+    Outcome,
+    Session,
+    Workspace,
+)
+
+MAX_DURATION_S = 3600
+MAX_REQUESTS = 5_000_000
+MAX_SESSIONS = 20_000
+MIN_RATE = 0.01  # Requests/s of one workspace.
+MAX_RATE = 20_000
+BACKLOG_PER_SESSION = 4
+SETUP_TIMEOUT_S = 30
+VERIFY_TIMEOUT_S = 60
+VERIFY_CONCURRENCY = 8
+
+
+@define
+class Plan:
+    """What to send."""
+
+    proxies: list[str]
+    workspaces: list[Workspace]
+    groups: list[str]
+    sessions: int  # Of each workspace.
+    write_share: float
+    duration_s: float
+    max_requests: int
+    timeout_s: float
+    seed: int
+    run: str
+    max_age_ms: int | None = None
+    use_idempotency_keys: bool = False
+    # Arrivals that may wait for an idle session; more are counted as not sent.
+    backlog_per_session: int = BACKLOG_PER_SESSION
+
+
+@define(eq=False)
+class Sender:
+    """Sends one workspace's requests through its idle sessions."""
+
+    workspace: Workspace
+    sessions: list[Session]
+    plan: Plan
+    client: Client
+    report: Report
+    random: random.Random
+    started: float
+    idle: list[Session] = field(init=False)
+    backlog: deque[float] = field(factory=deque)
+    running: set[asyncio.Task[None]] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin with all sessions idle."""
+        self.idle = list(self.sessions)
+
+    async def run(self) -> None:
+        """Offer requests at the workspace's rate, then wait for the last answers."""
+        counts = self.report.counts(self.workspace.name)
+        at = 0.0
+        while True:
+            at += self.random.expovariate(self.workspace.rate)
+            if at > self.plan.duration_s or counts.offered >= self.limit():
+                break
+            await asyncio.sleep(self.started + at - monotonic())
+            counts.offered += 1
+            if len(self.backlog) >= self.plan.backlog_per_session * len(self.sessions):
+                counts.not_sent += 1
+                continue
+            self.backlog.append(at)
+            self.assign()
+        while self.running:
+            await asyncio.wait(self.running)
+
+    def limit(self) -> int:
+        """Return how many requests this workspace may offer."""
+        return self.plan.max_requests // len(self.plan.workspaces)
+
+    def assign(self) -> None:
+        """Give waiting arrivals to idle sessions."""
+        while self.backlog and self.idle:
+            index = self.random.randrange(len(self.idle))
+            self.idle[index], self.idle[-1] = self.idle[-1], self.idle[index]
+            job = self.serve(self.idle.pop(), self.backlog.popleft())
+            task = asyncio.create_task(job)
+            self.running.add(task)
+            task.add_done_callback(self.running.discard)
+
+    async def serve(self, session: Session, began: float) -> None:
+        """Send one request of a session."""
+        is_write = self.random.random() < self.plan.write_share
+        access = "write" if is_write else "read"
+        action = session.write if is_write else session.read
+        answer = await action(self.client)
+        ended = monotonic() - self.started
+        request = Request(self.workspace.name, session.group, access, began, ended)
+        self.report.record(request, answer)
+        self.idle.append(session)
+        self.assign()
+
+
+async def set_up(plan: Plan, client: Client, report: Report) -> None:
+    """Create the table in each group; raise `SetupError` if that fails."""
+    for group in plan.groups:
+        session = Session("set-up", plan.workspaces[0], group, report.violations)
+        for statement in (CREATE_TABLE, CREATE_INDEX):
+            await run_until_done(client, session, statement)
+
+
+class SetupError(Exception):
+    """The table could not be created."""
+
+
+async def run_until_done(client: Client, session: Session, statement: str) -> None:
+    """Repeat a statement that may be repeated until it ran."""
+    deadline = monotonic() + SETUP_TIMEOUT_S
+    answer = Answer(Outcome.NOT_RUN, 0, "not sent")
+    while monotonic() < deadline:
+        answer = await client.send(session, statement, [], "write")
+        if answer.outcome is Outcome.RAN:
+            return
+        await asyncio.sleep(answer.retry_after_s or 0.2)
+    raise SetupError(f"{session.group}: {answer.status} {answer.label}")
+
+
+async def verify(sessions: list[Session], client: Client, report: Report) -> None:
+    """Check the writes of all sessions against the database."""
+    deadline = monotonic() + VERIFY_TIMEOUT_S
+    limit = asyncio.Semaphore(VERIFY_CONCURRENCY)
+
+    async def check(session: Session) -> None:
+        async with limit:
+            if not await session.verify(client, deadline):
+                report.unverified_sessions += 1
+
+    await asyncio.gather(*(check(session) for session in sessions if session.writes))
+
+
+def make_sessions(plan: Plan, workspace: Workspace, report: Report) -> list[Session]:
+    """Return a workspace's sessions, spread over the groups."""
+    return [
+        Session(
+            f"{plan.run}-{workspace.name}-{number}",
+            workspace,
+            plan.groups[number % len(plan.groups)],
+            report.violations,
+        )
+        for number in range(plan.sessions)
+    ]
+
+
+async def run(plan: Plan) -> Report:
+    """Carry out a plan."""
+    report = Report()
+    timeout = aiohttp.ClientTimeout(total=plan.timeout_s)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(timeout=timeout, connector=connector) as http:
+        client = Client(
+            http,
+            plan.proxies,
+            random.Random(plan.seed),
+            plan.max_age_ms,
+            plan.use_idempotency_keys,
+        )
+        await set_up(plan, client, report)
+        started = monotonic()
+        senders = [
+            Sender(
+                workspace,
+                make_sessions(plan, workspace, report),
+                plan,
+                client,
+                report,
+                random.Random(f"{plan.seed} {workspace.name}"),
+                started,
+            )
+            for workspace in plan.workspaces
+        ]
+        await asyncio.gather(*(sender.run() for sender in senders))
+        report.close(monotonic() - started)
+        sessions = [session for sender in senders for session in sender.sessions]
+        await verify(sessions, client, report)
+    return report
+
+
+# --- Command line
+
+
+def loopback_url(text: str) -> str:
+    """Parse a proxy's URL; raise `ArgumentTypeError` unless it is on loopback."""
+    host = urlsplit(text).hostname or ""
+    try:
+        is_loopback = host == "localhost" or ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        is_loopback = False
+    if not is_loopback:
+        raise argparse.ArgumentTypeError(f"{text!r} is not on a loopback address")
+    return text.rstrip("/")
+
+
+@frozen
+class Bounded:
+    """An argument type with limits."""
+
+    kind: type[float]
+    low: float
+    high: float
+
+    def __call__(self, text: str) -> float:
+        """Parse a number; raise `ArgumentTypeError` outside the limits."""
+        try:
+            value = self.kind(text)
+        except ValueError:
+            raise argparse.ArgumentTypeError(f"{text!r} is no number") from None
+        if not self.low <= value <= self.high:
+            raise argparse.ArgumentTypeError(
+                f"{text} is not between {self.low} and {self.high}"
+            )
+        return value
+
+
+def parse_arguments(arguments: list[str]) -> argparse.Namespace:
+    """Parse the command line."""
+    parser = argparse.ArgumentParser(description="Load with consistency checks.")
+    add = parser.add_argument
+    add("--target", type=Path, help="file with the JSON line of `local`")
+    add("--proxy", action="append", default=[], type=loopback_url)
+    add("--workspace", action="append", default=[], metavar="NAME=KEY[=RATE]")
+    add("--group", action="append", default=[])
+    add("--sessions", type=Bounded(int, 1, MAX_SESSIONS), default=50)
+    add("--write-share", type=Bounded(float, 0, 1), default=0.1)
+    add("--rate", type=Bounded(float, MIN_RATE, MAX_RATE), default=50)
+    add("--duration", type=Bounded(float, 0.1, MAX_DURATION_S), default=10)
+    add("--max-requests", type=Bounded(int, 1, MAX_REQUESTS), default=100_000)
+    add("--timeout", type=Bounded(float, 0.1, 300), default=30)
+    add("--seed", type=int, default=1)
+    add("--max-age-ms", type=int)
+    add("--idempotency-keys", action="store_true")
+    add("--report", type=Path, help="file for the report instead of stdout")
+    return parser.parse_args(arguments)
+
+
+def parse_workspace(text: str, rate: float) -> Workspace:
+    """Parse NAME=KEY[=RATE]; raise `SetupError` for anything else."""
+    parts = text.split("=")
+    if len(parts) not in (2, 3):
+        raise SetupError(f"{text!r} is not NAME=KEY[=RATE]")
+    if parts[2:]:
+        rate = Bounded(float, MIN_RATE, MAX_RATE)(parts[2])
+    return Workspace(parts[0], parts[1], rate)
+
+
+def make_plan(arguments: argparse.Namespace) -> Plan:
+    """Return the plan; raise `SetupError` if something is missing."""
+    proxies = list(arguments.proxy)
+    groups = list(arguments.group)
+    workspaces = [parse_workspace(text, arguments.rate) for text in arguments.workspace]
+    if arguments.target is not None:
+        target = orjson.loads(arguments.target.read_bytes())
+        proxies += [loopback_url(url) for url in target["proxies"]]
+        groups = groups or target["groups"]
+        workspaces = workspaces or [
+            Workspace(name, key, arguments.rate) for name, key in target["keys"].items()
+        ]
+    if not (proxies and groups and workspaces):
+        raise SetupError("proxies, groups and workspaces are required")
+    if arguments.sessions * len(workspaces) > MAX_SESSIONS:
+        raise SetupError(f"more than {MAX_SESSIONS} sessions")
+    return Plan(
+        proxies=proxies,
+        workspaces=workspaces,
+        groups=groups,
+        sessions=arguments.sessions,
+        write_share=arguments.write_share,
+        duration_s=arguments.duration,
+        max_requests=arguments.max_requests,
+        timeout_s=arguments.timeout,
+        seed=arguments.seed,
+        run=f"run-{time_ns()}",
+        max_age_ms=arguments.max_age_ms,
+        use_idempotency_keys=arguments.idempotency_keys,
+    )
+
+
+def main() -> int:
+    """Run the load tool."""
+    arguments = parse_arguments(sys.argv[1:])
+    try:
+        report = asyncio.run(run(make_plan(arguments)))
+    except (SetupError, argparse.ArgumentTypeError) as error:
+        print(f"load: {error}", file=sys.stderr)
+        return 2
+    text = orjson.dumps(report.as_json(), option=orjson.OPT_INDENT_2).decode()
+    if arguments.report is None:
+        print(text)
+    else:
+        arguments.report.write_text(text + "\n")
+    failed = any(report.violations.counts.values()) or report.unverified_sessions
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/load_report.py
@@ -0,0 +1,136 @@
+"""Counts and latencies of a load run and their JSON form."""
+
+from collections import Counter
+from typing import Any
+
+from attrs import define, field, frozen
+from hdrh.histogram import HdrHistogram
+
+from .load_sessions import Answer, Outcome, Violations
+
+MAX_LATENCY_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50, 90, 99, 99.9)
+
+
+def histogram() -> Any:
+    """Return a histogram of microseconds."""
+    return HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+
+
+@frozen
+class Request:
+    """One finished request; times are seconds since the start of the run."""
+
+    workspace: str
+    group: str
+    access: str
+    began: float
+    ended: float
+
+
+@define
+class WorkspaceCounts:
+    """Requests of one workspace by their end."""
+
+    offered: int = 0
+    ran: int = 0
+    # Arrivals that the tool dropped because its own backlog was full.
+    not_sent: int = 0
+    ends: Counter[str] = field(factory=Counter)
+
+
+@define
+class WriteGap:
+    """The longest time of a group without an acknowledged write."""
+
+    last_at: float
+    longest_s: float = 0
+    longest_began_at: float = 0  # Seconds since the start.
+
+    def acknowledged(self, now: float) -> None:
+        """Record an acknowledged write."""
+        if now - self.last_at > self.longest_s:
+            self.longest_s = now - self.last_at
+            self.longest_began_at = self.last_at
+        self.last_at = now
+
+
+@define
+class Report:
+    """All results of a run; times are seconds since its start."""
+
+    workspaces: dict[str, WorkspaceCounts] = field(factory=dict)
+    # From the intended time of sending to the end, by access and outcome.
+    latencies: dict[str, Any] = field(factory=dict)
+    gaps: dict[str, WriteGap] = field(factory=dict)
+    violations: Violations = field(factory=Violations)
+    unverified_sessions: int = 0
+    duration_s: float = 0
+
+    def counts(self, workspace: str) -> WorkspaceCounts:
+        """Return the counts of a workspace."""
+        return self.workspaces.setdefault(workspace, WorkspaceCounts())
+
+    def record(self, request: Request, answer: Answer) -> None:
+        """Count the end of one request."""
+        counts = self.counts(request.workspace)
+        counts.ends[f"{answer.status} {answer.label}"] += 1
+        name = f"{request.access} {answer.outcome}"
+        latencies = self.latencies.setdefault(name, histogram())
+        latencies.record_value(max(1, int((request.ended - request.began) * 1_000_000)))
+        if answer.outcome is not Outcome.RAN:
+            return
+        counts.ran += 1
+        if request.access == "write":
+            gap = self.gaps.setdefault(request.group, WriteGap(request.ended))
+            gap.acknowledged(request.ended)
+
+    def close(self, duration_s: float) -> None:
+        """End the run; a group without a write since counts up to now."""
+        self.duration_s = duration_s
+        for gap in self.gaps.values():
+            gap.acknowledged(duration_s)
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the report."""
+        ends: Counter[str] = Counter()
+        for counts in self.workspaces.values():
+            ends += counts.ends
+        return {
+            "duration_s": round(self.duration_s, 3),
+            "requests": sum(ends.values()),
+            "ends": dict(ends.most_common()),
+            "latency_ms": {
+                name: summary(item) for name, item in sorted(self.latencies.items())
+            },
+            "workspaces": {
+                name: {
+                    "offered": counts.offered,
+                    "ran": counts.ran,
+                    "not_sent": counts.not_sent,
+                    "ends": dict(counts.ends.most_common()),
+                }
+                for name, counts in sorted(self.workspaces.items())
+            },
+            "longest_write_gap": {
+                group: {
+                    "ms": round(gap.longest_s * 1000, 1),
+                    "began_at_s": round(gap.longest_began_at, 3),
+                }
+                for group, gap in sorted(self.gaps.items())
+            },
+            "violations": dict(self.violations.counts),
+            "violation_details": self.violations.details,
+            "unverified_sessions": self.unverified_sessions,
+        }
+
+
+def summary(latencies: Any) -> dict[str, float]:
+    """Return count, percentiles and maximum in milliseconds."""
+    result = {"count": latencies.get_total_count()}
+    for percentile in PERCENTILES:
+        value = latencies.get_value_at_percentile(percentile)
+        result[f"p{percentile}"] = round(value / 1000, 3)
+    result["max"] = round(latencies.get_max_value() / 1000, 3)
+    return result
