Add heartbeats, replication, reservations and failover to the core

The skeleton had no way to notice or replace a dead primary. Watchers of a group now probe its primary, two of them establish a failure, and the holder of the lowest reserved term fences, chooses, promotes and records.

--- a/pimentodrift/core.py
+++ b/pimentodrift/core.py
@@ -7,7 +7,20 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from . import connections, membership, peers, view
+from . import (
+    connections,
+    detection,
+    draining,
+    failover,
+    heartbeats,
+    membership,
+    monitoring,
+    peers,
+    probes,
+    replication,
+    reservations,
+    view,
+)
 from .dispatch import handle
 from .tables import State
 
@@ -17,6 +30,14 @@
 SYSTEMS: tuple[Callable[[State], None], ...] = (
     view.run,
     membership.run,
+    heartbeats.run,
+    monitoring.run,
+    probes.run,
+    detection.run,
+    failover.run,
+    reservations.run,
+    replication.run,
+    draining.run,
 )
 
 __all__ = [
--- /dev/null
+++ b/pimentodrift/draining.py
@@ -0,0 +1,66 @@
+"""Performs the graceful shutdown of an instance.
+
+The instance tells the others that it leaves, so that ownership moves, finishes what it
+has accepted, and exits when it is idle or the time for the stop is over.
+"""
+
+from datetime import timedelta
+
+from . import peers
+from .dispatch import handle, handle_peer
+from .heartbeats import audience
+from .messages import ExitProcess, Leaving, StopRequested
+from .tables import ConnectionPurpose, Presence, State
+
+# The load balancer checks /readyz about once a second.
+MIN_STOP_TIME = timedelta(seconds=1)
+
+
+@handle.register
+def _(message: StopRequested, state: State) -> None:
+    if state.stopping:
+        return
+    names = audience(state)
+    state.stopping = True
+    state.stop_requested_at = state.clock.monotonic()
+    state.events.append(("stop_requested", {"pending": len(state.pending)}))
+    mark_leaving(state.settings.name, state)
+    for name in sorted(names):
+        peers.send(name, Leaving(state.settings.name), state)
+
+
+@handle_peer.register
+def _(message: Leaving, sender: str, state: State) -> None:
+    # A stream speaks for its own end only.
+    mark_leaving(sender, state)
+
+
+def mark_leaving(name: str, state: State) -> None:
+    """Give an instance no further work."""
+    row = state.instances.get(name)
+    if row is not None and row.presence is not Presence.LEAVING:
+        row.presence = Presence.LEAVING
+        state.events.append(("instance_leaving", {"instance": name}))
+
+
+def is_idle(state: State) -> bool:
+    """Return whether the instance has nothing left to finish."""
+    if state.pending or any(state.waiting_writes.values()):
+        return False
+    return not any(
+        row.purpose is ConnectionPurpose.WORK and row.batch
+        for row in state.connections.values()
+    )
+
+
+def run(state: State) -> None:
+    """End the process when its stop is complete."""
+    if state.stop_requested_at is None or state.exit_sent:
+        return
+    waited = state.clock.monotonic() - state.stop_requested_at
+    timeout = waited >= state.settings.stop_timeout
+    if timeout or (waited >= MIN_STOP_TIME and is_idle(state)):
+        state.exit_sent = True
+        state.counters["draining.timeouts"] += int(timeout)
+        state.events.append(("stop_complete", {"timeout": timeout}))
+        state.outbox.append(ExitProcess())
--- /dev/null
+++ b/pimentodrift/heartbeats.py
@@ -0,0 +1,160 @@
+"""Pings the instances that this one talks to and suspects those that do not answer.
+
+`Pong` carries what the sender read from the endpoints that it owns, so that routing
+and failover work with recent positions without further messages.
+"""
+
+from datetime import timedelta
+
+from . import peers
+from .dispatch import handle, handle_peer
+from .membership import contact, owner, owns, suspect, usable
+from .messages import (
+    ClosePeer,
+    EndpointSample,
+    InstanceDown,
+    Ping,
+    Pong,
+)
+from .rejoining import is_readable
+from .tables import ContactRow, EndpointRow, InstanceRow, State
+
+MILLISECOND = timedelta(milliseconds=1)
+PING_INTERVAL = timedelta(milliseconds=200)
+# A suspected instance is asked less often, until the platform's list drops it.
+SUSPECTED_PING_INTERVAL = timedelta(seconds=1)
+MAX_UNANSWERED = 3
+SMALL_FLEET = 16  # Instances; up to here, every owner is a contact.
+CONTACT_LIFETIME = timedelta(seconds=10)
+# Older samples say nothing that the receiver could use.
+MAX_SAMPLE_AGE = timedelta(seconds=10)
+
+
+def run(state: State) -> None:
+    """Send the heartbeats that are due."""
+    refresh_contacts(state)
+    now = state.clock.monotonic()
+    for row in list(state.contacts.values()):
+        instance = state.instances.get(row.name)
+        if instance is None or is_unused(row, instance, now):
+            del state.contacts[row.name]
+        elif now - row.pinged_at >= interval(instance):
+            check(row, state)
+
+
+def refresh_contacts(state: State) -> None:
+    """Make the owners of all endpoints contacts while the fleet is small."""
+    if len(state.instances) > SMALL_FLEET:
+        return
+    names = {owner(row, state) for row in state.endpoints.values()}
+    for name in names - {None}:
+        contact(str(name), state)
+
+
+def interval(instance: InstanceRow) -> timedelta:
+    """Return the time between two pings."""
+    suspected = instance.suspected_number is not None
+    return SUSPECTED_PING_INTERVAL if suspected else PING_INTERVAL
+
+
+def is_unused(row: ContactRow, instance: InstanceRow, now: timedelta) -> bool:
+    """Return whether a contact can be forgotten.
+
+    A suspected instance is kept, because only its answer makes it usable again.
+    """
+    if instance.suspected_number is not None:
+        return False
+    return now - row.used_at > CONTACT_LIFETIME
+
+
+def check(row: ContactRow, state: State) -> None:
+    """Ping a contact, or suspect it when too many pings had no answer."""
+    instance = state.instances[row.name]
+    if row.unanswered >= MAX_UNANSWERED and instance.suspected_number is None:
+        row.unanswered = 0
+        state.counters["heartbeats.instances_lost"] += 1
+        state.outbox.append(ClosePeer(row.name))
+        suspect(row.name, state)
+        handle(InstanceDown(row.name, frozenset()), state)
+        return
+    row.unanswered += 1
+    row.pinged_at = state.clock.monotonic()
+    state.counters["heartbeats.pings"] += 1
+    peers.send(row.name, Ping(state.number()), state)
+
+
+@handle_peer.register
+def _(message: Ping, sender: str, state: State) -> None:
+    now = state.clock.monotonic()
+    instance = state.instances.get(sender)
+    if instance is not None:
+        instance.last_heard = now
+    store_age = (now - state.view.confirmed_at) // MILLISECOND
+    peers.send(sender, Pong(message.number, store_age, samples(state)), state)
+
+
+def samples(state: State) -> tuple[EndpointSample, ...]:
+    """Return what this instance knows about the endpoints that it owns."""
+    return tuple(
+        sample(row, state)
+        for row in state.endpoints.values()
+        if has_sample(row, state) and owns(row, state)
+    )
+
+
+def has_sample(row: EndpointRow, state: State) -> bool:
+    """Return whether an endpoint was read recently and may be used for reads."""
+    age = state.clock.monotonic() - row.sampled_at
+    return age <= MAX_SAMPLE_AGE and is_readable(row, state)
+
+
+def sample(row: EndpointRow, state: State) -> EndpointSample:
+    """Return the last reading of an endpoint with its age."""
+    age = (state.clock.monotonic() - row.sampled_at) // MILLISECOND
+    return EndpointSample(row.name, row.is_primary, row.position, age)
+
+
+@handle_peer.register
+def _(message: Pong, sender: str, state: State) -> None:
+    instance = state.instances.get(sender)
+    if instance is None:
+        return
+    now = state.clock.monotonic()
+    instance.last_heard = now
+    instance.store_age = message.store_age_ms * MILLISECOND
+    contact_row = state.contacts.get(sender)
+    if contact_row is not None:
+        contact_row.unanswered = 0
+    end_suspicion(instance, message.number, state)
+    for received in message.samples:
+        apply_sample(received, now - received.age_ms * MILLISECOND, state)
+
+
+def end_suspicion(instance: InstanceRow, number: int, state: State) -> None:
+    """Let an instance count again if it answered a ping sent after the suspicion."""
+    if instance.suspected_number is None or number <= instance.suspected_number:
+        return
+    instance.suspected_number = None
+    state.events.append(("instance_answers", {"instance": instance.name}))
+
+
+def apply_sample(received: EndpointSample, read_at: timedelta, state: State) -> None:
+    """Take over a reading unless a later one is known."""
+    row = state.endpoints.get(received.endpoint)
+    if row is None or read_at <= row.sampled_at:
+        return
+    row.position = received.position
+    row.is_primary = received.is_primary
+    row.sampled_at = read_at
+
+
+def audience(state: State) -> set[str]:
+    """Return the instances that have to hear about changes at once."""
+    now = state.clock.monotonic()
+    names = set(state.contacts)
+    names |= {
+        row.name
+        for row in state.instances.values()
+        if usable(row, state) and now - row.last_heard <= CONTACT_LIFETIME
+    }
+    return names - {state.settings.name}
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -7,13 +7,28 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from functools import lru_cache
 
 import xxhash
 
-from .messages import StoreObject
-from .tables import EndpointRow, GroupRow, InstanceRow, Presence, State
+from .dispatch import handle
+from .messages import PrimaryChanged, StoreObject
+from .tables import (
+    NEVER,
+    ContactRow,
+    EndpointRow,
+    GroupRow,
+    InstanceRow,
+    Presence,
+    State,
+)
 
 SUSPICION = timedelta(seconds=2)
+# Ticks come every 20 ms; a gap as long as this means that the process was paused.
+PAUSE = timedelta(seconds=1)
+# Two different instances must have seen a primary fail before it is replaced.
+MIN_WATCHERS = 2
+WEIGHT_CACHE = 2**16  # Entries, for 8 instances and some thousand keys.
 
 
 def apply(item: StoreObject, state: State) -> None:
@@ -42,6 +57,9 @@
     row.region = value["region"]
     row.data_centre = value["data_centre"]
     row.presence = Presence(value.get("state", "live"))
+    if name == state.settings.name and state.stopping:
+        # The platform's list may lag behind this instance's own stop.
+        row.presence = Presence.LEAVING
 
 
 def apply_endpoint(name: str, value: dict[str, object], state: State) -> None:
@@ -67,7 +85,7 @@
     if isinstance(reservations, dict):
         row.reservations = {name: int(term) for name, term in reservations.items()}
     starts = value.get("term_starts")
-    learn_primary(
+    learned = learn_primary(
         row,
         int(str(value["term"])),
         str(value["primary"]),
@@ -75,6 +93,8 @@
         if isinstance(starts, dict)
         else {},
     )
+    if learned:
+        handle(PrimaryChanged(row.name), state)
 
 
 def learn_primary(
@@ -93,23 +113,34 @@
     """Return whether new work may go to an instance."""
     if row.presence is not Presence.LIVE:
         return False
+    if row.suspected_number is not None:
+        return False
     return row.suspected_until <= state.clock.monotonic()
 
 
 def suspect(name: str, state: State) -> None:
-    """Leave an instance out of ownership for a while."""
+    """Leave an instance out of ownership for a while and until it answers a ping."""
     row = state.instances.get(name)
     if row is None or name == state.settings.name:
         return
     row.suspected_until = state.clock.monotonic() + SUSPICION
+    if row.suspected_number is None:
+        state.events.append(("instance_suspected", {"instance": name}))
+    row.suspected_number = state.number()
     state.counters["membership.suspected"] += 1
 
 
+@lru_cache(maxsize=WEIGHT_CACHE)
+def weight(key: str, name: str) -> int:
+    """Return the rendezvous weight of an instance for a key."""
+    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
+
+
 def ranked(key: str, rows: Iterable[InstanceRow]) -> list[InstanceRow]:
     """Return the rows in rendezvous order for a key."""
     return sorted(
         rows,
-        key=lambda row: xxhash.xxh3_64_intdigest(f"{key}\0{row.name}".encode()),
+        key=lambda row: weight(key, row.name),
         reverse=True,
     )
 
@@ -142,5 +173,43 @@
     return sorted(rows, key=lambda row: row.name)
 
 
+def watchers(group: str, state: State) -> list[str]:
+    """Return the usable instances that watch a group's primary, the first in charge.
+
+    They are the owners of the group's endpoints and the holders of reserved terms,
+    and others by rank when these are fewer than two.
+    """
+    usable_rows = [row for row in state.instances.values() if usable(row, state)]
+    order = [row.name for row in ranked(group, usable_rows)]
+    names = {owner(row, state) for row in group_endpoints(group, state)}
+    names |= set(state.groups[group].reservations)
+    chosen = [name for name in order if name in names]
+    others = [name for name in order if name not in names]
+    return chosen + others[: max(0, MIN_WATCHERS - len(chosen))]
+
+
+def contact(name: str, state: State) -> None:
+    """Note that this instance sends to another one and wants to know if it is alive."""
+    if name != state.settings.name:
+        row = state.contacts.setdefault(name, ContactRow(name))
+        row.used_at = state.clock.monotonic()
+
+
 def run(state: State) -> None:
-    """Send heartbeats on the streams in use and suspect silent instances."""
+    """Detect a pause of this process, after which nothing heard before counts."""
+    now = state.clock.monotonic()
+    before, state.ticked_at = state.ticked_at, now
+    if before is None or now - before <= PAUSE:
+        return
+    state.resumed_at = now
+    state.counters["membership.pauses"] += 1
+    state.events.append(
+        ("process_paused", {"pause_ms": (now - before) // timedelta(milliseconds=1)})
+    )
+    for instance in state.instances.values():
+        instance.last_heard = NEVER
+    for contact_row in state.contacts.values():
+        contact_row.unanswered = 0
+    for probe in state.probes.values():
+        probe.failing_since = probe.established_at = None
+        probe.reports.clear()
--- /dev/null
+++ b/pimentodrift/monitoring.py
@@ -0,0 +1,146 @@
+"""Runs batches on monitoring connections, one connection per endpoint and channel.
+
+Modules submit a job with its statements. The job's type selects the function that
+receives the results, or None when the connection failed or the time ran out. A
+connection whose batch was given up is closed and never reused.
+"""
+
+from datetime import timedelta
+from functools import singledispatch
+
+from attrs import frozen
+
+from .connections import close_connection, open_connection, run_batch
+from .database_group import MalformedAnswer
+from .dispatch import handle
+from .messages import (
+    MonitorAnswered,
+    MonitorConnectionLost,
+    MonitorConnectionReady,
+    Rows,
+    Statement,
+    StatementResult,
+)
+from .tables import Channel, ConnectionPurpose, MonitorRow, State
+
+# Ten status intervals; shorter times would reopen connections at brief stalls.
+IDLE_TIME = timedelta(seconds=1)
+
+Segments = tuple[tuple[Statement, ...], ...]
+Results = tuple[StatementResult, ...]
+
+
+@frozen
+class Batch:
+    """The statements of a job and the time for opening, sending and answering."""
+
+    segments: Segments
+    timeout: timedelta
+
+
+@singledispatch
+def job_ended(job: object, results: Results | None, state: State) -> None:
+    """Receive the results of a job; None when there are none."""
+    raise TypeError(f"no handler for {type(job).__name__}")
+
+
+def submit(
+    endpoint: str, channel: Channel, job: object, batch: Batch, state: State
+) -> bool:
+    """Start a job unless the channel is busy; tell whether it was started."""
+    if endpoint not in state.endpoints:
+        return False
+    row = state.monitors.setdefault((endpoint, channel), MonitorRow(endpoint, channel))
+    if row.job is not None:
+        return False
+    now = state.clock.monotonic()
+    row.job, row.segments = job, batch.segments
+    row.deadline, row.used_at = now + batch.timeout, now
+    connection = state.connections.get(row.connection)
+    if connection is None:
+        row.connection = open_connection(endpoint, ConnectionPurpose.MONITOR, state)
+        state.monitor_keys[row.connection] = (endpoint, channel)
+    elif connection.is_open:
+        run_batch(row.connection, batch.segments, state)
+    return True
+
+
+def cancel(endpoint: str, channel: Channel, state: State) -> None:
+    """Give up the job of a channel, which gets no results."""
+    row = state.monitors.get((endpoint, channel))
+    if row is not None and row.job is not None:
+        close(row, state)
+        row.job = None
+
+
+def close(row: MonitorRow, state: State) -> None:
+    """Close the connection of a channel."""
+    close_connection(row.connection, state)
+    state.monitor_keys.pop(row.connection, None)
+    row.connection = 0
+
+
+def finish(row: MonitorRow, results: Results | None, state: State) -> None:
+    """Hand the results to the owner of the job."""
+    job, row.job = row.job, None
+    if job is None:
+        return
+    try:
+        job_ended(job, results, state)
+    except MalformedAnswer:
+        state.counters["monitoring.malformed_answers"] += 1
+        job_ended(job, None, state)
+
+
+def rows_of(results: Results | None, index: int) -> Rows | None:
+    """Return the rows of one statement, or None if it failed."""
+    if results is None or len(results) <= index or results[index].error:
+        return None
+    return results[index].rows
+
+
+def row_of(connection: int, state: State) -> MonitorRow | None:
+    """Return the channel that uses a connection."""
+    key = state.monitor_keys.get(connection)
+    return None if key is None else state.monitors.get(key)
+
+
+@handle.register
+def _(message: MonitorConnectionReady, state: State) -> None:
+    row = row_of(message.connection, state)
+    if row is not None and row.job is not None:
+        run_batch(row.connection, row.segments, state)
+
+
+@handle.register
+def _(message: MonitorAnswered, state: State) -> None:
+    row = row_of(message.connection, state)
+    if row is not None:
+        finish(row, message.results, state)
+
+
+@handle.register
+def _(message: MonitorConnectionLost, state: State) -> None:
+    row = row_of(message.connection, state)
+    state.monitor_keys.pop(message.connection, None)
+    if row is None:
+        return
+    row.connection = 0
+    state.counters["monitoring.connections_lost"] += 1
+    finish(row, None, state)
+
+
+def run(state: State) -> None:
+    """End jobs without an answer and close connections that nobody uses."""
+    now = state.clock.monotonic()
+    for row in list(state.monitors.values()):
+        if row.job is not None and state.resumed_at == now:
+            # The answer may have arrived while this process was paused.
+            row.deadline = max(row.deadline, now + IDLE_TIME)
+        if row.job is not None and now >= row.deadline:
+            close(row, state)
+            state.counters["monitoring.timeouts"] += 1
+            finish(row, None, state)
+        elif row.job is None and now - row.used_at > IDLE_TIME:
+            close(row, state)
+            del state.monitors[(row.endpoint, row.channel)]
--- /dev/null
+++ b/pimentodrift/probes.py
@@ -0,0 +1,127 @@
+"""Reads the status of endpoints every 100 ms: samples for routing, probes for failover.
+
+The owner of an endpoint reads its status; every watcher of a group also reads its
+primary's, so that several instances see a primary fail. The same reading serves both.
+"""
+
+from datetime import timedelta
+
+from attrs import frozen
+
+from . import monitoring
+from .database_group import (
+    EndpointStatus,
+    Role,
+    parse_replicas,
+    parse_status,
+    replicas_statement,
+    status_statement,
+)
+from .membership import owns, watchers
+from .messages import Position, Rows, Statement
+from .monitoring import Batch, Results, job_ended, rows_of
+from .rejoining import examine
+from .tables import Channel, EndpointRow, GroupRow, ProbeRow, State
+
+PROBE_INTERVAL = timedelta(milliseconds=100)
+PROBE_TIMEOUT = timedelta(milliseconds=300)
+WATCH_INTERVAL = timedelta(milliseconds=200)
+
+
+@frozen
+class StatusJob:
+    """A reading of an endpoint's status, begun at a time of this clock."""
+
+    endpoint: str
+    begun_at: timedelta
+
+
+def run(state: State) -> None:
+    """Begin the readings that are due."""
+    now = state.clock.monotonic()
+    if now - state.watched_at >= WATCH_INTERVAL:
+        refresh_watched(state)
+    primaries = {state.groups[name].primary for name in state.watched}
+    for row in list(state.endpoints.values()):
+        if row.name in primaries or owns(row, state):
+            begin(row, state)
+
+
+def refresh_watched(state: State) -> None:
+    """Find the groups that this instance watches and drop old probes."""
+    state.watched_at = state.clock.monotonic()
+    watched = {name: watchers(name, state) for name in state.groups}
+    own = state.settings.name
+    state.watched = {name: names for name, names in watched.items() if own in names}
+    for name in set(state.probes) - set(state.watched):
+        del state.probes[name]
+
+
+def begin(row: EndpointRow, state: State) -> None:
+    """Begin a reading unless one was begun less than an interval ago."""
+    now = state.clock.monotonic()
+    monitor = state.monitors.get((row.name, Channel.STATUS))
+    if monitor is not None and now - monitor.used_at < PROBE_INTERVAL:
+        return
+    segments: tuple[tuple[Statement, ...], ...] = ((status_statement(),),)
+    if state.groups[row.group].primary == row.name and owns(row, state):
+        segments += ((replicas_statement(),),)
+    job = StatusJob(row.name, now)
+    batch = Batch(segments, PROBE_TIMEOUT)
+    monitoring.submit(row.name, Channel.STATUS, job, batch, state)
+
+
+@job_ended.register
+def _(job: StatusJob, results: Results | None, state: State) -> None:
+    row = state.endpoints.get(job.endpoint)
+    if row is None:
+        return
+    rows = rows_of(results, 0)
+    status = None if rows is None else parse_status(rows)
+    group = state.groups[row.group]
+    if group.primary == row.name and row.group in state.watched:
+        judge(group, job, status, state)
+    if status is None:
+        state.counters["probes.failed"] += 1
+        return
+    sample(row, status, job.begun_at)
+    sample_replicas(rows_of(results, 1), state)
+    if owns(row, state):
+        examine(row, status, state)
+
+
+def judge(
+    group: GroupRow, job: StatusJob, status: EndpointStatus | None, state: State
+) -> None:
+    """Note whether the primary of the group's term answers as such."""
+    probe = state.probes.get(group.name)
+    if probe is None or probe.term != group.term:
+        probe = ProbeRow(group.name, group.term)
+        state.probes[group.name] = probe
+    if status is not None and status.role == Role.PRIMARY and status.term == group.term:
+        probe.failing_since = probe.established_at = None
+        probe.reports.clear()
+    elif probe.failing_since is None and job.begun_at >= state.resumed_at:
+        probe.failing_since = job.begun_at
+        state.counters["probes.failures_began"] += 1
+
+
+def sample(row: EndpointRow, status: EndpointStatus, read_at: timedelta) -> None:
+    """Record a reading of an endpoint."""
+    if read_at <= row.sampled_at:
+        return
+    row.sampled_at = read_at
+    row.is_primary = status.role == Role.PRIMARY
+    if status.role == Role.FENCED:
+        return  # Its term is that of the fence, not of its log.
+    offset = status.received if row.is_primary else status.replayed
+    row.position = Position(status.term, offset)
+
+
+def sample_replicas(rows: Rows | None, state: State) -> None:
+    """Record how much of the log the replicas have received, as the primary sees it."""
+    for progress in parse_replicas(rows) if rows is not None else ():
+        row = state.endpoints.get(progress.endpoint)
+        if row is not None:
+            received = Position(progress.term, progress.received)
+            row.received = max(row.received, received)
--- /dev/null
+++ b/pimentodrift/replication.py
@@ -0,0 +1,146 @@
+"""Confirms committed writes once enough endpoints of the group have received them.
+
+While writes wait, one monitoring connection to the primary reads the replicas'
+progress back to back, and each reading serves all waiting writes. A write is confirmed
+only by a reading that also shows the primary still in the write's term.
+"""
+
+from datetime import timedelta
+
+from attrs import frozen
+
+from . import monitoring
+from .database_group import (
+    ReplicaProgress,
+    Role,
+    parse_replicas,
+    parse_status,
+    replicas_statement,
+    status_statement,
+)
+from .dispatch import handle
+from .errors import Problem, unknown
+from .membership import group_endpoints
+from .messages import Durability, Position, WriteAcknowledged, WriteUnconfirmed
+from .monitoring import Batch, Results, job_ended, rows_of
+from .tables import Channel, State, WaitingWrite
+
+# A reading takes one round trip; a primary that is slower than this is not usable.
+READING_TIMEOUT = timedelta(milliseconds=500)
+
+
+@frozen
+class ReadingJob:
+    """A reading of the replicas' progress; it serves writes with a lower number."""
+
+    endpoint: str
+    number: int
+
+
+# The signature is the interface of the executing module.
+def await_acknowledgment(  # noqa: PLR0917
+    work: int,
+    endpoint: str,
+    position: Position,
+    durability: Durability,
+    deadline: timedelta,
+    state: State,
+) -> None:
+    """Wait until a committed write is replicated; `deadline` is a monotonic time.
+
+    The wait ends with `WriteAcknowledged` or `WriteUnconfirmed`.
+    """
+    waiting = state.waiting_writes.setdefault(endpoint, {})
+    waiting[work] = WaitingWrite(
+        work, endpoint, position, durability, deadline, state.number()
+    )
+    begin_reading(endpoint, state)
+
+
+def begin_reading(endpoint: str, state: State) -> None:
+    """Begin a reading if writes wait and none is in progress."""
+    if not state.waiting_writes.get(endpoint):
+        return
+    # The status is read after the replicas, so that it covers the whole reading.
+    segments = ((replicas_statement(),), (status_statement(),))
+    job = ReadingJob(endpoint, state.number())
+    batch = Batch(segments, READING_TIMEOUT)
+    monitoring.submit(endpoint, Channel.ACKNOWLEDGMENT, job, batch, state)
+
+
+@job_ended.register
+def _(job: ReadingJob, results: Results | None, state: State) -> None:
+    progress_rows, status_rows = rows_of(results, 0), rows_of(results, 1)
+    if status_rows is None:
+        state.counters["replication.readings_failed"] += 1
+        return  # The next tick begins another reading.
+    status = parse_status(status_rows)
+    term = status.term if status.role == Role.PRIMARY else 0
+    progress = [] if progress_rows is None else parse_replicas(progress_rows)
+    state.counters["replication.readings"] += 1
+    for write in list(state.waiting_writes.get(job.endpoint, {}).values()):
+        if write.number > job.number:
+            continue
+        if write.position.term != term:
+            fail(write, "the endpoint is not the primary of the write's term", state)
+        elif is_replicated(write, progress, state):
+            acknowledge(write, state)
+    begin_reading(job.endpoint, state)
+
+
+def is_replicated(
+    write: WaitingWrite, progress: list[ReplicaProgress], state: State
+) -> bool:
+    """Return whether enough endpoints of the group have received a write."""
+    endpoint = state.endpoints.get(write.endpoint)
+    if endpoint is None:
+        return False
+    members = {row.name for row in group_endpoints(endpoint.group, state)}
+    received = {
+        row.endpoint
+        for row in progress
+        if row.term == write.position.term and row.received >= write.position.offset
+    }
+    received = (received | {write.endpoint}) & members
+    return len(received) >= required(write.durability, len(members))
+
+
+def required(durability: Durability, members: int) -> int:
+    """Return how many endpoints of a group must have a write."""
+    return members if durability is Durability.ALL else members // 2 + 1
+
+
+def acknowledge(write: WaitingWrite, state: State) -> None:
+    """Report a write as confirmed."""
+    del state.waiting_writes[write.endpoint][write.work]
+    state.counters["replication.acknowledged"] += 1
+    handle(WriteAcknowledged(write.work), state)
+
+
+def fail(write: WaitingWrite, detail: str, state: State) -> None:
+    """Report a write whose replication is not known."""
+    del state.waiting_writes[write.endpoint][write.work]
+    state.counters["replication.unconfirmed"] += 1
+    failure = unknown(Problem.ACKNOWLEDGMENT_MISSING, detail)
+    handle(WriteUnconfirmed(write.work, failure), state)
+
+
+def run(state: State) -> None:
+    """End the waits that cannot succeed any more and keep the readings going."""
+    for endpoint, waiting in list(state.waiting_writes.items()):
+        for write in list(waiting.values()):
+            expire(write, state)
+        if waiting:
+            begin_reading(endpoint, state)
+        else:
+            del state.waiting_writes[endpoint]
+
+
+def expire(write: WaitingWrite, state: State) -> None:
+    """End the wait of a write whose deadline or term has passed."""
+    endpoint = state.endpoints.get(write.endpoint)
+    group = state.groups.get(endpoint.group) if endpoint is not None else None
+    if group is None or group.term > write.position.term:
+        fail(write, "the group has a new primary", state)
+    elif state.clock.monotonic() >= write.deadline:
+        fail(write, "the deadline passed before the write was replicated", state)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from .clock import Clock
+from .database_group import FenceAnswer
 from .messages import Access, Durability, Position, Statement, StoreObject
 from .settings import Settings
 
@@ -52,6 +53,8 @@
     suspected_until: timedelta = NEVER
     last_heard: timedelta = NEVER
     store_age: timedelta | None = None  # As its last Pong told.
+    # Set by a suspicion, until a ping with a number above it is answered.
+    suspected_number: int | None = None
 
 
 @define
@@ -70,6 +73,7 @@
     is_primary: bool = False
     sampled_at: timedelta = NEVER
     failing_until: timedelta = NEVER
+    received: Position = Position(0, 0)  # The end of its log, as its primary sees it.
 
 
 @define
@@ -170,6 +174,125 @@
     batch: int = 0
 
 
+# --- heartbeats, monitoring, replication, failover
+
+
+@define
+class ContactRow:
+    """An instance that this one has a reason to talk to."""
+
+    name: str
+    used_at: timedelta = NEVER
+    pinged_at: timedelta = NEVER
+    unanswered: int = 0
+
+
+class Channel(StrEnum):
+    """What a monitoring connection carries."""
+
+    STATUS = "status"
+    ACKNOWLEDGMENT = "acknowledgment"
+    COMMAND = "command"
+
+
+@define
+class MonitorRow:
+    """A monitoring connection and the job that waits for its answer."""
+
+    endpoint: str
+    channel: Channel
+    connection: int = 0
+    job: object | None = None
+    segments: tuple[tuple[Statement, ...], ...] = ()
+    deadline: timedelta = NEVER
+    used_at: timedelta = NEVER
+
+
+@define
+class WaitingWrite:
+    """A committed write whose replication is not confirmed yet."""
+
+    work: int
+    endpoint: str
+    position: Position
+    durability: Durability
+    deadline: timedelta
+    number: int  # Only readings with a higher number can confirm it.
+
+
+@define
+class ProbeRow:
+    """How the primary of a group's current term looks from here."""
+
+    group: str
+    term: int
+    failing_since: timedelta | None = None
+    queried_at: timedelta = NEVER
+    # Of other instances: when the report came and how long the failure lasted then.
+    reports: dict[str, tuple[timedelta, timedelta]] = field(factory=dict)
+    established_at: timedelta | None = None
+
+
+class Stage(StrEnum):
+    """A stage of a change of primary, in this order."""
+
+    NOTICING = "noticing"
+    FENCING = "fencing"
+    CHOOSING = "choosing"
+    PROMOTING = "promoting"
+    FOLLOWING = "following"
+    RECORDING = "recording"
+
+
+@define
+class FailoverRow:
+    """A change of primary that this instance coordinates."""
+
+    group: str
+    old_term: int
+    old_primary: str
+    planned: bool
+    started_at: timedelta = NEVER
+    stage: Stage = Stage.NOTICING
+    stage_started: dict[Stage, timedelta] = field(factory=dict)
+    term: int = 0
+    fences: dict[str, FenceAnswer] = field(factory=dict)
+    outstanding: set[str] = field(factory=set)  # Endpoints that have yet to answer.
+    chosen: str = ""
+    following: set[str] = field(factory=set)
+
+
+@define
+class RejoinRow:
+    """The return of an endpoint to its group."""
+
+    endpoint: str
+    attempted_at: timedelta = NEVER
+    # The last term up to which its log is surely part of the group's log.
+    lineage_term: int | None = None
+    checked_term: int = 0  # Its dropped entries are stored up to this term.
+    writes: set[str] = field(factory=set)  # Names of objects to be stored.
+
+
+@define
+class StoreWrite:
+    """A conditional update that has not been answered."""
+
+    call: int
+    kind: str
+    name: str
+    purpose: object
+
+
+@define
+class GroupWrite:
+    """The writing of a group's object by this instance."""
+
+    in_flight: bool = False
+    retry_at: timedelta = NEVER
+    behind_since: timedelta | None = None
+
+
 # --- the state
 
 
@@ -193,6 +316,23 @@
     configuration: Configuration = field(factory=Configuration)
     pending: dict[int, PendingRequest] = field(factory=dict)
     connections: dict[int, ConnectionRow] = field(factory=dict)
+    # Heartbeats, monitoring, replication, failover.
+    ticked_at: timedelta | None = None
+    resumed_at: timedelta = NEVER  # When this process last noticed its own pause.
+    stop_requested_at: timedelta | None = None
+    exit_sent: bool = False
+    contacts: dict[str, ContactRow] = field(factory=dict)
+    monitors: dict[tuple[str, Channel], MonitorRow] = field(factory=dict)
+    monitor_keys: dict[int, tuple[str, Channel]] = field(factory=dict)
+    waiting_writes: dict[str, dict[int, WaitingWrite]] = field(factory=dict)
+    watched: dict[str, list[str]] = field(factory=dict)  # Group to its watchers.
+    watched_at: timedelta = NEVER
+    probes: dict[str, ProbeRow] = field(factory=dict)
+    failovers: dict[str, FailoverRow] = field(factory=dict)
+    rejoins: dict[str, RejoinRow] = field(factory=dict)
+    used_terms: dict[str, int] = field(factory=dict)  # Highest that it fenced with.
+    store_writes: dict[int, StoreWrite] = field(factory=dict)
+    group_writes: dict[str, GroupWrite] = field(factory=dict)
 
     def number(self) -> int:
         """Return a number unused so far by this instance."""
