Merge heartbeats, replication and failover

Both sides had written a module for conditional updates of the store; the one of the failover part stays and the allocator uses it. All instances of a small fleet are contacts, because a majority of them judges whether the store is down.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -13,7 +13,7 @@
 
 from datetime import timedelta
 
-from . import membership, peers, store_writes, view
+from . import membership, peers, view
 from .dispatch import handle_peer
 from .messages import (
     Epoch,
@@ -24,10 +24,10 @@
     ShareRaised,
     ShareRenew,
     ShareReport,
-    StoreFailed,
-    StoreWritten,
+    StoreObject,
 )
 from .rates import LEASE, is_usable
+from .store_writes import StoreOutcome, write, write_ended
 from .tables import (
     AllocationRow,
     ClaimRow,
@@ -77,9 +77,8 @@
     if claim is not None and now - claim.sent_at < CLAIM_TIMEOUT:
         return
     item = state.view.objects.get(("allocator", workspace))
-    version, number, holder = 0, 0, ""
+    number, holder = 0, ""
     if item is not None and item.value is not None:
-        version = item.version
         number, holder = int(item.value["epoch"]), str(item.value["holder"])
     drop_superseded(workspace, Epoch(number, holder), state)
     own = state.settings.name
@@ -91,12 +90,11 @@
     if holder != own and first_candidate(workspace, state) != own:
         return
     epoch = Epoch(number + 1, own)
-    claim = ClaimRow(workspace, epoch, 0, holder, now)
-    value = {"epoch": epoch.number, "holder": own}
-    claim.call = store_writes.write(
-        claim, "allocator", workspace, version, value, state
-    )
+    claim = ClaimRow(workspace, epoch, holder, now)
     state.claims[workspace] = claim
+    target = item or StoreObject("allocator", workspace, 0, None)
+    value = {"epoch": epoch.number, "holder": own}
+    write(target, value, claim, state)
 
 
 def first_candidate(workspace: str, state: State) -> str | None:
@@ -114,17 +112,14 @@
         state.counters["allocator.superseded"] += 1
 
 
-@store_writes.finished.register
-def _(purpose: ClaimRow, result: store_writes.WriteResult, state: State) -> None:
+@write_ended.register
+def _(purpose: ClaimRow, outcome: StoreOutcome, state: State) -> None:
     state.claims.pop(purpose.workspace, None)
-    if isinstance(result, StoreWritten):
-        take_over(purpose, result.item.version, state)
-    elif isinstance(result, StoreFailed):
-        # The claim may stand in the store; a next claim has a higher epoch then.
-        state.counters["allocator.claims_unclear"] += 1
+    if outcome is StoreOutcome.WRITTEN:
+        take_over(purpose, state)
 
 
-def take_over(claim: ClaimRow, version: int, state: State) -> None:
+def take_over(claim: ClaimRow, state: State) -> None:
     """Start the ledger; after a predecessor, everything is locked at first."""
     workspace = state.configuration.workspaces.get(claim.workspace)
     if workspace is None:
@@ -133,7 +128,7 @@
         claim.workspace,
         claim.epoch,
         state.clock.monotonic(),
-        version,
+        state.view.objects["allocator", claim.workspace].version,
         predecessor=claim.predecessor,
         level=workspace.burst,
         level_at=state.clock.monotonic(),
--- a/pimentodrift/core.py
+++ b/pimentodrift/core.py
@@ -7,7 +7,22 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from . import allocation, connections, membership, peers, rates, view
+from . import (
+    allocation,
+    connections,
+    detection,
+    draining,
+    failover,
+    heartbeats,
+    membership,
+    monitoring,
+    peers,
+    probes,
+    rates,
+    replication,
+    reservations,
+    view,
+)
 from .dispatch import handle
 from .tables import State
 
@@ -17,8 +32,16 @@
 SYSTEMS: tuple[Callable[[State], None], ...] = (
     view.run,
     membership.run,
+    heartbeats.run,
+    monitoring.run,
+    probes.run,
+    detection.run,
+    failover.run,
+    reservations.run,
+    replication.run,
     allocation.run,
     rates.run,
+    draining.run,
 )
 
 __all__ = [
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -18,7 +18,6 @@
 from .messages import (
     ObjectsReceived,
     SendPeer,
-    StoreFailed,
     StoreObject,
     Subscribe,
     ViewUpdate,
@@ -230,7 +229,7 @@
     apply(message.items, state)
 
 
-def watch_failed(message: StoreFailed, state: State) -> None:
+def watch_failed(state: State) -> None:
     """Retry the watch after a pause with jitter, which spreads a fleet's return."""
     now = state.clock.monotonic()
     state.view.watch_sent_at = None
