--- /dev/null
+++ b/pimentodrift/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line with `python -m pimentodrift`."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/pimentodrift/cli.py
@@ -0,0 +1,272 @@
+"""Command line: parses arguments and runs one subcommand.
+
+Exit status: 0 done, 1 failed, 2 bad usage or settings. Modules that only one subcommand
+needs are imported when it runs, so that `check` and `--help` stay quick.
+"""
+
+import os
+import sys
+from functools import singledispatch
+from importlib import import_module
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+from attrs import NOTHING, asdict, field, fields, frozen, make_class
+
+from . import __version__
+from .settings import VARIABLE_PREFIX, HttpUrl, Settings, load, render, variable
+
+DONE = 0
+FAILED = 1
+USAGE = 2
+PLATFORM_VARIABLE = VARIABLE_PREFIX + "PLATFORM"
+
+
+def setting_argument(attribute: Any) -> Any:
+    """Return the flag of a setting; `settings.load` checks its value."""
+    rule = attribute.validator
+    allowed = rule.allowed() if hasattr(rule, "allowed") else ""
+    parts = [attribute.metadata.get("help", ""), f"Allowed: {allowed}." * bool(allowed)]
+    if attribute.default is not NOTHING and attribute.default != "":
+        parts.append(f"Default: {render(attribute.default)}.")
+    parts.append(f"Variable: {variable(attribute.name)}.")
+    text = " ".join(part for part in parts if part)
+    argument = cappa.Arg[Any](long=True, default=None, show_default=False, help=text)
+    annotated: Any = Annotated[str | None, argument]
+    return field(default=None, type=annotated)
+
+
+# The flags follow from the fields of `Settings`, so that none is missing.
+SettingFlags = make_class(
+    "SettingFlags",
+    {attribute.name: setting_argument(attribute) for attribute in fields(Settings)},
+    frozen=True,
+)
+
+
+@cappa.command(name="proxy", help="Run an instance until SIGTERM or SIGINT.")
+@frozen
+class Proxy(SettingFlags):  # type: ignore[misc, valid-type]
+    """Run an instance."""
+
+
+Directories = Annotated[
+    list[Path], cappa.Arg(value_name="DIR", help="Directory of one service's files.")
+]
+
+
+@cappa.command(name="publish", help="Check services' files and put them in force.")
+@frozen
+class Publish:
+    """Publish services."""
+
+    directories: Annotated[
+        list[Path],
+        cappa.Arg(
+            value_name="DIR",
+            num_args=-1,
+            help="Directory of one service's files; its name names the service.",
+        ),
+    ] = field(factory=list)
+    platform: Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            show_default=False,
+            help=f"Base URL of the store. Variable: {PLATFORM_VARIABLE}.",
+        ),
+    ] = None
+    remove: Annotated[
+        list[str],
+        cappa.Arg(long=True, show_default=False, help="Service to end; may repeat."),
+    ] = field(factory=list)
+
+
+@cappa.command(name="check", help="Check services' files without the store.")
+@frozen
+class Check:
+    """Check services' files."""
+
+    directories: Directories
+
+
+@cappa.command(name="dump", help="Print the state of a running instance as JSON.")
+@frozen
+class Dump:
+    """Print an instance's state."""
+
+    address: Annotated[
+        str, cappa.Arg(value_name="ADDRESS", help="HOST:PORT of the instance.")
+    ]
+
+
+@cappa.command(name="local", help="Run six instances on local stand-ins.")
+@frozen
+class Local:
+    """Run the whole path locally."""
+
+    deployment: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            choices=["kanitli", "heredia"],
+            help="Deployment whose files, delays and limits are used.",
+        ),
+    ] = "kanitli"
+    lag_ms: Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            show_default=False,
+            help="Replication lag in ms (default: that of the deployment).",
+        ),
+    ] = None
+
+
+@cappa.command(name="new-key", help="Make a key; print it once with its digest.")
+@frozen
+class NewKey:
+    """Make a key."""
+
+
+@cappa.command(name="stand-in", hidden=True)
+@frozen
+class StandIn:
+    """Run a stand-in's module; `local` uses it in the one-file binary."""
+
+    module: str
+    arguments: Annotated[list[str], cappa.Arg(num_args=-1)] = field(factory=list)
+
+
+@cappa.command(name="pimentodrift", help="A database proxy with session consistency.")
+@frozen
+class Pimentodrift:
+    """The root command."""
+
+    command: cappa.Subcommands[
+        Proxy | Publish | Check | Dump | Local | NewKey | StandIn
+    ]
+
+
+def main() -> None:
+    """Run the command line and exit with its status."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(arguments: list[str]) -> int:
+    """Run one command and return its exit status."""
+    try:
+        parsed = cappa.parse(Pimentodrift, argv=arguments, version=__version__)
+    except cappa.Exit as exit_:
+        return exit_.code if isinstance(exit_.code, int) else USAGE
+    return execute(parsed.command)
+
+
+def complain(message: object) -> None:
+    """Print a message for the operator."""
+    print(f"pimentodrift: {message}", file=sys.stderr)
+
+
+@singledispatch
+def execute(command: object) -> int:
+    """Run a subcommand and return its exit status."""
+    raise TypeError(f"no subcommand {type(command).__name__}")
+
+
+@execute.register
+def _(command: Proxy) -> int:
+    loaded = load(asdict(command), os.environ)
+    if loaded.is_error():
+        for problem in loaded.error:
+            complain(problem)
+        return USAGE
+    return int(import_module(".process", __package__).run(loaded.ok))
+
+
+@execute.register
+def _(command: Check) -> int:
+    from .operator_rules import check  # noqa: PLC0415
+
+    files = check(command.directories)
+    for finding in files.findings:
+        print(finding)
+    if files.findings:
+        complain(f"{len(files.findings)} findings")
+        return FAILED
+    workspaces = sum(len(service.workspaces) for service in files.services)
+    print(f"{len(files.services)} services, {workspaces} workspaces: no findings")
+    return DONE
+
+
+@execute.register
+def _(command: Publish) -> int:
+    from .operator_rules import check  # noqa: PLC0415
+    from .publishing import Publisher  # noqa: PLC0415
+    from .store_api import StoreApi  # noqa: PLC0415
+
+    platform = command.platform or os.environ.get(PLATFORM_VARIABLE, "")
+    if not HttpUrl().accepts(platform):
+        complain(
+            f"setting platform: invalid value {platform!r} in --platform or "
+            f"{PLATFORM_VARIABLE}; allowed: {HttpUrl().allowed()}"
+        )
+        return USAGE
+    if not command.directories and not command.remove:
+        complain("publish needs a directory or --remove SERVICE")
+        return USAGE
+    files = check(command.directories)
+    if files.findings:
+        for finding in files.findings:
+            print(finding)
+        complain(f"{len(files.findings)} findings; nothing was published")
+        return FAILED
+    result = Publisher(StoreApi(platform)).publish(
+        files.pieces(), tuple(command.remove)
+    )
+    if result.is_error():
+        complain(result.error)
+        return FAILED
+    print(f"publication {result.ok.publication} follows {result.ok.previous or 'none'}")
+    if result.ok.superseded:
+        print("a later publication is in force on top of it")
+    return DONE
+
+
+@execute.register
+def _(command: Dump) -> int:
+    import orjson  # noqa: PLC0415
+
+    try:
+        state = import_module(".dump", __package__).fetch_dump(command.address)
+    except (OSError, ValueError) as error:
+        complain(f"dump of {command.address}: {error or type(error).__name__}")
+        return FAILED
+    print(orjson.dumps(state, option=orjson.OPT_INDENT_2).decode())
+    return DONE
+
+
+@execute.register
+def _(command: Local) -> int:
+    from .local import run_local  # noqa: PLC0415
+
+    return run_local(command.deployment, command.lag_ms)
+
+
+@execute.register
+def _(command: NewKey) -> int:
+    from .keys import new_key  # noqa: PLC0415
+
+    key = new_key()
+    print(f"key:    {key.text}")
+    print(f"digest: {key.digest}")
+    return DONE
+
+
+@execute.register
+def _(command: StandIn) -> int:
+    from runpy import run_module  # noqa: PLC0415
+
+    sys.argv = [command.module, *command.arguments]
+    run_module(command.module, run_name="__main__", alter_sys=True)
+    return DONE
--- /dev/null
+++ b/pimentodrift/keys.py
@@ -0,0 +1,32 @@
+"""Keys of callers: the `new-key` command makes them, the files hold their digests.
+
+A key has 256 random bits, so a fast hash protects it: guessing is hopeless whatever the
+hash costs.
+"""
+
+import secrets
+from hashlib import sha256
+
+from attrs import frozen
+
+PREFIX = "pd_"
+KEY_BYTES = 32  # 43 characters of URL-safe base64.
+
+
+@frozen
+class NewKey:
+    """A key, which is shown once, and the digest that an operators' file lists."""
+
+    text: str
+    digest: str
+
+
+def new_key() -> NewKey:
+    """Make a key from the operating system's random numbers."""
+    text = PREFIX + secrets.token_urlsafe(KEY_BYTES)
+    return NewKey(text, digest(text))
+
+
+def digest(key: str) -> str:
+    """Return the SHA-256 digest of a key in hex."""
+    return sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/pimentodrift/local.py
@@ -0,0 +1,258 @@
+"""The `local` command: the whole path on stand-ins, on one machine.
+
+It starts the store and the databases, registers everything in the store, publishes the
+example files with fresh keys, starts the instances, and prints one line of JSON when
+all of them are ready. It stays until SIGTERM or SIGINT.
+"""
+
+import signal
+import sys
+from datetime import timedelta
+from functools import partial
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from time import monotonic, sleep
+from types import FrameType
+from typing import NoReturn
+
+import orjson
+from attrs import define, evolve, field
+
+from .children import (
+    Child,
+    ChildFailed,
+    Children,
+    drain,
+    module_command,
+    own_command,
+    wait_ready,
+)
+from .keys import new_key
+from .local_layout import DEPLOYMENTS, Database, Instance, Layout, make_layout, objects
+from .operator_files import Service, make_piece
+from .operator_rules import check
+from .operator_values import Located
+from .publishing import Publisher, Retries
+from .store_api import StoreApi
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+INSTANCES_READY_WITHIN = timedelta(seconds=40)
+READY_POLL = timedelta(milliseconds=50)
+# Longer than the default of the setting stop_timeout.
+INSTANCE_STOP = timedelta(seconds=25)
+STAND_IN_STOP = timedelta(seconds=3)
+OK = 200
+
+
+class Stopped(Exception):
+    """SIGTERM or SIGINT arrived."""
+
+
+class SetupFailed(Exception):
+    """The store refused what a local run needs."""
+
+
+def run_local(deployment: str, lag_ms: int | None) -> int:
+    """Run a deployment until a signal; return the exit status."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, stop)
+    chosen = DEPLOYMENTS[deployment]
+    if lag_ms is not None:
+        chosen = evolve(chosen, replication_lag=timedelta(milliseconds=lag_ms))
+    run = LocalRun(make_layout(chosen))
+    try:
+        run.start()
+        run.announce()
+        while True:
+            signal.pause()
+    except Stopped:
+        return run.end()
+    except (ChildFailed, SetupFailed) as error:
+        print(f"pimentodrift: local: {error}", file=sys.stderr)
+        run.end()
+        return 1
+    finally:
+        run.children.kill()
+
+
+def stop(number: int, frame: FrameType | None) -> NoReturn:
+    """Unwind to `run_local`; a second signal ends the graceful shutdown at once."""
+    raise Stopped
+
+
+@define
+class LocalRun:
+    """The processes of a local run."""
+
+    layout: Layout
+    children: Children = field(factory=Children)
+    databases: dict[str, Child] = field(factory=dict)
+    instances: dict[str, Child] = field(factory=dict)
+    keys: dict[str, str] = field(factory=dict)
+
+    @property
+    def platform_url(self) -> str:
+        """Return the base URL of the store."""
+        return f"http://{self.layout.platform}"
+
+    def start(self) -> None:
+        """Start everything and wait until the instances are ready."""
+        platform = self.children.start(
+            "platform",
+            module_command(
+                "standins.platform_server", ["--listen", self.layout.platform]
+            ),
+            prints_ready=True,
+        )
+        primaries = [row for row in self.layout.databases if row.is_primary]
+        replicas = [row for row in self.layout.databases if not row.is_primary]
+        started = [platform, *map(self.start_database, primaries)]
+        wait_ready(started)
+        following = [self.start_database(row) for row in replicas]
+        wait_ready(following)
+        self.fill_store()
+        for instance in self.layout.instances:
+            self.instances[instance.name] = self.start_instance(instance)
+        drain(started + following)
+        self.wait_instances()
+
+    def start_database(self, row: Database) -> Child:
+        """Start a database stand-in."""
+        deployment = self.layout.deployment
+        options = {
+            "--name": row.name,
+            "--region": row.region,
+            "--listen": row.address,
+            "--replication-listen": row.replication,
+            "--slots": deployment.slots,
+            "--connect-ms": milliseconds(deployment.connect_time),
+            "--service-ms": milliseconds(deployment.service_time),
+            "--lag-ms": milliseconds(deployment.replication_lag),
+            "--max-connections": deployment.connections,
+        }
+        arguments = [str(part) for option in options.items() for part in option]
+        if row.is_primary:
+            arguments.append("--primary")
+        else:
+            arguments += ["--follow", self.layout.primary(row.group).replication]
+        command = module_command("standins.database_server", arguments)
+        child = self.children.start(row.name, command, prints_ready=True)
+        self.databases[row.name] = child
+        return child
+
+    def start_instance(self, instance: Instance) -> Child:
+        """Start an instance."""
+        options = {
+            "--name": instance.name,
+            "--region": instance.region,
+            "--data-centre": instance.data_centre,
+            "--listen": instance.address,
+            "--peer-listen": instance.peer_address,
+            "--platform": self.platform_url,
+        }
+        arguments = [part for option in options.items() for part in option]
+        command = own_command(["proxy", *arguments])
+        return self.children.start(instance.name, command, prints_ready=False)
+
+    def fill_store(self) -> None:
+        """Register the layout and publish the example files with fresh keys."""
+        store = StoreApi(self.platform_url)
+        for kind, name, value in objects(self.layout):
+            call = partial(store.put, kind, name, value, 0)
+            answer, _ = Retries().run(call)
+            if answer.is_error():
+                raise SetupFailed(f"{kind} {name}: {answer.error}")
+        directories = sorted((EXAMPLES / self.layout.deployment.name).iterdir())
+        files = check(directories)
+        if files.findings:
+            raise SetupFailed(str(files.findings[0]))
+        pieces = tuple(make_piece(self.with_keys(item)) for item in files.services)
+        published = Publisher(store).publish(pieces)
+        if published.is_error():
+            raise SetupFailed(str(published.error))
+
+    def with_keys(self, service: Service) -> Service:
+        """Give each workspace of a service one fresh key."""
+        workspaces = []
+        for workspace in service.workspaces:
+            key = new_key()
+            name = workspace.name
+            self.keys[name.text] = key.text
+            keys = (Located(key.digest, name.file, name.line),)
+            workspaces.append(evolve(workspace, keys=keys))
+        return evolve(service, workspaces=tuple(workspaces))
+
+    def wait_instances(self) -> None:
+        """Wait until every instance says that it is ready."""
+        deadline = monotonic() + INSTANCES_READY_WITHIN.total_seconds()
+        waiting = list(self.layout.instances)
+        while waiting:
+            for instance in waiting:
+                self.instances[instance.name].check()
+            waiting = [row for row in waiting if not is_ready(row.address)]
+            if waiting and monotonic() > deadline:
+                names = ", ".join(row.name for row in waiting)
+                raise ChildFailed(f"not ready in time: {names}")
+            sleep(READY_POLL.total_seconds() if waiting else 0)
+
+    def announce(self) -> None:
+        """Print the line of JSON that tells what runs where."""
+        line = {
+            "proxies": [row.url for row in self.layout.instances],
+            "groups": list(self.layout.deployment.groups),
+            "keys": self.keys,
+            "platform": self.platform_url,
+            "endpoints": [self.describe_database(row) for row in self.layout.databases],
+            "instances": [self.describe_instance(row) for row in self.layout.instances],
+            "pids": [self.instances[row.name].pid for row in self.layout.instances],
+        }
+        print(orjson.dumps(line).decode(), flush=True)
+
+    def describe_database(self, row: Database) -> dict[str, object]:
+        """Return what tests need to find, cut or end a database."""
+        return {
+            "name": row.name,
+            "address": row.address,
+            "replication": row.replication,
+            "pid": self.databases[row.name].pid,
+            "group": row.group,
+            "region": row.region,
+            "role": "primary" if row.is_primary else "replica",
+        }
+
+    def describe_instance(self, row: Instance) -> dict[str, object]:
+        """Return what tests need to find or end an instance."""
+        return {
+            "name": row.name,
+            "url": row.url,
+            "peer_address": row.peer_address,
+            "pid": self.instances[row.name].pid,
+            "region": row.region,
+            "data_centre": row.data_centre,
+        }
+
+    def end(self) -> int:
+        """Stop the instances gracefully, then the stand-ins."""
+        try:
+            self.children.end(self.instances.values(), INSTANCE_STOP)
+            self.children.end(self.children.running, STAND_IN_STOP)
+        except Stopped:
+            self.children.kill()
+        return 0
+
+
+def is_ready(address: str) -> bool:
+    """Return whether an instance answers that it is ready."""
+    connection = HTTPConnection(address, timeout=1)
+    try:
+        connection.request("GET", "/readyz")
+        return connection.getresponse().status == OK
+    except (OSError, HTTPException):
+        return False
+    finally:
+        connection.close()
+
+
+def milliseconds(duration: timedelta) -> int:
+    """Return a duration in whole milliseconds."""
+    return round(duration / timedelta(milliseconds=1))
--- /dev/null
+++ b/pimentodrift/local_layout.py
@@ -0,0 +1,185 @@
+"""The layout that `local` runs: two deployments on loopback addresses.
+
+Three regions with two data centres and two instances each, and three groups of three
+databases, one database in each region. Each group has its primary in another region.
+"""
+
+import socket
+from collections.abc import Iterator
+from contextlib import ExitStack
+from datetime import timedelta
+from itertools import count
+
+from attrs import field, frozen
+
+LOOPBACK = "127.0.0.1"
+INSTANCES_PER_REGION = 2
+FIRST_TERM = 1
+
+
+@frozen
+class Deployment:
+    """The limits and delays of the databases of one deployment."""
+
+    name: str
+    regions: tuple[str, str, str]
+    groups: tuple[str, str, str]
+    slots: int
+    connections: int
+    connect_time: timedelta
+    service_time: timedelta
+    replication_lag: timedelta
+
+
+# Slots, connections and connection times are those of docs/design.md, section 2, at
+# their less favourable end; the lag is the one-way delay between regions.
+DEPLOYMENTS = {
+    "kanitli": Deployment(
+        name="kanitli",
+        regions=("istanbul", "ankara", "izmir"),
+        groups=("certificates", "inspections", "transfers"),
+        slots=3,
+        connections=20,
+        connect_time=timedelta(milliseconds=10),
+        service_time=timedelta(milliseconds=1),
+        replication_lag=timedelta(milliseconds=20),
+    ),
+    "heredia": Deployment(
+        name="heredia",
+        regions=("heredia", "san-jose", "alajuela"),
+        groups=("benchmarks", "submissions", "contracts"),
+        slots=5,
+        connections=50,
+        connect_time=timedelta(milliseconds=30),
+        service_time=timedelta(milliseconds=1),
+        replication_lag=timedelta(milliseconds=8),
+    ),
+}
+
+
+@frozen
+class Database:
+    """One database stand-in; addresses are host:port."""
+
+    name: str
+    group: str
+    region: str
+    is_primary: bool
+    address: str
+    replication: str
+
+
+@frozen
+class Instance:
+    """One instance; addresses are host:port."""
+
+    name: str
+    region: str
+    data_centre: str
+    address: str
+    peer_address: str
+
+    @property
+    def url(self) -> str:
+        """Return the base URL for callers."""
+        return f"http://{self.address}"
+
+
+@frozen
+class Layout:
+    """Every process of a local run."""
+
+    deployment: Deployment
+    platform: str
+    databases: tuple[Database, ...] = field(factory=tuple)
+    instances: tuple[Instance, ...] = field(factory=tuple)
+
+    def primary(self, group: str) -> Database:
+        """Return the first primary of a group."""
+        found = (row for row in self.databases if row.group == group)
+        return next(row for row in found if row.is_primary)
+
+
+def make_layout(deployment: Deployment) -> Layout:
+    """Lay out a deployment on free ports."""
+    numbers = 1 + 2 * len(deployment.groups) * len(deployment.regions)
+    numbers += 2 * INSTANCES_PER_REGION * len(deployment.regions)
+    addresses = iter(free_addresses(numbers))
+    return Layout(
+        deployment,
+        platform=next(addresses),
+        databases=tuple(make_databases(deployment, addresses)),
+        instances=tuple(make_instances(deployment, addresses)),
+    )
+
+
+def make_databases(
+    deployment: Deployment, addresses: Iterator[str]
+) -> Iterator[Database]:
+    """Lay out the databases."""
+    for number, group in enumerate(deployment.groups):
+        for region in deployment.regions:
+            yield Database(
+                name=f"{group}-{region}",
+                group=group,
+                region=region,
+                is_primary=region == deployment.regions[number],
+                address=next(addresses),
+                replication=next(addresses),
+            )
+
+
+def make_instances(
+    deployment: Deployment, addresses: Iterator[str]
+) -> Iterator[Instance]:
+    """Lay out the instances."""
+    numbers = count(1)
+    for region in deployment.regions:
+        for data_centre in range(1, INSTANCES_PER_REGION + 1):
+            yield Instance(
+                name=f"proxy-{next(numbers)}",
+                region=region,
+                data_centre=f"{region}-{data_centre}",
+                address=next(addresses),
+                peer_address=next(addresses),
+            )
+
+
+def free_addresses(number: int) -> list[str]:
+    """Find free ports; they are bound at the same time, so that all differ."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(number)]
+        for free in sockets:
+            free.bind((LOOPBACK, 0))
+        return [f"{LOOPBACK}:{free.getsockname()[1]}" for free in sockets]
+
+
+def objects(layout: Layout) -> Iterator[tuple[str, str, dict[str, object]]]:
+    """Return the platform's objects of a layout as (kind, name, value)."""
+    for group in layout.deployment.groups:
+        value: dict[str, object] = {
+            "term": FIRST_TERM,
+            "primary": layout.primary(group).name,
+            "term_starts": {str(FIRST_TERM): 0},
+            "reservations": {},
+        }
+        yield "group", group, value
+    for row in layout.databases:
+        value = {
+            "group": row.group,
+            "region": row.region,
+            "address": row.address,
+            "replication": row.replication,
+            "slots": layout.deployment.slots,
+            "connections": layout.deployment.connections,
+            "state": "live",
+        }
+        yield "endpoint", row.name, value
+    for instance in layout.instances:
+        value = {
+            "address": instance.peer_address,
+            "region": instance.region,
+            "data_centre": instance.data_centre,
+            "state": "live",
+        }
+        yield "instance", instance.name, value
--- /dev/null
+++ b/pimentodrift/operator_files.py
@@ -0,0 +1,250 @@
+"""Reads operators' files: one directory for each service, with *.yaml files in it.
+
+The result has what the files declare and all findings at once. A service without
+findings becomes one piece, in the form that `configuration` reads.
+"""
+
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+
+import orjson
+from attrs import frozen
+from ruamel.yaml import YAML
+from ruamel.yaml.comments import CommentedMap
+from ruamel.yaml.constructor import DuplicateKeyError
+from ruamel.yaml.error import MarkedYAMLError, YAMLError
+
+from .messages import Durability
+from .operator_findings import Code, Finding
+from .operator_values import Located, Section
+
+SUFFIX = ".yaml"
+FILE_FIELDS = ("groups", "workspaces")
+WORKSPACE_FIELDS = (
+    "rate",
+    "burst",
+    "share",
+    "groups",
+    "durability",
+    "stale_reads",
+    "keys",
+    "open_routes",
+)
+ROUTE_FIELDS = ("group", "statement", "max_age_ms")
+
+
+@frozen
+class RouteDeclaration:
+    """A read that is open to callers without a key."""
+
+    name: Located
+    group: Located | None
+    statement: Located | None
+    max_age_ms: int | None
+
+
+@frozen
+class WorkspaceDeclaration:
+    """A workspace as a file declares it; what could not be read is None."""
+
+    name: Located
+    rate: float | None
+    burst: float | None
+    share: float | None
+    groups: tuple[Located, ...] | None
+    durability: Located | None
+    stale_reads: tuple[tuple[Located, int], ...]
+    keys: tuple[Located, ...]
+    routes: tuple[RouteDeclaration, ...]
+    lines: dict[str, int]
+
+    def line(self, name: str) -> int:
+        """Return the line of a field, or of the workspace if the field is absent."""
+        return self.lines.get(name, self.name.line)
+
+
+@frozen
+class Service:
+    """What the files of one directory declare together.
+
+    `groups` lists the groups that its workspaces may name; empty: not stated.
+    """
+
+    name: str
+    directory: Path
+    workspaces: tuple[WorkspaceDeclaration, ...]
+    groups: tuple[Located, ...] = ()
+
+
+@frozen
+class Piece:
+    """The published form of a service; the name is the digest of the content."""
+
+    service: str
+    name: str
+    value: dict[str, Any]
+    size: int  # Bytes of the canonical JSON.
+
+
+@frozen
+class Files:
+    """The services of some directories and what is wrong with them."""
+
+    services: tuple[Service, ...]
+    findings: tuple[Finding, ...]
+
+    def pieces(self) -> tuple[Piece, ...]:
+        """Return the pieces to publish; only valid without findings."""
+        return tuple(make_piece(service) for service in self.services)
+
+
+def read(directories: list[Path]) -> Files:
+    """Read directories without applying the rules."""
+    findings: list[Finding] = []
+    services = [read_service(directory, findings) for directory in directories]
+    return Files(tuple(services), tuple(findings))
+
+
+def read_service(directory: Path, findings: list[Finding]) -> Service:
+    """Read all files of one directory."""
+    workspaces: list[WorkspaceDeclaration] = []
+    groups: list[Located] = []
+    for path in service_files(directory, findings):
+        section = read_file(path, findings)
+        if section is None:
+            continue
+        section.expect(FILE_FIELDS)
+        groups.extend(section.texts("groups") or ())
+        for declared, inner in section.sections("workspaces", "workspace"):
+            workspaces.append(read_workspace(declared, inner))
+    name = directory.resolve().name
+    return Service(name, directory, tuple(workspaces), tuple(groups))
+
+
+def service_files(directory: Path, findings: list[Finding]) -> list[Path]:
+    """List the files of a service; report a directory without any."""
+    try:
+        paths = sorted(directory.iterdir())
+    except OSError as error:
+        text = error.strerror or str(error)
+        findings.append(Finding(directory, 1, Code.UNREADABLE_FILE, text))
+        return []
+    for path in paths:
+        if path.suffix == ".yml":
+            text = f"is not read; rename it to {path.stem}{SUFFIX}"
+            findings.append(Finding(path, 1, Code.WRONG_SUFFIX, text))
+    files = [path for path in paths if path.suffix == SUFFIX]
+    if not files:
+        text = f"the directory has no *{SUFFIX} file"
+        findings.append(Finding(directory, 1, Code.NO_FILES, text))
+    return files
+
+
+def read_file(path: Path, findings: list[Finding]) -> Section | None:
+    """Parse one file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        findings.append(Finding(path, 1, Code.UNREADABLE_FILE, str(error)))
+        return None
+    try:
+        node = parse(text)
+    except DuplicateKeyError as error:
+        findings.append(yaml_finding(path, error, Code.DUPLICATE_FIELD))
+        # The rest of the file is read too, so that its findings are shown at once.
+        node = parse(text, allow_duplicates=True)
+    except (YAMLError, ValueError) as error:
+        findings.append(yaml_finding(path, error, Code.INVALID_YAML))
+        return None
+    if node is None:
+        return None
+    if not isinstance(node, CommentedMap):
+        text = "the file must be a mapping with the field workspaces"
+        findings.append(Finding(path, 1, Code.WRONG_TYPE, text))
+        return None
+    return Section(path, 1, "file", node, findings)
+
+
+def parse(text: str, allow_duplicates: bool = False) -> Any:
+    """Parse YAML and keep line numbers."""
+    yaml = YAML(typ="rt")
+    yaml.allow_duplicate_keys = allow_duplicates
+    return yaml.load(text)
+
+
+def yaml_finding(path: Path, error: Exception, code: Code) -> Finding:
+    """Convert an error of the YAML parser."""
+    if not isinstance(error, MarkedYAMLError):
+        return Finding(path, 1, code, str(error).splitlines()[0])
+    mark = error.problem_mark or error.context_mark
+    line = mark.line + 1 if mark is not None else 1
+    return Finding(path, line, code, str(error.problem or error.context))
+
+
+def read_workspace(name: Located, section: Section) -> WorkspaceDeclaration:
+    """Read one workspace."""
+    section.expect(WORKSPACE_FIELDS, required=("rate", "burst", "groups"))
+    routes = section.sections("open_routes", f"{section.title} open route")
+    return WorkspaceDeclaration(
+        name=name,
+        rate=section.number("rate"),
+        burst=section.number("burst"),
+        share=section.number("share", 1.0),
+        groups=section.texts("groups"),
+        durability=section.text("durability"),
+        stale_reads=section.ages("stale_reads"),
+        keys=section.texts("keys") or (),
+        routes=tuple(read_route(route, inner) for route, inner in routes),
+        lines={key: section.line_of(key) for key in section.node},
+    )
+
+
+def read_route(name: Located, section: Section) -> RouteDeclaration:
+    """Read one open route."""
+    section.expect(ROUTE_FIELDS, required=("group", "statement"))
+    return RouteDeclaration(
+        name=name,
+        group=section.text("group"),
+        statement=section.text("statement"),
+        max_age_ms=section.milliseconds("max_age_ms", 0),
+    )
+
+
+def make_piece(service: Service) -> Piece:
+    """Return the piece of a service."""
+    value = {
+        "workspaces": {
+            workspace.name.text: workspace_value(workspace)
+            for workspace in service.workspaces
+        }
+    }
+    content = canonical(value)
+    return Piece(service.name, sha256(content).hexdigest(), value, len(content))
+
+
+def canonical(value: dict[str, Any]) -> bytes:
+    """Write JSON that is the same for the same content."""
+    return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+
+
+def workspace_value(declared: WorkspaceDeclaration) -> dict[str, Any]:
+    """Return a workspace as a piece carries it; the order of lists has no meaning."""
+    durability = declared.durability
+    return {
+        "rate": declared.rate,
+        "burst": declared.burst,
+        "share": declared.share,
+        "groups": sorted({group.text for group in declared.groups or ()}),
+        "durability": durability.text if durability else Durability.MAJORITY.value,
+        "stale_reads": {group.text: age for group, age in declared.stale_reads},
+        "keys": sorted(key.text for key in declared.keys),
+        "open_routes": {
+            route.name.text: {
+                "group": route.group.text if route.group else "",
+                "statement": route.statement.text if route.statement else "",
+                "max_age_ms": route.max_age_ms or 0,
+            }
+            for route in declared.routes
+        },
+    }
--- /dev/null
+++ b/pimentodrift/operator_rules.py
@@ -0,0 +1,247 @@
+"""The rules that operators' files must satisfy before they are published.
+
+`check` runs them without the store; `publish` refuses files with findings.
+"""
+
+import re
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from math import isfinite
+from pathlib import Path
+
+from .keys import PREFIX, digest
+from .messages import Durability
+from .operator_files import (
+    Files,
+    RouteDeclaration,
+    Service,
+    WorkspaceDeclaration,
+    make_piece,
+    read,
+)
+from .operator_findings import Code, Finding
+from .operator_values import Located
+
+# The platform holds values up to a megabyte.
+PIECE_BYTES = 1_000_000
+# Buckets are refilled each tick of 20 ms. A burst below what accrues in five ticks
+# would lose tokens whenever the loop is briefly busy, and the rate could not be used.
+BURST_WINDOW = timedelta(milliseconds=100)
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+DIGEST = re.compile(r"[0-9a-f]{64}")
+SHOWN_DIGITS = 8
+READ_WORDS = re.compile(r"(select|values|with|table)\b")
+# WITH may hold writes, SELECT INTO makes a table, and FOR UPDATE takes locks.
+WRITE_WORDS = re.compile(r"\b(insert|update|delete|merge|into)\b")
+# Literals, quoted names and comments may hold any word.
+QUOTED = re.compile(
+    r"'(?:[^']|'')*'|\"(?:[^\"]|\"\")*\"|--[^\n]*|/\*.*?\*/|\$(\w*)\$.*?\$\1\$",
+    re.DOTALL,
+)
+
+
+def check(directories: list[Path]) -> Files:
+    """Read directories and apply all rules."""
+    files = read(directories)
+    findings = list(files.findings)
+    for service in files.services:
+        findings += check_service(service)
+        for workspace in service.workspaces:
+            findings += check_workspace(workspace, service)
+    findings += duplicate_services(files.services)
+    workspaces = [item for service in files.services for item in service.workspaces]
+    findings += check_duplicates(workspaces)
+    if not findings:
+        findings += check_sizes(files.services)
+    return Files(files.services, tuple(sorted(findings)))
+
+
+def check_service(service: Service) -> Iterable[Finding]:
+    """Check what concerns a whole directory."""
+    if NAME.fullmatch(service.name) is None:
+        text = f"the directory's name {service.name!r} cannot name a service"
+        yield Finding(service.directory, 1, Code.INVALID_NAME, text)
+    if not service.workspaces:
+        text = "no workspace is declared; to end a service use publish --remove"
+        yield Finding(service.directory, 1, Code.NO_WORKSPACES, text)
+
+
+def check_workspace(
+    workspace: WorkspaceDeclaration, service: Service
+) -> Iterable[Finding]:
+    """Check one workspace by itself."""
+    yield from check_name(workspace.name, "workspace")
+    yield from check_numbers(workspace)
+    yield from check_groups(workspace, service)
+    yield from check_keys(workspace)
+    for route in workspace.routes:
+        yield from check_route(route, workspace)
+
+
+def finding(place: Located, code: Code, text: str) -> Finding:
+    """Return a finding at the place of a text."""
+    return Finding(place.file, place.line, code, text)
+
+
+def check_name(name: Located, kind: str) -> Iterable[Finding]:
+    """Check that a name can stand in URLs, metrics and logs."""
+    if NAME.fullmatch(name.text) is None:
+        text = f"{kind} {name.text!r}: use 1 to 63 letters, digits, '.', '_' and '-'"
+        yield finding(name, Code.INVALID_NAME, text)
+
+
+def check_numbers(workspace: WorkspaceDeclaration) -> Iterable[Finding]:
+    """Check rate, burst, share, ages and durability."""
+
+    def at(name: str, code: Code, text: str) -> Finding:
+        title = f"workspace {workspace.name.text}"
+        line = workspace.line(name)
+        return Finding(workspace.name.file, line, code, f"{title}: {text}")
+
+    rate, burst, share = workspace.rate, workspace.burst, workspace.share
+    if rate is not None and not is_positive(rate):
+        yield at("rate", Code.INVALID_RATE, f"rate {rate:g} must be above 0")
+    if burst is not None and not (isfinite(burst) and burst >= 1):
+        yield at("burst", Code.INVALID_BURST, f"burst {burst:g} must be at least 1")
+    elif rate is not None and burst is not None and is_positive(rate):
+        needed = rate * BURST_WINDOW.total_seconds()
+        if burst < needed:
+            text = (
+                f"burst {burst:g} is too small for rate {rate:g}: at least {needed:g}"
+            )
+            yield at("burst", Code.INVALID_BURST, text)
+    if share is not None and not is_positive(share):
+        yield at("share", Code.INVALID_SHARE, f"share {share:g} must be above 0")
+    for group, age in workspace.stale_reads:
+        if age <= 0:
+            text = f"stale reads of {group.text}: {age} ms must be above 0"
+            yield finding(group, Code.INVALID_AGE, text)
+    durability = workspace.durability
+    if durability is not None and durability.text not in list(Durability):
+        allowed = " or ".join(Durability)
+        text = f"durability {durability.text!r} must be {allowed}"
+        yield at("durability", Code.INVALID_DURABILITY, text)
+
+
+def is_positive(number: float) -> bool:
+    """Return whether a number is finite and above zero."""
+    return isfinite(number) and number > 0
+
+
+def check_groups(
+    workspace: WorkspaceDeclaration, service: Service
+) -> Iterable[Finding]:
+    """Check that a workspace and its stale reads name groups that are listed."""
+    if workspace.groups is None:
+        return
+    own = {group.text for group in workspace.groups}
+    listed = {group.text for group in service.groups}
+    name = workspace.name.text
+    for group in workspace.groups:
+        if listed and group.text not in listed:
+            text = (
+                f"workspace {name}: group {group.text} is not in the service's groups"
+            )
+            yield finding(group, Code.UNLISTED_GROUP, text)
+    for group, _ in workspace.stale_reads:
+        if group.text not in own:
+            text = f"workspace {name}: stale reads of {group.text}, not in its groups"
+            yield finding(group, Code.UNLISTED_GROUP, text)
+    if "groups" in workspace.lines and not workspace.groups:
+        line = workspace.line("groups")
+        text = f"workspace {name}: groups is empty"
+        yield Finding(workspace.name.file, line, Code.UNLISTED_GROUP, text)
+
+
+def check_keys(workspace: WorkspaceDeclaration) -> Iterable[Finding]:
+    """Check digests; a finding never repeats what may be a key."""
+    name = workspace.name.text
+    for key in workspace.keys:
+        if key.text.startswith(PREFIX):
+            text = (
+                f"workspace {name}: this is a key, not its digest. Treat the key as "
+                f"disclosed and replace it (its digest is {digest(key.text)})"
+            )
+            yield finding(key, Code.KEY_DISCLOSED, text)
+        elif DIGEST.fullmatch(key.text) is None:
+            text = (
+                f"workspace {name}: a key's digest has 64 lower-case hex digits, "
+                f"this text has {len(key.text)} characters"
+            )
+            yield finding(key, Code.INVALID_DIGEST, text)
+
+
+def check_route(
+    route: RouteDeclaration, workspace: WorkspaceDeclaration
+) -> Iterable[Finding]:
+    """Check one open route."""
+    yield from check_name(route.name, "open route")
+    title = f"open route {route.name.text}"
+    own = None if workspace.groups is None else {g.text for g in workspace.groups}
+    if route.group is not None and own is not None and route.group.text not in own:
+        text = f"{title}: group {route.group.text} is not in the workspace's groups"
+        yield finding(route.group, Code.UNLISTED_GROUP, text)
+    if route.statement is not None and not is_read(route.statement.text):
+        text = f"{title}: the statement must be one read (SELECT, VALUES or WITH)"
+        yield finding(route.statement, Code.NOT_A_READ, text)
+    if route.max_age_ms is not None and route.max_age_ms < 0:
+        text = f"{title}: max_age_ms {route.max_age_ms} must not be negative"
+        yield finding(route.name, Code.INVALID_AGE, text)
+
+
+def is_read(statement: str) -> bool:
+    """Return whether a statement is a single read; doubtful ones are not."""
+    text = QUOTED.sub(" ", statement).strip().rstrip(";").strip().lower()
+    if READ_WORDS.match(text) is None or ";" in text:
+        return False
+    return WRITE_WORDS.search(text) is None
+
+
+def duplicate_services(services: Iterable[Service]) -> Iterable[Finding]:
+    """Report directories of the same name: they would replace each other."""
+    seen: dict[str, Service] = {}
+    for service in services:
+        first = seen.setdefault(service.name, service)
+        if first is not service:
+            text = f"service {service.name} is also the directory {first.directory}"
+            yield Finding(service.directory, 1, Code.DUPLICATE_SERVICE, text)
+
+
+def check_duplicates(
+    workspaces: list[WorkspaceDeclaration],
+) -> Iterable[Finding]:
+    """Report what must be declared once over all files and directories."""
+    names = [workspace.name for workspace in workspaces]
+    keys = [
+        key
+        for workspace in workspaces
+        for key in workspace.keys
+        if DIGEST.fullmatch(key.text)
+    ]
+    routes = [route.name for workspace in workspaces for route in workspace.routes]
+    yield from repeated(names, Code.DUPLICATE_WORKSPACE, "workspace {}".format)
+    yield from repeated(
+        keys, Code.DUPLICATE_KEY, lambda text: f"digest {text[:SHOWN_DIGITS]}..."
+    )
+    yield from repeated(routes, Code.DUPLICATE_ROUTE, "open route {}".format)
+
+
+def repeated(
+    items: list[Located], code: Code, title: Callable[[str], str]
+) -> Iterable[Finding]:
+    """Report each item that an earlier one equals."""
+    seen: dict[str, Located] = {}
+    for item in items:
+        first = seen.setdefault(item.text, item)
+        if first is not item:
+            text = f"{title(item.text)} is also declared at {first.file}:{first.line}"
+            yield finding(item, code, text)
+
+
+def check_sizes(services: Iterable[Service]) -> Iterable[Finding]:
+    """Report services that do not fit into one object of the store."""
+    for service in services:
+        size = make_piece(service).size
+        if size > PIECE_BYTES:
+            text = f"the service takes {size} bytes of {PIECE_BYTES}; split it"
+            yield Finding(service.directory, 1, Code.PIECE_TOO_LARGE, text)
--- /dev/null
+++ b/pimentodrift/operator_values.py
@@ -0,0 +1,187 @@
+"""Reads typed values from parsed YAML and keeps the line of each.
+
+A value that cannot be read adds a finding and counts as absent, so that one fault does
+not hide the next.
+"""
+
+from collections.abc import Iterable, Iterator
+from difflib import get_close_matches
+from math import isfinite
+from pathlib import Path
+from typing import Any
+
+from attrs import frozen
+from ruamel.yaml.comments import CommentedMap, CommentedSeq
+
+from .operator_findings import Code, Finding
+
+
+@frozen
+class Located:
+    """A text and the place where a file states it."""
+
+    text: str
+    file: Path
+    line: int
+
+
+@frozen
+class Section:
+    """A mapping of a file; `title` names it in findings."""
+
+    file: Path
+    line: int
+    title: str
+    node: CommentedMap
+    findings: list[Finding]
+
+    def report(self, line: int, code: Code, text: str) -> None:
+        """Add a finding about this section."""
+        self.findings.append(Finding(self.file, line, code, f"{self.title}: {text}"))
+
+    def line_of(self, key: object) -> int:
+        """Return the line of a field, or of the section if the field is absent."""
+        if key not in self.node or key not in (self.node.lc.data or {}):
+            return self.line
+        return int(self.node.lc.key(key)[0]) + 1
+
+    def expect(self, known: Iterable[str], required: Iterable[str] = ()) -> None:
+        """Report unknown fields and absent required ones."""
+        names = list(known)
+        for key in self.node:
+            if key not in names:
+                self.report(self.line_of(key), Code.UNKNOWN_FIELD, hint(key, names))
+        for key in required:
+            if key not in self.node:
+                self.report(self.line, Code.MISSING_FIELD, f"{key} is missing")
+
+    def wrong_type(self, key: object, expected: str, line: int | None = None) -> None:
+        """Report a value of another type than the expected one."""
+        value = self.node[key]
+        self.report(
+            line or self.line_of(key),
+            Code.WRONG_TYPE,
+            f"{key} must be {expected}, not {type_name(value)}",
+        )
+
+    def number(self, key: str, default: float | None = None) -> float | None:
+        """Read a number."""
+        value = self.node.get(key, default)
+        if key not in self.node or is_number(value):
+            return None if value is None else float(value)
+        self.wrong_type(key, "a number")
+        return None
+
+    def milliseconds(self, key: str, default: int | None = None) -> int | None:
+        """Read a whole number of milliseconds."""
+        value = self.node.get(key, default)
+        if key not in self.node or is_whole(value):
+            return None if value is None else int(value)
+        self.wrong_type(key, "a whole number of milliseconds")
+        return None
+
+    def text(self, key: str) -> Located | None:
+        """Read a text."""
+        if key not in self.node:
+            return None
+        if isinstance(self.node[key], str):
+            return Located(str(self.node[key]), self.file, self.line_of(key))
+        self.wrong_type(key, "a text")
+        return None
+
+    def texts(self, key: str) -> tuple[Located, ...] | None:
+        """Read a list of texts; an absent one is empty, an unreadable one None."""
+        node = self.node.get(key)
+        if key not in self.node:
+            return ()
+        if not isinstance(node, CommentedSeq):
+            self.wrong_type(key, "a list")
+            return None
+        result = []
+        for index, value in enumerate(node):
+            line = int(node.lc.item(index)[0]) + 1
+            if isinstance(value, str):
+                result.append(Located(str(value), self.file, line))
+            else:
+                self.wrong_type(key, "a list of texts (quote its values)", line)
+        return tuple(result)
+
+    def section(self, key: str, title: str) -> "Section | None":
+        """Read a mapping; an absent or empty one is None."""
+        node = self.node.get(key)
+        if node is None:
+            return None
+        if not isinstance(node, CommentedMap):
+            self.wrong_type(key, "a mapping")
+            return None
+        return Section(self.file, self.line_of(key), title, node, self.findings)
+
+    def sections(self, key: str, kind: str) -> "Iterator[tuple[Located, Section]]":
+        """Read a mapping of names to mappings."""
+        outer = self.section(key, f"{self.title} {key}".strip())
+        for name in outer.node if outer else ():
+            if outer is None or not outer.is_name(name):
+                continue
+            title = f"{kind} {name}"
+            if outer.node[name] is None:
+                outer.report(outer.line_of(name), Code.WRONG_TYPE, f"{name} is empty")
+                continue
+            inner = outer.section(name, title)
+            if inner is not None:
+                yield Located(name, self.file, outer.line_of(name)), inner
+
+    def ages(self, key: str) -> tuple[tuple[Located, int], ...]:
+        """Read a mapping of names to whole numbers of milliseconds."""
+        inner = self.section(key, f"{self.title} {key}")
+        result = []
+        for name in inner.node if inner else ():
+            if inner is None or not inner.is_name(name):
+                continue
+            age = inner.milliseconds(name)
+            if age is not None:
+                result.append((Located(name, self.file, inner.line_of(name)), age))
+        return tuple(result)
+
+    def is_name(self, key: object) -> bool:
+        """Return whether a mapping's key is a text, and report one that is not."""
+        if isinstance(key, str):
+            return True
+        line = self.line_of(key)
+        self.report(line, Code.WRONG_TYPE, f"the name {key!r} must be a text: quote it")
+        return False
+
+
+def is_number(value: Any) -> bool:
+    """Return whether a value is a finite or infinite number; YAML's true is none."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def is_whole(value: Any) -> bool:
+    """Return whether a value is a number without a fraction."""
+    return is_number(value) and isfinite(value) and value == int(value)
+
+
+def type_name(value: Any) -> str:
+    """Name the type of a YAML value in the words of YAML."""
+    match value:
+        case None:
+            return "empty"
+        case bool():
+            return "true or false"
+        case str():
+            return "a text"
+        case int() | float():
+            return f"the number {value}"
+        case list():
+            return "a list"
+        case dict():
+            return "a mapping"
+    return type(value).__name__
+
+
+def hint(key: object, known: list[str]) -> str:
+    """Say that a field is unknown, with the closest known one."""
+    close = get_close_matches(str(key), known, n=1)
+    if close:
+        return f"unknown field {key}; did you mean {close[0]}?"
+    return f"unknown field {key}; known fields: {', '.join(known)}"
--- /dev/null
+++ b/tests/test_operators_files.py
@@ -0,0 +1,183 @@
+"""Operators' files: every fault is found at once, with its file and line."""
+
+from pathlib import Path
+from textwrap import dedent
+
+import pytest
+
+from pimentodrift import configuration
+from pimentodrift.keys import digest, new_key
+from pimentodrift.operator_files import make_piece
+from pimentodrift.operator_rules import check, is_read
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+DIGEST = "ab" * 32
+
+
+def write(directory: Path, text: str, name: str = "a.yaml") -> Path:
+    directory.mkdir(parents=True, exist_ok=True)
+    (directory / name).write_text(dedent(text))
+    return directory
+
+
+def workspace(name: str = "w", **changes: str) -> str:
+    fields = {"rate": "10", "burst": "20", "groups": "[g]"} | changes
+    inner = ", ".join(f"{key}: {value}" for key, value in fields.items() if value)
+    return f"{name}: {{{inner}}}"
+
+
+FAULTS = [
+    ({"rate": "0"}, ["invalid-rate"]),
+    ({"rate": ".inf"}, ["invalid-rate"]),
+    ({"rate": "true"}, ["wrong-type"]),
+    ({"rate": ""}, ["missing-field"]),
+    ({"burst": "0.5"}, ["invalid-burst"]),
+    ({"rate": "1000", "burst": "99"}, ["invalid-burst"]),
+    ({"rate": "1000", "burst": "100"}, []),
+    ({"share": "0"}, ["invalid-share"]),
+    ({"share": ".nan"}, ["invalid-share"]),
+    ({"brust": "5"}, ["unknown-field"]),
+    ({"groups": "[]"}, ["unlisted-group"]),
+    ({"groups": "g"}, ["wrong-type"]),
+    ({"groups": "[other]"}, ["unlisted-group"]),
+    ({"durability": "most"}, ["invalid-durability"]),
+    ({"stale_reads": "{h: 5}"}, ["unlisted-group"]),
+    ({"stale_reads": "{g: 1.5}"}, ["wrong-type"]),
+    ({"stale_reads": "{g: 0}"}, ["invalid-age"]),
+    ({"keys": "[abc]"}, ["invalid-digest"]),
+    ({"keys": f"[{DIGEST.upper()}]"}, ["invalid-digest"]),
+    ({"keys": f"[{DIGEST}, {DIGEST}]"}, ["duplicate-key"]),
+    ({"keys": f"[{new_key().text}]"}, ["key-disclosed"]),
+    ({"keys": "[12]"}, ["wrong-type"]),
+    ({"open_routes": "{r: {group: g, statement: SELECT 1}}"}, []),
+    ({"open_routes": "{r: {group: h, statement: SELECT 1}}"}, ["unlisted-group"]),
+    ({"open_routes": "{r: {group: g, statement: DELETE FROM t}}"}, ["not-a-read"]),
+    ({"open_routes": "{r/s: {group: g, statement: SELECT 1}}"}, ["invalid-name"]),
+    ({"open_routes": "{r: {group: g}}"}, ["missing-field"]),
+    ({"rate": "-1", "share": "-1", "keys": "[x]"}, ["3 findings"]),
+]
+
+
+@pytest.mark.parametrize(("changes", "codes"), FAULTS)
+def test_faults_of_a_workspace(
+    tmp_path: Path, changes: dict[str, str], codes: list[str]
+) -> None:
+    """Guards against a publication that no instance can carry out as meant."""
+    text = f"groups: [g]\nworkspaces:\n  {workspace(**changes)}\n"
+    findings = check([write(tmp_path / "s", text)]).findings
+    if codes == ["3 findings"]:
+        assert len(findings) == 3
+    else:
+        assert [finding.code for finding in findings] == codes
+    assert all(finding.line == 3 for finding in findings)
+
+
+def test_findings_of_several_files_come_at_once(tmp_path: Path) -> None:
+    """Guards against one fault hiding others, and against wrong lines."""
+    first = f"""\
+        workspaces:
+          {workspace("a", keys=f"[{DIGEST}]")}
+          {workspace("b", open_routes="{r: {group: g, statement: SELECT 1}}")}
+          {workspace("b")}
+        """
+    second = f"""\
+        # A comment moves the lines.
+        workspaces:
+          {workspace("a")}
+          c:
+            rate: 1
+            burst: 2
+            groups: [g]
+            keys:
+              - {DIGEST}
+            open_routes:
+              r: {{group: g, statement: SELECT 2}}
+        """
+    one = write(tmp_path / "one", first)
+    write(one, "- not a mapping", "b.yaml")
+    write(one, "workspaces: [", "c.yaml")
+    write(one, "workspaces:", "d.yml")
+    two = write(tmp_path / "two", second)
+    findings = check([one, two, tmp_path / "none"]).findings
+    assert [(item.file.name, item.line, str(item.code)) for item in findings] == [
+        ("none", 1, "no-workspaces"),
+        ("none", 1, "unreadable-file"),
+        ("a.yaml", 4, "duplicate-field"),
+        ("b.yaml", 1, "wrong-type"),
+        ("c.yaml", 1, "invalid-yaml"),
+        ("d.yml", 1, "wrong-suffix"),
+        ("a.yaml", 3, "duplicate-workspace"),
+        ("a.yaml", 9, "duplicate-key"),
+        ("a.yaml", 11, "duplicate-route"),
+    ]
+
+
+def test_a_disclosed_key_is_not_repeated(tmp_path: Path) -> None:
+    """Guards against keys in the output of continuous integration."""
+    key = new_key()
+    text = f"workspaces:\n  {workspace(keys=f'[{key.text}]')}\n"
+    (finding,) = check([write(tmp_path / "s", text)]).findings
+    assert key.text not in str(finding)
+    assert key.digest in finding.text
+
+
+def test_directories_of_the_same_name_are_refused(tmp_path: Path) -> None:
+    """Guards against two services that replace each other's workspaces."""
+    directories = []
+    for parent in ("x", "y"):
+        text = f"workspaces:\n  {workspace(parent)}\n"
+        directories.append(write(tmp_path / parent / "s", text))
+    codes = [finding.code for finding in check(directories).findings]
+    assert codes == ["duplicate-service"]
+
+
+STATEMENTS = [
+    ("SELECT 1", True),
+    ("  select 'delete; update' -- insert\n", True),
+    ("WITH a AS (SELECT 1) SELECT * FROM a;", True),
+    ('SELECT "update", last_update FROM t', True),
+    ("SELECT replace(a, 'x', 'y') FROM t", True),
+    ("WITH a AS (DELETE FROM t RETURNING *) SELECT * FROM a", False),
+    ("SELECT 1; DELETE FROM t", False),
+    ("SELECT * INTO u FROM t", False),
+    ("SELECT * FROM t FOR UPDATE", False),
+    ("INSERT INTO t VALUES (1)", False),
+    ("selection", False),
+    ("", False),
+]
+
+
+@pytest.mark.parametrize(("statement", "expected"), STATEMENTS)
+def test_reads_of_open_routes(statement: str, expected: bool) -> None:
+    """Guards against writes by callers without a key."""
+    assert is_read(statement) is expected
+
+
+@pytest.mark.parametrize("deployment", ["kanitli", "heredia"])
+def test_examples_are_read_by_the_configuration(deployment: str) -> None:
+    """Guards against pieces that instances cannot read."""
+    directories = sorted((EXAMPLES / deployment).iterdir())
+    files = check(directories)
+    assert files.findings == ()
+    built = configuration.build("p", 1, [piece.value for piece in files.pieces()])
+    assert len(built.workspaces) == len(built.keys) == 8
+    assert len(built.open_routes) == 1
+
+
+def test_a_piece_does_not_depend_on_order_or_notation(tmp_path: Path) -> None:
+    """Guards against new pieces, and rewritten objects, without a change."""
+    a, b = workspace("a"), workspace("b", groups="[g, h]")
+    c = workspace("b", groups="[h, g]", rate="10.0")
+    names = set()
+    for number, lines in enumerate([(a, b), (c, a)]):
+        text = "workspaces:\n" + "".join(f"  {line}\n" for line in lines)
+        (service,) = check([write(tmp_path / str(number) / "s", text)]).services
+        names.add(make_piece(service).name)
+    assert len(names) == 1
+
+
+def test_new_keys() -> None:
+    """Guards against keys of another form than callers and files expect."""
+    key = new_key()
+    assert key.text.startswith("pd_") and len(key.text) == 3 + 43
+    assert key.digest == digest(key.text) != digest(new_key().text)
