--- a/pimentodrift/store_api.py
+++ b/pimentodrift/store_api.py
@@ -13,6 +13,7 @@
 
 import orjson
 from attrs import frozen
+from cattrs import BaseValidationError, structure
 from expression import Error, Ok, Result
 
 from .messages import StoreObject
@@ -73,11 +74,6 @@
         answer = self.call("PUT", path_of(kind, name), condition, orjson.dumps(value))
         return answer.bind(lambda pair: read_put(kind, name, value, *pair))
 
-    def list(self) -> Result[list[StoreObject], StoreFailure]:
-        """Read all objects."""
-        answer = self.call("GET", "/v1/objects?after=0&wait_ms=0")
-        return answer.bind(lambda pair: read_list(*pair))
-
     def call(
         self,
         method: str,
@@ -114,7 +110,7 @@
         return Ok(None)
     if status != OK:
         return Error(failure(status, body))
-    return decode(body).map(parse_object)
+    return decode(body).bind(parse_object)
 
 
 def read_put(
@@ -125,18 +121,11 @@
         return decode(body).bind(lambda data: Error(VersionConflict(current_of(data))))
     if status not in (OK, CREATED):
         return Error(failure(status, body))
-    return decode(body).map(
-        lambda data: StoreObject(kind, name, int(data["version"]), value)
+    return decode(body).bind(
+        lambda data: parse_object({**data, "kind": kind, "name": name, "value": value})
     )
 
 
-def read_list(status: int, body: bytes) -> Result[list[StoreObject], StoreFailure]:
-    """Interpret the answer to a watch."""
-    if status != OK:
-        return Error(failure(status, body))
-    return decode(body).map(lambda data: [parse_object(item) for item in data["items"]])
-
-
 def decode(body: bytes) -> Result[dict[str, Any], StoreFailure]:
     """Parse a JSON object; a cut-off answer counts as no answer."""
     try:
@@ -148,14 +137,17 @@
     return Ok(data)
 
 
-def parse_object(data: dict[str, Any]) -> StoreObject:
+def parse_object(data: dict[str, Any]) -> Result[StoreObject, StoreFailure]:
     """Convert a JSON object of the store."""
-    return StoreObject(data["kind"], data["name"], data["version"], data.get("value"))
+    try:
+        return Ok(structure({"value": None, **data}, StoreObject))
+    except BaseValidationError:
+        return Error(StoreRefused("the store's answer is not one of its objects"))
 
 
 def current_of(data: dict[str, Any]) -> StoreObject | None:
     """Return the current object of a conflict, if the store has one."""
-    return parse_object(data) if data.get("version") and "kind" in data else None
+    return parse_object(data).default_value(None)
 
 
 def failure(status: int, body: bytes) -> StoreFailure:
--- /dev/null
+++ b/tests/test_operators_publishing.py
@@ -0,0 +1,226 @@
+"""Publishing: racing operators, lost answers and a store that is down."""
+
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+import pytest
+from attrs import define, field
+from expression import Error, Ok, Result
+
+from pimentodrift.messages import StoreObject
+from pimentodrift.operator_files import Piece
+from pimentodrift.publishing import (
+    DeclaredTwice,
+    OutcomeUnknown,
+    Publication,
+    PublicationConflict,
+    Publisher,
+    PublishFailure,
+    Retries,
+    StoreFailed,
+    UnknownGroup,
+    UnknownService,
+)
+from pimentodrift.store_api import (
+    StoreFailure,
+    StoreRefused,
+    StoreUnavailable,
+    VersionConflict,
+)
+
+from .support import ManualClock
+
+
+@define
+class FakeStore:
+    """The store in memory.
+
+    `faults` are consumed by writes of the manifest: "down" fails before the write,
+    "lost" after it, "late" applies the write at the next call, "refused" is final, and
+    a function runs another operator's action first.
+    """
+
+    objects: dict[tuple[str, str], StoreObject] = field(factory=dict)
+    faults: list[Any] = field(factory=list)
+    late: list[tuple[Any, ...]] = field(factory=list)
+    reads_fail: bool = False
+    writes: int = 0
+
+    def get(self, kind: str, name: str) -> Result[StoreObject | None, StoreFailure]:
+        if self.reads_fail:
+            return Error(StoreUnavailable("down"))
+        return Ok(self.objects.get((kind, name)))
+
+    def put(
+        self, kind: str, name: str, value: dict[str, Any], version: int
+    ) -> Result[StoreObject, StoreFailure]:
+        fault = self.faults.pop(0) if kind == "manifest" and self.faults else None
+        if callable(fault):
+            fault()
+        if fault == "down":
+            return Error(StoreUnavailable("down"))
+        if fault == "refused":
+            return Error(StoreRefused("malformed"))
+        if fault == "late":
+            self.late.append((kind, name, value, version))
+            return Error(StoreUnavailable("timed out"))
+        while self.late:
+            self.write(*self.late.pop())
+        answer = self.write(kind, name, value, version)
+        return Error(StoreUnavailable("lost")) if fault == "lost" else answer
+
+    def write(
+        self, kind: str, name: str, value: dict[str, Any], version: int
+    ) -> Result[StoreObject, StoreFailure]:
+        current = self.objects.get((kind, name))
+        if (current.version if current else 0) != version:
+            return Error(VersionConflict(current))
+        self.writes += 1
+        item = StoreObject(kind, name, self.writes, value)
+        self.objects[kind, name] = item
+        return Ok(item)
+
+
+def make_store() -> FakeStore:
+    store = FakeStore()
+    store.write("group", "g", {"term": 1, "primary": "x"}, 0)
+    return store
+
+
+def piece(service: str, workspace: str = "", group: str = "g") -> Piece:
+    value = {
+        "workspaces": {
+            workspace or f"{service}-w": {"rate": 1.0, "burst": 1.0, "groups": [group]}
+        }
+    }
+    return Piece(service, f"{service}/{workspace}/{group}", value, 0)
+
+
+def publisher(store: FakeStore, publication: str) -> Publisher:
+    clock = ManualClock()
+
+    def pause(seconds: float) -> None:
+        clock.advance(timedelta(seconds=seconds))
+
+    return Publisher(store, Retries(clock, Random(1), pause), publication)
+
+
+def publish(
+    store: FakeStore, publication: str, *pieces: Piece, remove: tuple[str, ...] = ()
+) -> Publication | PublishFailure:
+    return publisher(store, publication).publish(pieces, remove).merge()
+
+
+def in_force(store: FakeStore) -> dict[str, Any]:
+    return store.objects["manifest", "current"].value or {}
+
+
+def test_services_keep_each_others_pieces() -> None:
+    """Guards against a team that deletes the workspaces of another."""
+    store = make_store()
+    publish(store, "p1", piece("a"), piece("b"))
+    publish(store, "p2", piece("a", "new"))
+    assert in_force(store) == {
+        "publication": "p2",
+        "previous": "p1",
+        "pieces": ["a/new/g", "b//g"],
+        "services": {"a": "a/new/g", "b": "b//g"},
+    }
+    publish(store, "p3", remove=("b",))
+    assert in_force(store)["pieces"] == ["a/new/g"]
+
+
+REFUSALS = [
+    ([piece("b", "a-w")], (), DeclaredTwice("workspace a-w", "b", "a")),
+    ([piece("b", group="h")], (), UnknownGroup("h", "b")),
+    ([], ("c",), UnknownService("c", ("a",))),
+]
+
+
+@pytest.mark.parametrize(("pieces", "remove", "expected"), REFUSALS)
+def test_refused_publications_change_nothing(
+    pieces: list[Piece], remove: tuple[str, ...], expected: PublishFailure
+) -> None:
+    """Guards against declarations that collide with those of other services."""
+    store = make_store()
+    publish(store, "p1", piece("a"))
+    assert publish(store, "p2", *pieces, remove=remove) == expected
+    assert in_force(store)["publication"] == "p1"
+
+
+def test_pieces_without_a_service_are_kept() -> None:
+    """Guards against the loss of pieces that another tool has published."""
+    store = make_store()
+    value = {"publication": "p0", "previous": "", "pieces": ["x"]}
+    store.write("manifest", "current", value, 0)
+    publish(store, "p1", piece("a"))
+    assert in_force(store)["pieces"] == ["a//g", "x"]
+
+
+def other(store: FakeStore, *publications: str) -> Any:
+    def action() -> None:
+        for publication in publications:
+            publish(store, publication, piece(publication))
+
+    return action
+
+
+# (faults before the update, publications of others, expected result and what is in
+# force); "other" marks where they come.
+RACES: list[tuple[list[str], tuple[str, ...], type, str]] = [
+    (["other"], ("q",), PublicationConflict, "q"),
+    (["lost"], (), Publication, "p"),
+    (["down", "down", "lost"], (), Publication, "p"),
+    (["late"], (), Publication, "p"),
+    (["down"] * 3, (), Publication, "p"),
+    (["lost", "other"], ("q",), Publication, "q"),
+    (["lost", "other"], ("q", "r"), OutcomeUnknown, "r"),
+    (["down", "other"], ("q",), PublicationConflict, "q"),
+    (["refused"], (), StoreFailed, "base"),
+    (["lost", "refused"], (), Publication, "p"),
+    (["down", "refused"], (), StoreFailed, "base"),
+]
+
+
+@pytest.mark.parametrize(("faults", "others", "kind", "winner"), RACES)
+def test_races_and_lost_answers(
+    faults: list[str], others: tuple[str, ...], kind: type, winner: str
+) -> None:
+    """Guards against a publication that is lost, doubled or wrongly reported."""
+    store = make_store()
+    publish(store, "base", piece("base"))
+    action = other(store, *others)
+    given = [action if fault == "other" else fault for fault in faults]
+    # The actions of others write the manifest too, without faults of their own.
+    store.faults = sum(
+        ([item, *[None] * len(others)] if callable(item) else [item] for item in given),
+        [],
+    )
+    result = publish(store, "p", piece("a"))
+    assert type(result) is kind
+    assert in_force(store)["publication"] == winner
+    if isinstance(result, PublicationConflict):
+        assert (result.publication, result.base, result.other) == ("p", "base", winner)
+        assert "a" not in in_force(store)["services"]
+    if isinstance(result, Publication):
+        assert result.superseded == (winner != "p")
+
+
+DOWN: list[tuple[bool, list[str], bool]] = [
+    (True, [], False),
+    (False, ["down"] * 1000, True),
+]
+
+
+@pytest.mark.parametrize(("reads_fail", "faults", "unknown"), DOWN)
+def test_a_store_that_stays_down(
+    reads_fail: bool, faults: list[str], unknown: bool
+) -> None:
+    """Guards against endless retries and against a false 'not in force'."""
+    store = make_store()
+    publish(store, "base", piece("base"))
+    store.reads_fail, store.faults = reads_fail, faults
+    result = publish(store, "p", piece("a"))
+    assert isinstance(result, StoreFailed)
+    assert result.unknown is unknown
