Build and check the one-file binary; load settings apart from the core

make binary now runs every subcommand in an empty directory with an empty environment. PYTHONPATH is set because pyinstaller did not find the package standins otherwise.

--- a/Makefile
+++ b/Makefile
@@ -25,10 +25,11 @@
 	$(BIN)/python -m bench.run
 
 binary: $(VENV)/.installed
-	$(BIN)/pyinstaller --onefile --name pimentodrift --clean --noconfirm \
+	PYTHONPATH=$(CURDIR) $(BIN)/pyinstaller --onefile --name pimentodrift --clean --noconfirm \
 		--log-level WARN --specpath build packaging/entry_point.py \
-		--paths . --collect-submodules pimentodrift --collect-submodules standins \
-		--collect-submodules circuits
+		--collect-submodules pimentodrift --collect-submodules standins \
+		--collect-submodules circuits --add-data $(CURDIR)/examples:examples
+	$(BIN)/python packaging/check_binary.py
 
 lock:
 	$(BIN)/python -m piptools compile --allow-unsafe --quiet --generate-hashes --extra dev \
--- a/pimentodrift/cli.py
+++ b/pimentodrift/cli.py
@@ -15,7 +15,7 @@
 from attrs import NOTHING, asdict, field, fields, frozen, make_class
 
 from . import __version__
-from .settings import VARIABLE_PREFIX, HttpUrl, Settings, load, render, variable
+from .settings import VARIABLE_PREFIX, HttpUrl, Settings, render, variable
 
 DONE = 0
 FAILED = 1
@@ -176,6 +176,8 @@
 
 @execute.register
 def _(command: Proxy) -> int:
+    from .settings_sources import load  # noqa: PLC0415
+
     loaded = load(asdict(command), os.environ)
     if loaded.is_error():
         for problem in loaded.error:
--- a/tests/test_operators_settings.py
+++ b/tests/test_operators_settings.py
@@ -6,7 +6,8 @@
 from attrs import fields
 
 from pimentodrift import cli
-from pimentodrift.settings import Settings, flag, load, variable
+from pimentodrift.settings import Settings, flag, variable
+from pimentodrift.settings_sources import load
 
 REQUIRED = {
     "name": "proxy-1",
