--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -86,6 +86,10 @@
         return
     if holder != own and is_usable(holder, state):
         return
+    # Without this, the two sides of a cut that both reach the store would replace each
+    # other's allocator again and again.
+    if not view.hears_majority(state):
+        return
     # An own object without a ledger is left by a claim with an unclear answer.
     if holder != own and first_candidate(workspace, state) != own:
         return
@@ -175,26 +179,16 @@
     expected = {name for name in state.instances} | {row.predecessor}
     missing = expected - row.holdings.keys() - state.ended
     waited = state.clock.monotonic() - row.taken_at > TAKEOVER_LIMIT
-    if missing and not (waited and hears_majority(state)):
+    if missing and not (waited and view.hears_majority(state)):
         return
     row.locked_rate = 0.0
     row.locked_burst = 0.0
     state.counters["allocator.unlocked"] += 1
 
 
-def hears_majority(state: State) -> bool:
-    """Return whether most listed instances answered lately."""
-    now = state.clock.monotonic()
-    heard = sum(
-        row.name == state.settings.name or now - row.last_heard <= view.PEER_HEARD
-        for row in state.instances.values()
-    )
-    return heard * 2 > len(state.instances)
-
-
 def reclaim(row: AllocationRow, state: State) -> None:
     """Free the shares of holders whose lease has certainly ended."""
-    if not view.is_fresh(state) or not hears_majority(state):
+    if not view.is_fresh(state) or not view.hears_majority(state):
         return
     now = state.clock.monotonic()
     for name, holding in list(row.holdings.items()):
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -23,7 +23,7 @@
     ViewUpdate,
     WatchStore,
 )
-from .tables import State, SubscriberRow
+from .tables import NEVER, InstanceRow, State, SubscriberRow
 
 # An instance whose copy is older refuses keyed requests, except in an outage.
 FRESH = timedelta(milliseconds=3500)
@@ -72,16 +72,30 @@
     return age(state) <= FRESH
 
 
+def judges(state: State) -> list[InstanceRow]:
+    """Return the other instances whose majority decides: all, or a fleet's contacts."""
+    others = [
+        row for row in state.instances.values() if row.name != state.settings.name
+    ]
+    if len(others) < SMALL_FLEET:
+        return others
+    return [row for row in others if row.last_heard != NEVER]
+
+
+def hears_majority(state: State) -> bool:
+    """Return whether this instance is in touch with most others."""
+    now = state.clock.monotonic()
+    others = judges(state)
+    heard = 1 + sum(now - row.last_heard <= PEER_HEARD for row in others)
+    return heard * 2 > len(others) + 1
+
+
 def is_outage(state: State) -> bool:
     """Return whether a majority of the instances is without the store."""
     if is_fresh(state):
         return False
     now = state.clock.monotonic()
-    others = [
-        row for row in state.instances.values() if row.name != state.settings.name
-    ]
-    if len(others) >= SMALL_FLEET:
-        others = [row for row in others if now - row.last_heard <= PEER_HEARD]
+    others = judges(state)
     without_store = 1
     for row in others:
         silence = now - row.last_heard
@@ -170,7 +184,7 @@
 
 def ask_seeds(state: State) -> None:
     """Subscribe to the configured peers while the store cannot tell the list."""
-    for address in state.settings.seeds:
+    for address in filter(None, state.settings.seeds.split(",")):
         message = next_subscription(state)
         state.outbox.append(SendPeer(address, address, message))
 
