--- /dev/null
+++ b/pimentodrift/admission.py
@@ -0,0 +1,213 @@
+"""The first part of a request's path at the entry: from HTTP to a pending request.
+
+The caller's key is looked up here and goes no further: a pending request and the
+messages to owners carry the workspace and a key id. The last check is the rate, which
+may make the request wait; `routing` takes over when it is admitted.
+"""
+
+from datetime import timedelta
+from hashlib import sha256
+
+from expression import Error, Ok, Result
+
+from . import rates, routing, tokens, view
+from .answers import answer, refuse_request
+from .caller_requests import Target, Work, read_target, read_work
+from .dispatch import handle
+from .errors import Failure, Problem, not_run
+from .messages import (
+    Access,
+    Admitted,
+    CallerGone,
+    CallerRequest,
+    Refused,
+    Statement,
+)
+from .tables import KeyRow, OpenRoute, PendingRequest, State, WorkspaceRow
+
+BEARER = "bearer "
+# A copy of the configuration is confirmed each second when the store is reachable.
+ISOLATED_RETRY_AFTER = timedelta(seconds=1)
+
+Admission = Result[PendingRequest, Failure]
+
+
+@handle.register
+def _(message: CallerRequest, state: State) -> None:
+    state.counters["admission.requests"] += 1
+    target = read_target(message.path)
+    if target is not None and target.probe and message.method == target.method:
+        answer_probe(message.request, target.probe, state)
+        return
+    match admit(target, message, state):
+        case Result(tag="ok", ok=pending):
+            charge(pending, state)
+        case Result(error=failure):
+            refuse_request(message.request, failure, state)
+
+
+def answer_probe(request: int, probe: str, state: State) -> None:
+    """Answer whether the process lives, or whether it wants new callers."""
+    ready = probe == "healthz" or is_ready(state)
+    headers = {"Content-Type": "text/plain"}
+    text = b"ok\n" if ready else b"not ready\n"
+    answer(request, 200 if ready else 503, headers, text, state)
+
+
+def is_ready(state: State) -> bool:
+    """Return whether the load balancer should send callers here."""
+    has_configuration = state.configuration.version > 0
+    return has_configuration and not state.stopping and not view.is_isolated(state)
+
+
+def admit(target: Target | None, message: CallerRequest, state: State) -> Admission:
+    """Check everything about a request but its rate."""
+    if target is None:
+        return Error(not_run(Problem.NOT_FOUND))
+    if message.method != target.method:
+        detail = f"the method of this path is {target.method}"
+        return Error(not_run(Problem.METHOD_NOT_ALLOWED, detail))
+    if target.open_route:
+        return admit_open(target.open_route, message, state)
+    return read_work(target, message, state.settings.max_body_bytes).bind(
+        lambda work: find_key(message, state).bind(
+            lambda key: admit_work(target, work, key, message, state)
+        )
+    )
+
+
+def find_key(message: CallerRequest, state: State) -> Result[KeyRow, Failure]:
+    """Return the row of the key that came with a request."""
+    text = message.headers.get("authorization", "")
+    if not text.lower().startswith(BEARER):
+        return Error(not_run(Problem.KEY_MISSING))
+    digest = sha256(text[len(BEARER) :].strip().encode()).hexdigest()
+    row = state.configuration.keys.get(digest)
+    if row is None:
+        return Error(not_run(Problem.KEY_INVALID))
+    return Error(isolated()) if view.is_isolated(state) else Ok(row)
+
+
+def isolated() -> Failure:
+    """Return the refusal of an instance that cannot confirm its configuration."""
+    return not_run(Problem.INSTANCE_ISOLATED, retry_after=ISOLATED_RETRY_AFTER)
+
+
+def admit_work(
+    target: Target, work: Work, key: KeyRow, message: CallerRequest, state: State
+) -> Admission:
+    """Return the pending request of a key."""
+    workspace = state.configuration.workspaces[key.workspace]
+    if target.group not in state.groups:
+        return Error(not_run(Problem.GROUP_UNKNOWN))
+    if target.group not in workspace.groups:
+        return Error(not_run(Problem.GROUP_FORBIDDEN))
+    pending = PendingRequest(
+        request=message.request,
+        workspace=workspace.name,
+        key_id=key.key_id,
+        group=target.group,
+        access=work.access,
+        statement=work.statement,
+        deadline=state.clock.monotonic() + state.settings.request_timeout,
+        action=target.action,
+        transaction=work.transaction,
+        durability=workspace.durability,
+        max_age=accepted_age(work, workspace, target.group),
+    )
+    if work.access is Access.WRITE:
+        pending.idempotency_key = message.headers.get("idempotency-key", "")
+        pending.body_digest = sha256(message.body).hexdigest()
+    return with_session(pending, message, state)
+
+
+def accepted_age(work: Work, workspace: WorkspaceRow, group: str) -> timedelta | None:
+    """Return the age of data that a read accepts, or None for its session's state.
+
+    The operators decide whether data may have an age; a request can only lower it.
+    """
+    declared = workspace.max_ages.get(group)
+    if not declared or work.access is not Access.READ:
+        return None
+    return declared if work.max_age is None else min(declared, work.max_age) or None
+
+
+def admit_open(name: str, message: CallerRequest, state: State) -> Admission:
+    """Return the pending request of an open route."""
+    found = state.configuration.open_routes.get(name)
+    if found is None:
+        return Error(not_run(Problem.NOT_FOUND))
+    workspace, route = found
+    if route.group not in state.groups:
+        return Error(not_run(Problem.GROUP_UNKNOWN))
+    if route.group not in state.configuration.workspaces[workspace].groups:
+        return Error(not_run(Problem.GROUP_FORBIDDEN))
+    pending = open_request(message.request, workspace, route, state)
+    return with_session(pending, message, state)
+
+
+def open_request(
+    request: int, workspace: str, route: OpenRoute, state: State
+) -> PendingRequest:
+    """Return the pending request of an open route, charged to its workspace."""
+    return PendingRequest(
+        request=request,
+        workspace=workspace,
+        key_id="",
+        group=route.group,
+        access=Access.READ,
+        statement=Statement(route.statement),
+        deadline=state.clock.monotonic() + state.settings.request_timeout,
+        max_age=route.max_age or None,
+    )
+
+
+def with_session(
+    pending: PendingRequest, message: CallerRequest, state: State
+) -> Admission:
+    """Return the pending request with the positions of its session token."""
+    text = message.headers.get("session-token", "")
+    if not text:
+        return Ok(pending)
+    return tokens.decode(text).map(lambda session: set_session(pending, session))
+
+
+def set_session(pending: PendingRequest, session: tokens.Session) -> PendingRequest:
+    """Give a pending request its session."""
+    pending.session = session
+    return pending
+
+
+def charge(pending: PendingRequest, state: State) -> None:
+    """Take a token of the workspace's rate, or wait for one."""
+    state.pending[pending.request] = pending
+    if rates.take(pending.workspace, state):
+        routing.start(pending, state)
+        return
+    state.counters["admission.waiting"] += 1
+    rates.wait(pending.workspace, pending.request, pending.deadline, state)
+
+
+@handle.register
+def _(message: Admitted, state: State) -> None:
+    pending = state.pending.get(message.request)
+    if pending is not None and not pending.admitted:
+        routing.start(pending, state)
+
+
+@handle.register
+def _(message: Refused, state: State) -> None:
+    pending = state.pending.get(message.request)
+    if pending is not None:
+        routing.finish_failure(pending, message.failure, state)
+
+
+@handle.register
+def _(message: CallerGone, state: State) -> None:
+    pending = state.pending.get(message.request)
+    if pending is None:
+        return
+    state.counters["admission.callers_gone"] += 1
+    if not pending.admitted:
+        rates.forget(pending.workspace, pending.request, state)
+    routing.drop(pending, state)
--- /dev/null
+++ b/pimentodrift/caller_requests.py
@@ -0,0 +1,194 @@
+"""Reads callers' HTTP requests: paths, bodies and statements, with their types."""
+
+import re
+from datetime import timedelta
+from typing import Any
+
+import orjson
+from attrs import field, frozen
+from expression import Error, Ok, Result
+
+from .errors import Failure, Problem, not_run
+from .messages import Access, Action, CallerRequest, Scalar, Statement
+
+MAX_IDEMPOTENCY_KEY = 255  # Characters.
+MAX_AGE_LIMIT_MS = 24 * 3600 * 1000
+STATEMENT_FIELDS = {"statement", "parameters", "access", "max_age_ms", "transaction"}
+
+# What PostgreSQL skips before a statement: white space, empty statements, comments
+# (block comments nest) and, before a query, parentheses.
+SKIPPED = re.compile(r"(?:[\s;(]|--[^\n\r]*)+")
+BLOCK_MARK = re.compile(r"/\*|\*/")
+WORD = re.compile(r"[A-Za-z_]+")
+# Transaction control belongs to the proxy, which has to know the state of each
+# connection and to confirm each commit.
+CONTROL_WORDS = frozenset(
+    {
+        "abort",
+        "begin",
+        "commit",
+        "end",
+        "prepare",
+        "release",
+        "rollback",
+        "savepoint",
+        "start",
+    }
+)
+
+
+@frozen
+class Target:
+    """What a path names."""
+
+    action: Action = Action.STATEMENT
+    group: str = ""
+    transaction: str = ""
+    open_route: str = ""
+    probe: str = ""  # "healthz" or "readyz".
+    method: str = "POST"
+
+
+@frozen
+class Work:
+    """What the body of a request asks for."""
+
+    access: Access
+    statement: Statement = field(default=Statement(""))
+    max_age: timedelta | None = None
+    transaction: str = ""
+
+
+def read_target(path: str) -> Target | None:
+    """Return what a path names, or None."""
+    match path.partition("?")[0].strip("/").split("/"):
+        case ["healthz" | "readyz" as probe]:
+            return Target(probe=probe, method="GET")
+        case ["v1", "open", route] if route:
+            return Target(open_route=route, method="GET")
+        case ["v1", "groups", group, "statements"] if group:
+            return Target(group=group)
+        case ["v1", "groups", group, "transactions"] if group:
+            return Target(Action.BEGIN, group)
+        case ["v1", "groups", group, "transactions", number, "commit"] if group:
+            return Target(Action.COMMIT, group, number)
+        case ["v1", "groups", group, "transactions", number, "rollback"] if group:
+            return Target(Action.ROLLBACK, group, number)
+    return None
+
+
+def read_work(
+    target: Target, request: CallerRequest, max_bytes: int
+) -> Result[Work, Failure]:
+    """Return what a request with a body asks for."""
+    if len(request.body) > max_bytes:
+        return Error(not_run(Problem.BODY_TOO_LARGE))
+    idempotency_key = request.headers.get("idempotency-key", "")
+    if len(idempotency_key) > MAX_IDEMPOTENCY_KEY:
+        return bad("Idempotency-Key is too long")
+    if target.action is not Action.STATEMENT:
+        if idempotency_key:
+            return bad("Idempotency-Key is for writes outside transactions")
+        return Ok(Work(Access.WRITE, transaction=target.transaction))
+    try:
+        content = orjson.loads(request.body)
+    except orjson.JSONDecodeError:
+        return bad("the body is not JSON")
+    if not isinstance(content, dict):
+        return bad("the body is not a JSON object")
+    return read_statement(content, idempotency_key)
+
+
+def read_statement(
+    content: dict[str, Any], idempotency_key: str
+) -> Result[Work, Failure]:
+    """Return the statement that a body asks for."""
+    fault = body_fault(content)
+    if fault:
+        return bad(fault)
+    transaction = content.get("transaction") or ""
+    if transaction and idempotency_key:
+        return bad("Idempotency-Key is for writes outside transactions")
+    max_age = content.get("max_age_ms")
+    parameters: list[Scalar] = content.get("parameters") or []
+    return Ok(
+        Work(
+            Access(content["access"]),
+            Statement(content["statement"], tuple(parameters)),
+            None if max_age is None else timedelta(milliseconds=max_age),
+            transaction,
+        )
+    )
+
+
+def body_fault(content: dict[str, Any]) -> str:
+    """Return what is wrong with a body, or an empty text."""
+    unknown_fields = sorted(content.keys() - STATEMENT_FIELDS)
+    if unknown_fields:
+        return f"unknown field: {unknown_fields[0]}"
+    text = content.get("statement")
+    if not isinstance(text, str) or not text.strip():
+        return "statement must be a text"
+    if "\0" in text:
+        return "statement must not contain a zero character"
+    if first_word(text) in CONTROL_WORDS:
+        return "transaction control is not a statement; use the transactions resource"
+    if content.get("access") not in (Access.READ.value, Access.WRITE.value):
+        return 'access must be "read" or "write"'
+    if not isinstance(content.get("transaction") or "", str):
+        return "transaction must be a text"
+    return age_fault(content.get("max_age_ms")) or parameters_fault(
+        content.get("parameters")
+    )
+
+
+def age_fault(value: object) -> str:
+    """Return what is wrong with `max_age_ms`, or an empty text."""
+    if value is None:
+        return ""
+    if type(value) is not int or not 0 <= value <= MAX_AGE_LIMIT_MS:
+        return f"max_age_ms must be an integer from 0 to {MAX_AGE_LIMIT_MS}"
+    return ""
+
+
+def parameters_fault(value: object) -> str:
+    """Return what is wrong with `parameters`, or an empty text."""
+    if value is None:
+        return ""
+    if not isinstance(value, list):
+        return "parameters must be a list"
+    for item in value:
+        if not isinstance(item, str | int | float | bool | None):
+            return "parameters must be texts, numbers, booleans or null"
+        if isinstance(item, str) and "\0" in item:
+            return "parameters must not contain a zero character"
+    return ""
+
+
+def first_word(text: str) -> str:
+    """Return the first word of a statement in lower case, behind comments."""
+    at = 0
+    while True:
+        skipped = SKIPPED.match(text, at)
+        if skipped is not None:
+            at = skipped.end()
+        if not text.startswith("/*", at):
+            break
+        at = block_comment_end(text, at)
+    word = WORD.match(text, at)
+    return word.group().lower() if word is not None else ""
+
+
+def block_comment_end(text: str, at: int) -> int:
+    """Return where a block comment ends that begins at `at`."""
+    depth = 0
+    for mark in BLOCK_MARK.finditer(text, at):
+        depth += 1 if mark.group() == "/*" else -1
+        if depth == 0:
+            return mark.end()
+    return len(text)
+
+
+def bad(detail: str) -> Result[Work, Failure]:
+    """Return the refusal of a malformed request."""
+    return Error(not_run(Problem.BAD_REQUEST, detail))
--- a/pimentodrift/core.py
+++ b/pimentodrift/core.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from . import connections, membership, peers, view
+from . import admission, connections, membership, peers, routing, view, work_limits
 from .dispatch import handle
 from .tables import State
 
@@ -17,11 +17,14 @@
 SYSTEMS: tuple[Callable[[State], None], ...] = (
     view.run,
     membership.run,
+    routing.run,
+    work_limits.run,
 )
 
 __all__ = [
     "SYSTEMS",
     "TICK",
+    "admission",
     "connections",  # Imported for their handlers.
     "handle",
     "peers",
--- /dev/null
+++ b/pimentodrift/endpoint_checks.py
@@ -0,0 +1,59 @@
+"""Decides from an endpoint's own status whether it may serve a piece of work.
+
+Estimates choose endpoints; these checks decide correctness, in the batch that carries
+the statement.
+"""
+
+from .database_group import EndpointStatus, parse_status
+from .errors import Failure, Problem, not_run
+from .messages import Position, StatementResult
+from .tables import WorkRow
+from .tokens import reaches
+
+
+def readable_status(result: StatementResult) -> EndpointStatus | None:
+    """Return the status that a result holds, if any."""
+    if result.error:
+        return None
+    return parse_status(result.rows).default_value(None)
+
+
+NO_STATUS = EndpointStatus(is_primary=False, term=0, received=0, replayed=0)
+
+
+def check_status(
+    result: StatementResult, work: WorkRow
+) -> tuple[EndpointStatus, Failure | None]:
+    """Return the status and why the endpoint cannot serve the session, if so."""
+    status = readable_status(result)
+    if status is None:
+        detail = result.error or "the endpoint gave no status"
+        return NO_STATUS, not_run(Problem.ENDPOINT_UNAVAILABLE, detail)
+    if not serves(status, work.forward.minimum):
+        detail = "the endpoint is behind the session"
+        return status, not_run(Problem.ENDPOINT_UNAVAILABLE, detail)
+    return status, None
+
+
+def serves(status: EndpointStatus, minimum: Position) -> bool:
+    """Return whether an endpoint shows all that the session has seen.
+
+    The primary of the minimum's own term has the whole log of that term, so that a
+    position past its end was never given out.
+    """
+    if status.is_primary and status.term == minimum.term:
+        return True
+    return reaches(status.position, minimum)
+
+
+def check_primary(
+    result: StatementResult, work: WorkRow
+) -> tuple[EndpointStatus, Failure | None]:
+    """Return the status and why the endpoint may not take the write, if so."""
+    status, failure = check_status(result, work)
+    if failure is not None:
+        return status, not_run(Problem.PRIMARY_UNAVAILABLE, failure.detail)
+    if not status.is_primary or status.term < work.forward.term:
+        detail = "the endpoint is not the primary of the group's term"
+        return status, not_run(Problem.PRIMARY_UNAVAILABLE, detail)
+    return status, None
--- /dev/null
+++ b/pimentodrift/execution.py
@@ -0,0 +1,385 @@
+"""Runs a piece of work on a work connection of the endpoint's owner.
+
+A piece of work is a sequence of batches. Its `step` tells what the batch in flight
+does; `advance` varies by the step, reads the results and starts the next batch, waits
+for the acknowledgment, or replies. Steps that may take effect without a further batch
+set `commits`: when their connection is lost, the outcome is unknown. All other steps
+run inside an explicit BEGIN, which the database rolls back with the connection.
+"""
+
+from datetime import timedelta
+from functools import singledispatch
+
+from attrs import frozen
+
+from . import outcomes, peers, replication, scheduling, work_connections
+from .connections import run_batch
+from .database_group import status_statement
+from .dispatch import handle
+from .endpoint_checks import check_primary, check_status, readable_status
+from .errors import Failure, Problem, not_run, unknown
+from .messages import (
+    Access,
+    Position,
+    Ran,
+    Reply,
+    SlotReleased,
+    Statement,
+    StatementResult,
+    WorkAnswered,
+    WriteAcknowledged,
+    WriteUnconfirmed,
+)
+from .statement_errors import ambiguous, failure_of
+from .tables import State, Step, WorkRow
+
+BEGIN = Statement("BEGIN")
+COMMIT = Statement("COMMIT")
+ROLLBACK = Statement("ROLLBACK")
+
+Results = tuple[StatementResult, ...]
+Segments = tuple[tuple[Statement, ...], ...]
+
+
+@frozen
+class ReadStep(Step):
+    """Status and read; a function called by the read may have effects."""
+
+    commits = True
+
+
+@frozen
+class WriteStep(Step):
+    """BEGIN, status and the statement."""
+
+
+@frozen
+class CreateStep(Step):
+    """CREATE TABLE of the outcomes table, before a write with an idempotency key."""
+
+
+@frozen
+class RecordStep(Step):
+    """BEGIN, status, insert of the idempotency record, and the statement."""
+
+
+@frozen
+class ReplayStep(Step):
+    """ROLLBACK, then the stored answer and the status."""
+
+
+@frozen
+class CommitStep(Step):
+    """What must be stored before, COMMIT, and the status."""
+
+    term: int
+    commits = True
+
+
+@frozen
+class RollbackStep(Step):
+    """ROLLBACK of work that has been refused."""
+
+
+def start(work: WorkRow, connection: int, state: State) -> None:
+    """Run the first batch of a read or of a write outside a transaction."""
+    bind(work, connection, state)
+    statement = work.forward.statement
+    if work.forward.access is Access.READ:
+        run(work, ReadStep(), ((status_statement(), statement),), state)
+    elif not work.forward.idempotency_key:
+        run(work, WriteStep(), ((BEGIN, status_statement(), statement),), state)
+    elif has_outcomes_table(work, state):
+        run_recorded(work, state)
+    else:
+        run(work, CreateStep(), ((outcomes.CREATE,),), state)
+
+
+def bind(work: WorkRow, connection: int, state: State) -> None:
+    """Take a connection and a slot."""
+    work.connection = connection
+    work.started_at = state.clock.monotonic()
+    state.connection_works[connection] = work.work
+    state.queues[work.forward.endpoint].running.add(work.work)
+
+
+def run(work: WorkRow, step: Step, segments: Segments, state: State) -> None:
+    """Send the batch of a step."""
+    work.step = step
+    run_batch(work.connection, segments, state)
+
+
+def group_term(work: WorkRow, state: State) -> int:
+    """Return the term of the endpoint's group as this instance knows it."""
+    endpoint = state.endpoints.get(work.forward.endpoint)
+    group = state.groups.get(endpoint.group) if endpoint is not None else None
+    return group.term if group is not None else 0
+
+
+def has_outcomes_table(work: WorkRow, state: State) -> bool:
+    """Return whether the outcomes table was seen in the group's current term."""
+    queue = state.queues[work.forward.endpoint]
+    return queue.outcomes_term == group_term(work, state) > 0
+
+
+def run_recorded(work: WorkRow, state: State) -> None:
+    """Run a write together with its idempotency record."""
+    forward = work.forward
+    record = outcomes.insert(
+        forward.workspace,
+        forward.idempotency_key,
+        forward.body_digest,
+        state.clock.now(),
+    )
+    segment = (BEGIN, status_statement(), record, forward.statement)
+    run(work, RecordStep(), (segment,), state)
+
+
+# --- Results
+
+
+@handle.register
+def _(message: WorkAnswered, state: State) -> None:
+    work = state.works.get(state.connection_works.get(message.connection, 0))
+    if work is not None and work.step is not None:
+        advance(work.step, work, message.results, state)
+
+
+@singledispatch
+def advance(step: Step, work: WorkRow, results: Results, state: State) -> None:
+    """Act on the results of a step's batch."""
+    raise TypeError(f"no continuation for {type(step).__name__}")
+
+
+@advance.register
+def _(step: ReadStep, work: WorkRow, results: Results, state: State) -> None:
+    status, failure = check_status(results[0], work)
+    if failure is None and results[1].error:
+        failure = failure_of(results[1], work.forward.access)
+    release(work, state)
+    finish(work, failure or Ran(results[1].rows, status.position), state)
+    handle(SlotReleased(work.forward.endpoint), state)
+
+
+@advance.register
+def _(step: WriteStep, work: WorkRow, results: Results, state: State) -> None:
+    status, failure = check_primary(results[1], work)
+    if failure is None and results[2].error:
+        failure = failure_of(results[2], work.forward.access)
+    if failure is not None:
+        roll_back(work, failure, state)
+        return
+    work.rows = results[2].rows
+    commit(work, CommitStep(status.term), (), state)
+
+
+@advance.register
+def _(step: CreateStep, work: WorkRow, results: Results, state: State) -> None:
+    # Two owners that create the table at once get an error though it then exists;
+    # the insert shows whether it does.
+    if not results[0].error:
+        queue = state.queues[work.forward.endpoint]
+        queue.outcomes_term = group_term(work, state)
+    run_recorded(work, state)
+
+
+@advance.register
+def _(step: RecordStep, work: WorkRow, results: Results, state: State) -> None:
+    forward = work.forward
+    status, failure = check_primary(results[1], work)
+    if failure is None and results[2].error:
+        # The table may have gone with another history of the group.
+        state.queues[forward.endpoint].outcomes_term = 0
+        failure = not_run(Problem.ENDPOINT_UNAVAILABLE, results[2].error)
+    elif failure is None and not results[2].rows.rows:
+        replay(work, state)
+        return
+    elif failure is None and results[3].error:
+        failure = failure_of(results[3], forward.access)
+    if failure is not None:
+        roll_back(work, failure, state)
+        return
+    work.rows = results[3].rows
+    stored = outcomes.store(forward.workspace, forward.idempotency_key, work.rows)
+    commit(work, CommitStep(status.term), (stored,), state)
+
+
+def replay(work: WorkRow, state: State) -> None:
+    """Read the answer that an earlier run of the request stored."""
+    forward = work.forward
+    record = outcomes.select(forward.workspace, forward.idempotency_key)
+    # The status follows the record, so that its position includes the record.
+    segments: Segments = ((ROLLBACK,), (record, status_statement()))
+    run(work, ReplayStep(), segments, state)
+
+
+@advance.register
+def _(step: ReplayStep, work: WorkRow, results: Results, state: State) -> None:
+    status, failure = check_primary(results[2], work)
+    if failure is None:
+        failure = read_record(work, results[1])
+    if results[0].error:
+        discard(work, state)
+    else:
+        release(work, state)
+    if failure is not None:
+        finish(work, failure, state)
+    else:
+        work.replayed = True
+        state.counters["execution.replayed"] += 1
+        acknowledge(work, Position(status.term, status.received), state)
+    handle(SlotReleased(work.forward.endpoint), state)
+
+
+def read_record(work: WorkRow, result: StatementResult) -> Failure | None:
+    """Take the stored answer over, or return why it is not this request's."""
+    if result.error or not result.rows.rows:
+        # The other attempt was rolled back meanwhile.
+        detail = result.error or "the idempotency record is gone"
+        return not_run(Problem.ENDPOINT_UNAVAILABLE, detail)
+    digest, answer = result.rows.rows[0]
+    if digest != work.forward.body_digest:
+        return not_run(Problem.IDEMPOTENCY_KEY_REUSED)
+    work.rows = outcomes.decode_answer(str(answer))
+    return None
+
+
+def commit(
+    work: WorkRow, step: CommitStep, before: tuple[Statement, ...], state: State
+) -> None:
+    """Send COMMIT, after the statements that belong into the same transaction."""
+    run(work, step, ((*before, COMMIT), (status_statement(),)), state)
+
+
+@advance.register
+def _(step: CommitStep, work: WorkRow, results: Results, state: State) -> None:
+    failure = commit_failure(results)
+    if failure is not None:
+        roll_back(work, failure, state)
+        return
+    release(work, state)
+    committed(step, work, results[-1], state)
+    handle(SlotReleased(work.forward.endpoint), state)
+
+
+def commit_failure(results: Results) -> Failure | None:
+    """Return why a transaction was not committed, or may not have been."""
+    failed = next((result for result in results[:-1] if result.error), None)
+    if failed is None:
+        return None
+    if ambiguous(failed):
+        return unknown(Problem.ENDPOINT_UNAVAILABLE, failed.error)
+    return failure_of(failed, Access.WRITE)
+
+
+def committed(
+    step: CommitStep, work: WorkRow, result: StatementResult, state: State
+) -> None:
+    """Wait for the acknowledgment of a committed write."""
+    status = readable_status(result)
+    if status is None or not status.is_primary or status.term != step.term:
+        detail = "the primary changed after the commit"
+        finish(work, unknown(Problem.ACKNOWLEDGMENT_MISSING, detail), state)
+        return
+    acknowledge(work, Position(status.term, status.received), state)
+
+
+@advance.register
+def _(step: RollbackStep, work: WorkRow, results: Results, state: State) -> None:
+    if results[0].error:
+        discard(work, state)
+    else:
+        release(work, state)
+    state.works.pop(work.work, None)
+    handle(SlotReleased(work.forward.endpoint), state)
+
+
+def roll_back(work: WorkRow, failure: Failure, state: State) -> None:
+    """Refuse work and roll its transaction back on the connection."""
+    run(work, RollbackStep(), ((ROLLBACK,),), state)
+    reply(work, failure, state)
+
+
+# --- The end of work
+
+
+def acknowledge(work: WorkRow, position: Position, state: State) -> None:
+    """Wait until the group has received a committed write."""
+    work.position = position
+    replication.await_acknowledgment(
+        work.work,
+        work.forward.endpoint,
+        position,
+        work.forward.durability,
+        work.deadline,
+        state,
+    )
+
+
+@handle.register
+def _(message: WriteAcknowledged, state: State) -> None:
+    work = state.works.get(message.work)
+    if work is not None:
+        result = Ran(work.rows, work.position, replayed=work.replayed)
+        finish(work, result, state)
+
+
+@handle.register
+def _(message: WriteUnconfirmed, state: State) -> None:
+    work = state.works.get(message.work)
+    if work is not None:
+        finish(work, message.failure, state)
+
+
+def release(work: WorkRow, state: State) -> None:
+    """Free the slot and return the connection to the pool."""
+    connection = free_slot(work, state)
+    queue = state.queues[work.forward.endpoint]
+    work_connections.give_back(queue, connection, state)
+
+
+def discard(work: WorkRow, state: State) -> None:
+    """Free the slot and close the connection, whose state is not known."""
+    connection = free_slot(work, state)
+    queue = state.queues[work.forward.endpoint]
+    work_connections.close(queue, connection, state)
+
+
+def free_slot(work: WorkRow, state: State) -> int:
+    """Free the slot, charge its time and return the connection that was bound."""
+    connection, work.connection = work.connection, 0
+    work.step = None
+    state.connection_works.pop(connection, None)
+    queue = state.queues[work.forward.endpoint]
+    queue.running.discard(work.work)
+    if work.started_at is not None:
+        used: timedelta = state.clock.monotonic() - work.started_at
+        scheduling.charge(queue, work, used.total_seconds(), state)
+    return connection
+
+
+def finish(work: WorkRow, result: Ran | Failure, state: State) -> None:
+    """Reply and forget the work."""
+    state.works.pop(work.work, None)
+    reply(work, result, state)
+
+
+def reply(work: WorkRow, result: Ran | Failure, state: State) -> None:
+    """Send the result to the entry, once."""
+    if work.is_answered:
+        return
+    work.is_answered = True
+    state.forwarded.pop((work.sender, work.forward.request), None)
+    kind = "ran" if isinstance(result, Ran) else f"refused.{result.problem}"
+    state.counters[f"execution.{kind}"] += 1
+    if work.sender:
+        peers.send(work.sender, Reply(work.forward.request, result), state)
+
+
+def abandon(work: WorkRow, problem: Problem, detail: str, state: State) -> None:
+    """Give up running work: close its connection and reply what is then known."""
+    commits = work.step is not None and work.step.commits
+    discard(work, state)
+    finish(
+        work, unknown(problem, detail) if commits else not_run(problem, detail), state
+    )
--- a/pimentodrift/messages.py
+++ b/pimentodrift/messages.py
@@ -575,6 +575,13 @@
     batch: int
 
 
+@frozen
+class SlotReleased:
+    """A slot or a work connection of an endpoint is free again."""
+
+    endpoint: str
+
+
 @frozen
 class WriteAcknowledged:
     """A majority of the group has received the write of a piece of work."""
--- /dev/null
+++ b/pimentodrift/queueing.py
@@ -0,0 +1,311 @@
+"""The owner's queue of an endpoint: accepts forwarded requests and starts them.
+
+Work starts at once when a slot and a connection are free, otherwise in the order that
+`scheduling` gives. What cannot be served is refused as not run: at its arrival, when
+it is about to start, and at its deadline.
+"""
+
+from datetime import timedelta
+
+from attrs import evolve
+
+from . import execution, scheduling, transactions
+from . import work_connections as pool
+from .dispatch import handle, handle_peer
+from .errors import Failure, Problem, not_run
+from .messages import (
+    Access,
+    Action,
+    Cancel,
+    Forward,
+    SlotReleased,
+    WorkConnectionLost,
+    WorkConnectionReady,
+)
+from .tables import EndpointQueue, EndpointRow, Presence, State, WorkRow
+
+MAX_QUEUED = 256  # Requests of a workspace at an endpoint.
+RETRY_AFTER = timedelta(seconds=1)
+
+
+# --- Arrival
+
+
+@handle_peer.register
+def _(message: Forward, sender: str, state: State) -> None:
+    accept(message, sender, state)
+
+
+def accept(message: Forward, sender: str, state: State) -> None:
+    """Queue a request, or refuse it when it cannot be served in time."""
+    now = state.clock.monotonic()
+    remaining = timedelta(milliseconds=message.remaining_ms)
+    row = state.transactions.get(message.transaction)
+    if row is not None:
+        # The entry knows only the group's present primary.
+        message = evolve(message, endpoint=row.endpoint)
+    work = WorkRow(state.number(), sender, message, now, now + remaining)
+    state.works[work.work] = work
+    state.forwarded[(sender, message.request)] = work.work
+    state.counters["queueing.arrived"] += 1
+    queue = pool.queue_of(message.endpoint, state)
+    failure = arrival_failure(work, queue, state)
+    if failure is not None:
+        execution.finish(work, failure, state)
+        return
+    if message.transaction:
+        transactions.arrive(work, state)
+    else:
+        scheduling.enqueue(queue, work, state)
+    dispatch(queue, state)
+
+
+def arrival_failure(
+    work: WorkRow, queue: EndpointQueue, state: State
+) -> Failure | None:
+    """Return why work is refused at its arrival, if so."""
+    transaction = work.forward.transaction
+    if transaction and transaction not in state.transactions:
+        return not_run(Problem.TRANSACTION_UNKNOWN)
+    failure = start_failure(work, state)
+    if failure is None and not transaction:
+        failure = wait_failure(work, queue, state)
+    return failure
+
+
+def start_failure(work: WorkRow, state: State) -> Failure | None:
+    """Return why work must not start now, if so."""
+    forward = work.forward
+    endpoint = state.endpoints.get(forward.endpoint)
+    if endpoint is None:
+        return not_run(Problem.ENDPOINT_UNAVAILABLE, "the endpoint is not listed")
+    if forward.key_id and forward.key_id not in state.configuration.key_ids:
+        return key_failure(state)
+    if forward.transaction:
+        return None  # Bound to its connection, and so to the term of its beginning.
+    group = state.groups[endpoint.group]
+    is_primary = group.primary == endpoint.name
+    if needs_primary(forward):
+        if not is_primary and group.term >= forward.term:
+            return not_run(Problem.PRIMARY_UNAVAILABLE, "the primary was replaced")
+    elif endpoint.presence is Presence.LEAVING and not is_primary:
+        return not_run(Problem.ENDPOINT_UNAVAILABLE, "the endpoint is leaving")
+    return None
+
+
+def key_failure(state: State) -> Failure:
+    """Return the refusal of a key id that the configuration does not have."""
+    if state.configuration.version == 0:
+        detail = "the owner has no configuration yet"
+        return not_run(Problem.ENDPOINT_UNAVAILABLE, detail)
+    return not_run(Problem.KEY_INVALID, "the key was withdrawn")
+
+
+def needs_primary(forward: Forward) -> bool:
+    """Return whether only the primary may run the request."""
+    return forward.access is Access.WRITE or forward.action is not Action.STATEMENT
+
+
+def wait_failure(work: WorkRow, queue: EndpointQueue, state: State) -> Failure | None:
+    """Return why work cannot be queued, if so."""
+    workspace = work.forward.workspace
+    slots = state.endpoints[queue.endpoint].slots
+    cost = scheduling.cost(workspace, work.forward.access, state)
+    wait = scheduling.backlog(queue, workspace, state) / slots
+    if len(queue.waiting.get(workspace, ())) >= MAX_QUEUED:
+        retry = max(RETRY_AFTER, timedelta(seconds=wait))
+        return not_run(Problem.QUEUE_FULL, retry_after=retry)
+    needed = timedelta(seconds=wait + cost)
+    remaining = work.deadline - work.arrived_at
+    if needed > remaining:
+        detail = "the queue is too long for the request's deadline"
+        retry = max(RETRY_AFTER, needed - remaining)
+        return not_run(Problem.DEADLINE_EXCEEDED, detail, retry)
+    return None
+
+
+@handle_peer.register
+def _(message: Cancel, sender: str, state: State) -> None:
+    number = state.forwarded.get((sender, message.request), 0)
+    work = state.works.get(number)
+    if work is None or work.started_at is not None:
+        return  # What runs is not interrupted; its reply is ignored.
+    withdraw(work, state)
+    state.works.pop(number)
+    state.forwarded.pop((sender, message.request))
+    state.counters["queueing.cancelled"] += 1
+
+
+def withdraw(work: WorkRow, state: State) -> None:
+    """Take queued work out of its queue."""
+    queue = state.queues[work.forward.endpoint]
+    row = state.transactions.get(work.forward.transaction)
+    if row is None:
+        scheduling.remove(queue, work)
+    elif work.work in row.waiting:
+        row.waiting.remove(work.work)
+    else:
+        queue.urgent.remove(work.work)
+        row.work = 0
+        transactions.offer(row, state)
+
+
+# --- Start
+
+
+@handle.register
+def _(message: SlotReleased, state: State) -> None:
+    dispatch(state.queues[message.endpoint], state)
+
+
+@handle.register
+def _(message: WorkConnectionReady, state: State) -> None:
+    queue = pool.queue_of(state.connections[message.connection].endpoint, state)
+    pool.opened(queue, message.connection, state)
+    dispatch(queue, state)
+
+
+def dispatch(queue: EndpointQueue, state: State) -> None:
+    """Start work while there is some and slots and connections are free."""
+    endpoint = state.endpoints.get(queue.endpoint)
+    if endpoint is None:
+        return
+    while len(queue.running) < endpoint.slots:
+        if not (start_urgent(queue, state) or start_waiting(queue, endpoint, state)):
+            return
+
+
+def start_urgent(queue: EndpointQueue, state: State) -> bool:
+    """Start work of an open transaction; tell whether there was any."""
+    if not queue.urgent:
+        return False
+    work = state.works[queue.urgent.popleft()]
+    failure = start_failure(work, state)
+    if failure is None:
+        transactions.start(work, state)
+    else:
+        transactions.end(state.transactions[work.forward.transaction], failure, state)
+    return True
+
+
+def start_waiting(queue: EndpointQueue, endpoint: EndpointRow, state: State) -> bool:
+    """Start the next queued work; tell whether there was any that could start."""
+    queued = sum(len(numbers) for numbers in queue.waiting.values())
+    if not queued:
+        return False
+    open_transactions = transactions.open_count(queue.endpoint, state)
+    free = free_slots(queue, endpoint, open_transactions)
+    if free <= 0:
+        return False
+    pool.open_more(queue, min(queued, free), state)
+    connection = pool.take_idle(queue)
+    if connection is None:
+        return False
+    work = next_work(queue, endpoint, open_transactions, state)
+    if work is None:
+        pool.give_back(queue, connection, state)
+        return False
+    failure = start_failure(work, state)
+    if failure is not None:
+        pool.give_back(queue, connection, state)
+        execution.finish(work, failure, state)
+    elif work.forward.action is Action.BEGIN:
+        transactions.begin(work, connection, state)
+    else:
+        execution.start(work, connection, state)
+    return True
+
+
+def free_slots(
+    queue: EndpointQueue, endpoint: EndpointRow, open_transactions: int
+) -> int:
+    """Return how many slots queued work may take.
+
+    One slot is kept while a transaction is open: work that waits for the transaction's
+    locks could otherwise fill all slots and keep the transaction from its end.
+    """
+    reserved = 1 if open_transactions and endpoint.slots > 1 else 0
+    return endpoint.slots - reserved - len(queue.running)
+
+
+def next_work(
+    queue: EndpointQueue, endpoint: EndpointRow, open_transactions: int, state: State
+) -> WorkRow | None:
+    """Remove and return the work that starts next."""
+    begins = sum(
+        1
+        for number in queue.running
+        if state.works[number].forward.action is Action.BEGIN
+    )
+    may_begin = open_transactions + begins < max_transactions(endpoint)
+    return scheduling.take(
+        queue,
+        lambda work: may_begin or work.forward.action is not Action.BEGIN,
+        state,
+    )
+
+
+def max_transactions(endpoint: EndpointRow) -> int:
+    """Return how many transactions may be open, so that other work proceeds."""
+    return max(1, min(endpoint.slots, pool.limit(endpoint)) - 1)
+
+
+# --- Connections and replaced primaries
+
+
+@handle.register
+def _(message: WorkConnectionLost, state: State) -> None:
+    queue = pool.queue_of(message.endpoint, state)
+    was_opening = message.connection in queue.opening
+    work = state.works.get(state.connection_works.get(message.connection, 0))
+    pool.forget(queue, message.connection)
+    state.counters["queueing.connections_lost"] += 1
+    if was_opening:
+        opening_failed(queue, state)
+    elif work is not None:
+        detail = "the connection to the database was lost"
+        give_up(work, Problem.ENDPOINT_UNAVAILABLE, detail, state)
+    else:
+        transactions.connection_lost(message.connection, state)
+    dispatch(queue, state)
+
+
+def opening_failed(queue: EndpointQueue, state: State) -> None:
+    """Refuse the queued work if no connection is left that could serve it."""
+    if not queue.connections - queue.opening.keys():
+        refuse_queued(queue, "the endpoint accepts no connection", state)
+
+
+def give_up(work: WorkRow, problem: Problem, detail: str, state: State) -> None:
+    """Stop running work; its transaction, if any, ends with the connection."""
+    row = state.transactions.get(work.forward.transaction)
+    if row is not None and row.ended is None:
+        transactions.end_row(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
+        if work.step is not None and not work.step.commits:
+            problem = Problem.TRANSACTION_ENDED
+    execution.abandon(work, problem, detail, state)
+
+
+def refuse_queued(queue: EndpointQueue, detail: str, state: State) -> None:
+    """Refuse all queued work, so that its entries try other endpoints."""
+    for work in queued_work(queue, state):
+        problem = (
+            Problem.PRIMARY_UNAVAILABLE
+            if needs_primary(work.forward)
+            else Problem.ENDPOINT_UNAVAILABLE
+        )
+        refuse(work, not_run(problem, detail), state)
+
+
+def queued_work(queue: EndpointQueue, state: State) -> list[WorkRow]:
+    """Return the queued work outside transactions."""
+    return [
+        state.works[number] for numbers in queue.waiting.values() for number in numbers
+    ]
+
+
+def refuse(work: WorkRow, failure: Failure, state: State) -> None:
+    """Refuse queued work, unless it has started or ended meanwhile."""
+    if work.work in state.works and work.started_at is None:
+        withdraw(work, state)
+        execution.finish(work, failure, state)
--- /dev/null
+++ b/pimentodrift/replica_choice.py
@@ -0,0 +1,131 @@
+"""Chooses the endpoint and the owner for an attempt of a request.
+
+Writes, transactions and the first read of a session need the primary. Other reads go
+to a replica that is believed to have reached the session's position, in the entry's
+region first, and to the primary when there is none.
+"""
+
+from attrs import frozen
+
+from . import membership, positions, transactions
+from .errors import Failure, Problem, not_run
+from .messages import Access, Position
+from .tables import EndpointRow, PendingRequest, Presence, State
+from .tokens import join, reaches
+
+START = Position(0, 0)
+
+
+@frozen
+class Route:
+    """Where an attempt goes, and what an answer must have reached."""
+
+    endpoint: str
+    instance: str
+    minimum: Position
+
+
+def choose(pending: PendingRequest, state: State) -> Route | Failure:
+    """Return the route of the next attempt, or why there is none now."""
+    if pending.transaction:
+        return transaction_route(pending, state)
+    if pending.access is Access.READ:
+        route = replica_route(pending, state)
+        if route is not None:
+            return route
+    route = primary_route(pending, state)
+    if route is None and pending.access is Access.READ:
+        route = other_replica_route(pending, state)
+    return route or not_run(Problem.PRIMARY_UNAVAILABLE)
+
+
+def transaction_route(pending: PendingRequest, state: State) -> Route | Failure:
+    """Return the route to the owner that the transaction's id names."""
+    instance = transactions.owner_of(pending.transaction)
+    if instance is None or instance not in state.instances:
+        return not_run(Problem.TRANSACTION_UNKNOWN)
+    return Route(state.groups[pending.group].primary, instance, START)
+
+
+def primary_route(pending: PendingRequest, state: State) -> Route | None:
+    """Return the route to the group's primary, unless it was just tried."""
+    name = state.groups[pending.group].primary
+    row = state.endpoints.get(name)
+    if row is None or name in pending.tried:
+        return None
+    return route_to(row, session_minimum(pending), state)
+
+
+def replica_route(pending: PendingRequest, state: State) -> Route | None:
+    """Return the route to a replica that is believed to be new enough."""
+    minimum = replica_minimum(pending, state)
+    if minimum is None:
+        return None
+    rows = [
+        row
+        for row in untried_replicas(pending, state)
+        if row.failing_until <= state.clock.monotonic()
+        and reaches(row.position, minimum)
+    ]
+    return pick(rows, minimum, state)
+
+
+def other_replica_route(pending: PendingRequest, state: State) -> Route | None:
+    """Return the route to a replica that may have caught up, without a primary."""
+    minimum = replica_minimum(pending, state)
+    if minimum is None:
+        return None
+    return pick(untried_replicas(pending, state), minimum, state)
+
+
+def session_minimum(pending: PendingRequest) -> Position:
+    """Return the session's position in the group."""
+    return pending.session.get(pending.group, START)
+
+
+def replica_minimum(pending: PendingRequest, state: State) -> Position | None:
+    """Return what a replica must have reached, or None if only the primary will do."""
+    session = pending.session.get(pending.group)
+    if pending.max_age is None:
+        return session
+    needed = positions.position_before(pending.group, pending.max_age, state)
+    if needed is None:
+        return session
+    return join(needed, session or START)
+
+
+def untried_replicas(pending: PendingRequest, state: State) -> list[EndpointRow]:
+    """Return the replicas that may get new work and were not tried."""
+    primary = state.groups[pending.group].primary
+    return [
+        row
+        for row in membership.group_endpoints(pending.group, state)
+        if row.name != primary
+        and row.name not in pending.tried
+        and row.presence is Presence.LIVE
+    ]
+
+
+def pick(rows: list[EndpointRow], minimum: Position, state: State) -> Route | None:
+    """Return a route to one of the rows, near ones first, then the less loaded."""
+    near = [row for row in rows if row.region == state.settings.region]
+    candidates = near or rows
+    while candidates:
+        weights = [weight(row, state) for row in candidates]
+        row = state.random.choices(candidates, weights)[0]
+        route = route_to(row, minimum, state)
+        if route is not None:
+            return route
+        candidates = [other for other in candidates if other is not row]
+    return None
+
+
+def weight(row: EndpointRow, state: State) -> float:
+    """Return the preference for an endpoint by this entry's load on its slots."""
+    return 1 / (1 + state.outstanding[row.name] / row.slots)
+
+
+def route_to(row: EndpointRow, minimum: Position, state: State) -> Route | None:
+    """Return the route to the owner of an endpoint."""
+    instance = membership.owner(row, state)
+    return None if instance is None else Route(row.name, instance, minimum)
--- /dev/null
+++ b/pimentodrift/routing.py
@@ -0,0 +1,316 @@
+"""The path of an admitted request at the entry: attempts, replies and retries.
+
+At most one attempt is in flight. An attempt that certainly did not run is repeated,
+on another endpoint or after a pause, until the deadline; one whose outcome is unknown
+only if it is a read or has an idempotency key. Refusals that another attempt cannot
+change are answered at once.
+"""
+
+from datetime import timedelta
+
+from attrs import evolve
+
+from . import peers, positions, replica_choice, work_limits
+from .answers import refuse_request, send_result
+from .dispatch import handle, handle_peer
+from .errors import Failure, Outcome, Problem, not_run, unknown
+from .messages import (
+    Access,
+    Cancel,
+    ConfigurationChanged,
+    Forward,
+    InstanceDown,
+    Position,
+    PrimaryChanged,
+    Ran,
+    Reply,
+)
+from .replica_choice import START, Route, session_minimum
+from .tables import PendingRequest, State
+from .tokens import Session, merge, reaches
+
+MILLISECOND = timedelta(milliseconds=1)
+FIRST_PAUSE = timedelta(milliseconds=10)
+LONGEST_PAUSE = timedelta(milliseconds=200)
+# The owner answers at the deadline; its answer has this long to arrive.
+REPLY_GRACE = timedelta(milliseconds=250)
+RETRY_AFTER = timedelta(seconds=1)
+
+# Another endpoint, another owner or a later time may serve the request.
+RETRYABLE = frozenset(
+    {
+        Problem.ENDPOINT_UNAVAILABLE,
+        Problem.PRIMARY_UNAVAILABLE,
+        Problem.OWNER_UNREACHABLE,
+        Problem.INSTANCE_STOPPING,
+        Problem.INSTANCE_ISOLATED,
+    }
+)
+# Another endpoint may serve a read at once; waiting would only lengthen the queue.
+OVERLOADED = frozenset({Problem.QUEUE_FULL, Problem.DEADLINE_EXCEEDED})
+
+
+def start(pending: PendingRequest, state: State) -> None:
+    """Take over an admitted request."""
+    pending.admitted = True
+    attempt(pending, state)
+
+
+# --- Attempts
+
+
+def attempt(pending: PendingRequest, state: State) -> None:
+    """Send the request to an owner, or pause when no endpoint can serve it now."""
+    pending.retry_at = None
+    if pending.deadline <= state.clock.monotonic():
+        late = pending.failure or not_run(Problem.PRIMARY_UNAVAILABLE)
+        finish_failure(pending, late, state)
+        return
+    session = without_dropped_write(pending, state)
+    if session is not None:
+        failure = not_run(Problem.WRITE_DROPPED)
+        finish_failure(pending, failure, state, session)
+        return
+    route = replica_choice.choose(pending, state)
+    if isinstance(route, Route):
+        forward(pending, route, state)
+    elif pending.transaction:
+        finish_failure(pending, route, state)
+    else:
+        pause(pending, pending.failure or route, state)
+
+
+def without_dropped_write(pending: PendingRequest, state: State) -> Session | None:
+    """Return a new session if this one has seen a write that a failover dropped."""
+    seen = pending.session.get(pending.group)
+    if seen is None or pending.transaction:
+        return None
+    starts = state.groups[pending.group].term_starts
+    later = [term for term in starts if term > seen.term]
+    if not later or seen.offset < starts[min(later)]:
+        return None
+    # The session keeps what both histories have in common.
+    kept = Position(min(later), max(0, starts[min(later)] - 1))
+    return pending.session | {pending.group: kept}
+
+
+def forward(pending: PendingRequest, route: Route, state: State) -> None:
+    """Send an attempt to an owner."""
+    now = state.clock.monotonic()
+    pending.attempt = state.number()
+    pending.attempt_at = now
+    pending.instance = route.instance
+    pending.endpoint = route.endpoint
+    state.attempts[pending.attempt] = pending.request
+    state.outstanding[route.endpoint] += 1
+    state.counters["routing.attempts"] += 1
+    message = Forward(
+        request=pending.attempt,
+        endpoint=route.endpoint,
+        workspace=pending.workspace,
+        key_id=pending.key_id,
+        action=pending.action,
+        access=pending.access,
+        statement=pending.statement,
+        minimum=route.minimum,
+        term=state.groups[pending.group].term,
+        remaining_ms=max(1, (pending.deadline - now) // MILLISECOND),
+        durability=pending.durability,
+        idempotency_key=pending.idempotency_key,
+        body_digest=pending.body_digest,
+        transaction=pending.transaction,
+    )
+    if not peers.send(route.instance, message, state):
+        end_attempt(pending, state)
+        on_failure(pending, not_run(Problem.OWNER_UNREACHABLE), state)
+
+
+def end_attempt(pending: PendingRequest, state: State) -> None:
+    """Forget the attempt in flight; a later reply to it is ignored."""
+    if state.attempts.pop(pending.attempt, None) is not None:
+        state.outstanding[pending.endpoint] -= 1
+    pending.attempt = 0
+
+
+# --- Replies
+
+
+@handle_peer.register
+def _(message: Reply, sender: str, state: State) -> None:
+    pending = state.pending.get(state.attempts.get(message.request, 0))
+    if pending is None or pending.instance != sender:
+        state.counters["routing.late_replies"] += 1
+        return
+    end_attempt(pending, state)
+    if isinstance(message.result, Failure):
+        on_failure(pending, message.result, state)
+    else:
+        on_ran(pending, message.result, state)
+
+
+def on_ran(pending: PendingRequest, ran: Ran, state: State) -> None:
+    """Answer the caller, unless a read has seen less than its session."""
+    if ran.position != START:
+        positions.note(pending.endpoint, ran.position, pending.attempt_at, state)
+    if is_behind(pending, ran, state):
+        state.counters["routing.reads_behind"] += 1
+        on_failure(pending, not_run(Problem.ENDPOINT_UNAVAILABLE), state)
+        return
+    if ran.position != START:
+        pending.session = merge(pending.session, pending.group, ran.position)
+    count_read(pending, state)
+    state.pending.pop(pending.request, None)
+    send_result(pending, ran, state)
+
+
+def is_behind(pending: PendingRequest, ran: Ran, state: State) -> bool:
+    """Return whether a read's answer must not be shown to its session."""
+    if pending.access is Access.WRITE or pending.transaction:
+        return False
+    minimum = session_minimum(pending)
+    is_primary = state.groups[pending.group].primary == pending.endpoint
+    if is_primary and ran.position.term == minimum.term:
+        return False
+    return not reaches(ran.position, minimum)
+
+
+def count_read(pending: PendingRequest, state: State) -> None:
+    """Count where a read was served."""
+    if pending.access is Access.WRITE or pending.transaction:
+        return
+    is_primary = state.groups[pending.group].primary == pending.endpoint
+    state.counters[f"routing.reads_{'primary' if is_primary else 'replica'}"] += 1
+
+
+def on_failure(pending: PendingRequest, failure: Failure, state: State) -> None:
+    """Repeat a request whose attempt failed, or refuse it."""
+    pending.tried.add(pending.endpoint)
+    if pending.transaction:
+        finish_failure(pending, failure, state)
+    elif failure.outcome is Outcome.UNKNOWN:
+        on_unknown(pending, failure, state)
+    elif failure.problem in RETRYABLE:
+        retry(pending, failure, state)
+    elif failure.problem in OVERLOADED and pending.access is Access.READ:
+        retry_elsewhere(pending, failure, state)
+    else:
+        finish_failure(pending, failure, state)
+
+
+def on_unknown(pending: PendingRequest, failure: Failure, state: State) -> None:
+    """Repeat what may be repeated though it may have run."""
+    if pending.access is Access.READ:
+        retry(pending, failure, state)
+    elif pending.idempotency_key:
+        pending.may_have_run = True
+        pause(pending, failure, state)
+    else:
+        finish_failure(pending, failure, state)
+
+
+def retry(pending: PendingRequest, failure: Failure, state: State) -> None:
+    """Try an endpoint that was not tried since the last pause, or pause."""
+    pending.failure = failure
+    state.counters["routing.retries"] += 1
+    attempt(pending, state)
+
+
+def retry_elsewhere(pending: PendingRequest, failure: Failure, state: State) -> None:
+    """Try another endpoint at once, or give the refusal to the caller."""
+    route = replica_choice.choose(pending, state)
+    if isinstance(route, Route) and state.clock.monotonic() < pending.deadline:
+        state.counters["routing.retries"] += 1
+        forward(pending, route, state)
+    else:
+        finish_failure(pending, failure, state)
+
+
+def pause(pending: PendingRequest, failure: Failure, state: State) -> None:
+    """Wait before the next attempt; the pauses grow and have jitter."""
+    pending.failure = failure
+    pending.tried.clear()
+    longest = min(LONGEST_PAUSE, FIRST_PAUSE * 2**pending.pauses)
+    pending.pauses = min(pending.pauses + 1, 10)
+    pending.retry_at = state.clock.monotonic() + longest * state.random.uniform(0.5, 1)
+
+
+# --- The end of a request
+
+
+def finish_failure(
+    pending: PendingRequest,
+    failure: Failure,
+    state: State,
+    session: Session | None = None,
+) -> None:
+    """Refuse a request; an earlier attempt of unknown outcome makes it unknown."""
+    state.pending.pop(pending.request, None)
+    end_attempt(pending, state)
+    if pending.may_have_run:
+        failure = evolve(failure, outcome=Outcome.UNKNOWN)
+    if failure.retry_after is None and failure.problem in RETRYABLE:
+        failure = evolve(failure, retry_after=RETRY_AFTER)
+    refuse_request(pending.request, failure, state, session)
+
+
+def drop(pending: PendingRequest, state: State) -> None:
+    """Forget a request whose caller has gone, and cancel its attempt."""
+    state.pending.pop(pending.request, None)
+    if pending.attempt:
+        peers.send(pending.instance, Cancel(pending.attempt), state)
+    end_attempt(pending, state)
+
+
+def run(state: State) -> None:
+    """Repeat paused requests and end those past their deadline."""
+    positions.run(state)
+    now = state.clock.monotonic()
+    for pending in list(state.pending.values()):
+        if pending.deadline <= now:
+            end_late(pending, state)
+        elif pending.retry_at is not None and pending.retry_at <= now:
+            attempt(pending, state)
+
+
+def end_late(pending: PendingRequest, state: State) -> None:
+    """Refuse a request past its deadline; wait a little for an attempt in flight."""
+    if pending.retry_at is not None:
+        failure = pending.failure or not_run(Problem.PRIMARY_UNAVAILABLE)
+        finish_failure(pending, failure, state)
+    elif pending.deadline + REPLY_GRACE > state.clock.monotonic():
+        return
+    elif pending.attempt:
+        detail = "the owner has not answered"
+        finish_failure(pending, unknown(Problem.DEADLINE_EXCEEDED, detail), state)
+    else:
+        finish_failure(pending, not_run(Problem.RATE_EXCEEDED), state)
+
+
+# --- Changes
+
+
+@handle.register
+def _(message: InstanceDown, state: State) -> None:
+    lost = [row for row in state.pending.values() if row.instance == message.instance]
+    for pending in lost:
+        if not pending.attempt:
+            continue
+        is_unsent = pending.attempt in message.unsent
+        end_attempt(pending, state)
+        # The endpoint itself may be well: its next owner can serve the request.
+        failure = (not_run if is_unsent else unknown)(Problem.OWNER_UNREACHABLE)
+        on_failure(pending, failure, state)
+
+
+@handle.register
+def _(message: PrimaryChanged, state: State) -> None:
+    work_limits.recheck(state)
+    for pending in list(state.pending.values()):
+        if pending.group == message.group and pending.retry_at is not None:
+            pending.pauses = 0
+            attempt(pending, state)
+
+
+@handle.register
+def _(message: ConfigurationChanged, state: State) -> None:
+    work_limits.recheck(state)
--- /dev/null
+++ b/pimentodrift/statement_errors.py
@@ -0,0 +1,28 @@
+"""Classifies the errors of statements by their SQLSTATE."""
+
+from .errors import Failure, Problem, not_run
+from .messages import Access, StatementResult
+
+READ_ONLY = "25006"  # read_only_sql_transaction
+# Connection exceptions, operator intervention, system and internal errors. After a
+# COMMIT they leave open whether the transaction was committed.
+AMBIGUOUS_CLASSES = ("08", "57", "58", "XX")
+# The endpoint shuts down, starts, or has no connection left.
+UNAVAILABLE = ("08", "57P", "53300")
+
+
+def ambiguous(result: StatementResult) -> bool:
+    """Return whether a COMMIT with this error may have taken effect.
+
+    An error without SQLSTATE comes from the client library, not from the database.
+    """
+    return not result.sqlstate or result.sqlstate.startswith(AMBIGUOUS_CLASSES)
+
+
+def failure_of(result: StatementResult, access: Access) -> Failure:
+    """Return the failure of a statement that certainly had no effect."""
+    if result.sqlstate.startswith(UNAVAILABLE):
+        return not_run(Problem.ENDPOINT_UNAVAILABLE, result.error)
+    if result.sqlstate == READ_ONLY and access is Access.WRITE:
+        return not_run(Problem.PRIMARY_UNAVAILABLE, result.error)
+    return not_run(Problem.STATEMENT_FAILED, result.error)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -4,7 +4,7 @@
 read them. Times are monotonic times of the instance's own clock, unless stated.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from datetime import timedelta
 from enum import StrEnum
 from random import Random
@@ -12,7 +12,17 @@
 from attrs import define, field
 
 from .clock import Clock
-from .messages import Access, Durability, Position, Statement, StoreObject
+from .errors import Failure
+from .messages import (
+    Access,
+    Action,
+    Durability,
+    Forward,
+    Position,
+    Rows,
+    Statement,
+    StoreObject,
+)
 from .settings import Settings
 
 NEVER = timedelta(days=-1)
@@ -146,6 +156,88 @@
     access: Access
     statement: Statement
     deadline: timedelta
+    action: Action = Action.STATEMENT
+    transaction: str = ""
+    idempotency_key: str = ""
+    body_digest: str = ""
+    durability: Durability = Durability.MAJORITY
+    session: dict[str, Position] = field(factory=dict)  # By group.
+    max_age: timedelta | None = None  # The age that the read accepts.
+    admitted: bool = False
+    # The attempt in flight; its number is 0 when there is none.
+    attempt: int = 0
+    attempt_at: timedelta = NEVER
+    instance: str = ""
+    endpoint: str = ""
+    tried: set[str] = field(factory=set)  # Endpoints, since the last pause.
+    pauses: int = 0
+    retry_at: timedelta | None = None
+    may_have_run: bool = False  # The outcome of an earlier attempt is unknown.
+    failure: Failure | None = None  # Of the last attempt.
+
+
+# --- queueing, execution, transactions (the owner's side)
+
+
+class Step:
+    """What the batch in flight does for a piece of work; see `execution`."""
+
+    commits = False  # The batch contains a COMMIT.
+
+
+@define
+class WorkRow:
+    """A forwarded request at the owner, from its arrival to its reply."""
+
+    work: int
+    sender: str  # Empty for the owner's own work.
+    forward: Forward
+    arrived_at: timedelta
+    deadline: timedelta
+    started_at: timedelta | None = None  # None while it is queued.
+    connection: int = 0  # 0 before it starts and after its last batch.
+    step: Step | None = None
+    expected_cost: float = 0.0  # Seconds of slot time charged at the start.
+    is_answered: bool = False
+    position: Position = Position(0, 0)
+    rows: Rows = Rows()
+    replayed: bool = False
+
+
+@define
+class EndpointQueue:
+    """The queued work and the work connections of an endpoint."""
+
+    endpoint: str
+    waiting: dict[str, deque[int]] = field(factory=dict)  # By workspace.
+    rotation: deque[str] = field(factory=deque)  # Workspaces with queued work.
+    deficits: dict[str, float] = field(factory=dict)  # Seconds of slot time.
+    queued_cost: dict[str, float] = field(factory=dict)  # Seconds, by workspace.
+    head_granted: bool = False  # The rotation's head got its quantum.
+    urgent: deque[int] = field(factory=deque)  # Work of open transactions.
+    running: set[int] = field(factory=set)
+    idle: deque[tuple[int, timedelta]] = field(factory=deque)  # (number, since).
+    opening: dict[int, timedelta] = field(factory=dict)  # Number: since.
+    connections: set[int] = field(factory=set)  # All work connections.
+    outcomes_term: int = 0  # The term in which the outcomes table was seen.
+    outcomes_cleaned_at: timedelta = NEVER
+
+
+@define
+class TransactionRow:
+    """A caller's transaction on a connection of the owner."""
+
+    transaction: str
+    workspace: str
+    key_id: str
+    endpoint: str
+    term: int
+    connection: int  # 0 once the transaction has ended.
+    began_at: timedelta
+    used_at: timedelta
+    work: int = 0  # The work that runs in it, or 0.
+    waiting: deque[int] = field(factory=deque)
+    ended: Failure | None = None  # What later requests are told.
 
 
 # --- connections
@@ -193,6 +285,17 @@
     configuration: Configuration = field(factory=Configuration)
     pending: dict[int, PendingRequest] = field(factory=dict)
     connections: dict[int, ConnectionRow] = field(factory=dict)
+    attempts: dict[int, int] = field(factory=dict)  # Attempt: caller's request.
+    outstanding: Counter[str] = field(factory=Counter)  # Attempts by endpoint.
+    # Samples of the primary's position by group, oldest first: (time, position).
+    histories: dict[str, deque[tuple[timedelta, Position]]] = field(factory=dict)
+    works: dict[int, WorkRow] = field(factory=dict)
+    forwarded: dict[tuple[str, int], int] = field(factory=dict)  # To the work.
+    connection_works: dict[int, int] = field(factory=dict)
+    queues: dict[str, EndpointQueue] = field(factory=dict)
+    transactions: dict[str, TransactionRow] = field(factory=dict)
+    # Moving average of slot time (seconds) by workspace and access.
+    costs: dict[tuple[str, Access], float] = field(factory=dict)
 
     def number(self) -> int:
         """Return a number unused so far by this instance."""
--- /dev/null
+++ b/pimentodrift/transactions.py
@@ -0,0 +1,305 @@
+"""Callers' transactions: each binds a work connection of the primary's owner.
+
+The id names the owner instance, so that every entry finds it, and has a random part,
+so that it cannot be guessed; statements of other workspaces and keys are refused all
+the same. Statements run one at a time, ahead of queued work. A connection returns to
+the pool only after the database has confirmed the end of the transaction.
+"""
+
+import base64
+import binascii
+from datetime import timedelta
+
+import msgpack
+from attrs import frozen
+
+from . import work_connections
+from .database_group import status_statement
+from .dispatch import handle
+from .endpoint_checks import check_primary
+from .errors import Failure, Problem, not_run
+from .execution import (
+    BEGIN,
+    ROLLBACK,
+    CommitStep,
+    Results,
+    abandon,
+    advance,
+    bind,
+    commit,
+    commit_failure,
+    committed,
+    finish,
+    free_slot,
+    release,
+    roll_back,
+    run,
+)
+from .messages import Action, Position, Ran, Rows, SlotReleased
+from .statement_errors import failure_of
+from .tables import EndpointQueue, State, Step, TransactionRow, WorkRow
+
+IDLE_LIMIT = timedelta(seconds=5)
+# How long an ended transaction is remembered, to tell its caller that it has ended.
+MEMORY = timedelta(seconds=60)
+MAX_WAITING = 16  # Statements of a transaction; callers may pipeline as many.
+RANDOM_BITS = 128
+
+
+@frozen
+class BeginStep(Step):
+    """BEGIN and status."""
+
+
+@frozen
+class StatementStep(Step):
+    """A statement inside the transaction."""
+
+
+@frozen
+class TransactionCommitStep(CommitStep):
+    """COMMIT of a caller's transaction and status."""
+
+
+@frozen
+class EndStep(Step):
+    """ROLLBACK that the caller asked for, or after a limit."""
+
+
+# --- Ids
+
+
+def new_id(state: State) -> str:
+    """Return the id of a new transaction of this instance."""
+    secret = state.random.getrandbits(RANDOM_BITS).to_bytes(RANDOM_BITS // 8, "big")
+    content = msgpack.packb([state.settings.name, state.number(), secret])
+    return base64.urlsafe_b64encode(content).decode().rstrip("=")
+
+
+def owner_of(transaction: str) -> str | None:
+    """Return the instance that an id names, or None if it is not an id."""
+    try:
+        padded = transaction + "=" * (-len(transaction) % 4)
+        content = msgpack.unpackb(
+            base64.b64decode(padded, altchars=b"-_", validate=True)
+        )
+    except (binascii.Error, ValueError, TypeError, msgpack.UnpackException):
+        return None
+    match content:
+        case [str() as instance, int(), bytes()]:
+            return instance
+    return None
+
+
+# --- Arrival at the owner
+
+
+def arrive(work: WorkRow, state: State) -> None:
+    """Queue work in its transaction, or refuse it."""
+    row, failure = find(work, state)
+    if row is None or failure is not None:
+        finish(work, failure or not_run(Problem.TRANSACTION_UNKNOWN), state)
+        return
+    row.waiting.append(work.work)
+    offer(row, state)
+
+
+def find(work: WorkRow, state: State) -> tuple[TransactionRow | None, Failure | None]:
+    """Return the transaction that work belongs to, and why it cannot run, if so."""
+    row = state.transactions.get(work.forward.transaction)
+    owner = (work.forward.workspace, work.forward.key_id)
+    if row is None or (row.workspace, row.key_id) != owner:
+        return None, not_run(Problem.TRANSACTION_UNKNOWN)
+    if row.ended is not None:
+        return row, row.ended
+    if len(row.waiting) >= MAX_WAITING:
+        return row, not_run(Problem.QUEUE_FULL, "the transaction has too many requests")
+    return row, None
+
+
+def offer(row: TransactionRow, state: State) -> None:
+    """Let the next work of a transaction compete for a slot."""
+    if row.work or not row.waiting or row.ended is not None:
+        return
+    row.work = row.waiting.popleft()
+    state.queues[row.endpoint].urgent.append(row.work)
+
+
+def open_count(endpoint: str, state: State) -> int:
+    """Return how many transactions hold a connection to an endpoint."""
+    rows = state.transactions.values()
+    return sum(1 for row in rows if row.endpoint == endpoint and row.connection)
+
+
+# --- Steps
+
+
+def begin(work: WorkRow, connection: int, state: State) -> None:
+    """Begin a transaction on a connection."""
+    bind(work, connection, state)
+    run(work, BeginStep(), ((BEGIN, status_statement()),), state)
+
+
+@advance.register
+def _(step: BeginStep, work: WorkRow, results: Results, state: State) -> None:
+    status, failure = check_primary(results[1], work)
+    if failure is not None:
+        roll_back(work, failure, state)
+        return
+    connection = free_slot(work, state)
+    now = state.clock.monotonic()
+    forward = work.forward
+    row = TransactionRow(
+        transaction=new_id(state),
+        workspace=forward.workspace,
+        key_id=forward.key_id,
+        endpoint=forward.endpoint,
+        term=status.term,
+        connection=connection,
+        began_at=now,
+        used_at=now,
+    )
+    state.transactions[row.transaction] = row
+    state.counters["transactions.begun"] += 1
+    finish(work, Ran(Rows(), status.position, row.transaction), state)
+    handle(SlotReleased(forward.endpoint), state)
+
+
+def start(work: WorkRow, state: State) -> None:
+    """Run work of a transaction on the transaction's connection."""
+    row = state.transactions[work.forward.transaction]
+    bind(work, row.connection, state)
+    match work.forward.action:
+        case Action.COMMIT:
+            commit(work, TransactionCommitStep(row.term), (), state)
+        case Action.ROLLBACK:
+            run(work, EndStep(), ((ROLLBACK,),), state)
+        case _:
+            run(work, StatementStep(), ((work.forward.statement,),), state)
+
+
+@advance.register
+def _(step: StatementStep, work: WorkRow, results: Results, state: State) -> None:
+    row = state.transactions[work.forward.transaction]
+    if results[0].error:
+        # The database answers a COMMIT of a failed transaction without an error, so
+        # the transaction ends here rather than at a COMMIT that commits nothing.
+        end_row(row, not_run(Problem.TRANSACTION_ENDED, "a statement failed"), state)
+        roll_back(work, failure_of(results[0], work.forward.access), state)
+        return
+    free_slot(work, state)
+    row.work = 0
+    row.used_at = state.clock.monotonic()
+    offer(row, state)
+    finish(work, Ran(results[0].rows, Position(0, 0), row.transaction), state)
+    handle(SlotReleased(row.endpoint), state)
+
+
+@advance.register
+def _(
+    step: TransactionCommitStep, work: WorkRow, results: Results, state: State
+) -> None:
+    row = state.transactions[work.forward.transaction]
+    end_row(row, not_run(Problem.TRANSACTION_ENDED, "COMMIT was requested"), state)
+    failure = commit_failure(results)
+    if failure is not None:
+        roll_back(work, failure, state)
+        return
+    release(work, state)
+    committed(step, work, results[-1], state)
+    handle(SlotReleased(row.endpoint), state)
+
+
+@advance.register
+def _(step: EndStep, work: WorkRow, results: Results, state: State) -> None:
+    row = state.transactions[work.forward.transaction]
+    end_row(row, not_run(Problem.TRANSACTION_ENDED), state)
+    if results[0].error:
+        connection = free_slot(work, state)
+        work_connections.close(state.queues[row.endpoint], connection, state)
+    else:
+        release(work, state)
+    finish(work, Ran(Rows(), Position(0, 0)), state)
+    handle(SlotReleased(row.endpoint), state)
+
+
+# --- The end of a transaction
+
+
+def end_row(row: TransactionRow, failure: Failure, state: State) -> None:
+    """Mark a transaction as ended and refuse what waits in it."""
+    row.ended = failure
+    row.connection = 0
+    row.used_at = state.clock.monotonic()
+    state.counters["transactions.ended"] += 1
+    waiting, row.waiting = row.waiting, type(row.waiting)()
+    for number in waiting:
+        finish(state.works[number], failure, state)
+
+
+def end(row: TransactionRow, failure: Failure, state: State) -> None:
+    """End an open transaction for another reason than its caller's request."""
+    work = state.works.get(row.work)
+    queue = state.queues[row.endpoint]
+    if work is not None and work.step is not None and work.step.commits:
+        return  # The outcome of the COMMIT decides.
+    connection = row.connection
+    end_row(row, failure, state)
+    if work is None:
+        roll_back_idle(row, queue, connection, state)
+    elif work.step is None:
+        queue.urgent.remove(work.work)
+        finish(work, failure, state)
+        roll_back_idle(row, queue, connection, state)
+    else:
+        abandon(work, failure.problem, failure.detail, state)
+        handle(SlotReleased(row.endpoint), state)
+
+
+def roll_back_idle(
+    row: TransactionRow, queue: EndpointQueue, connection: int, state: State
+) -> None:
+    """Close the connection of an idle transaction, which rolls it back.
+
+    A ROLLBACK would need a slot, or run beside the slots, for a rare case.
+    """
+    work_connections.close(queue, connection, state)
+    handle(SlotReleased(row.endpoint), state)
+
+
+def connection_lost(connection: int, state: State) -> None:
+    """End the transaction whose idle connection was lost."""
+    for row in list(state.transactions.values()):
+        if connection and row.connection == connection:
+            detail = "the connection to the database was lost"
+            end(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
+
+
+def end_replaced(state: State) -> None:
+    """End the transactions of withdrawn keys and of replaced primaries."""
+    for row in list(state.transactions.values()):
+        if not row.connection:
+            continue
+        endpoint = state.endpoints.get(row.endpoint)
+        group = state.groups.get(endpoint.group) if endpoint is not None else None
+        if row.key_id not in state.configuration.key_ids:
+            end(row, not_run(Problem.KEY_INVALID), state)
+        elif group is None or group.term > row.term:
+            detail = "the primary was replaced"
+            end(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
+
+
+def enforce_limits(state: State) -> None:
+    """End transactions past their limits and forget those that ended long ago."""
+    now = state.clock.monotonic()
+    limit = state.settings.transaction_timeout
+    for row in list(state.transactions.values()):
+        if row.ended is not None:
+            if now - row.used_at > MEMORY:
+                del state.transactions[row.transaction]
+        elif now - row.began_at > limit:
+            detail = "the transaction was open too long"
+            end(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
+        elif not row.work and now - row.used_at > IDLE_LIMIT:
+            detail = "the transaction was idle too long"
+            end(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
--- /dev/null
+++ b/pimentodrift/work_connections.py
@@ -0,0 +1,86 @@
+"""The pool of work connections that an owner keeps to each of its endpoints.
+
+Connections are opened on demand. An owner uses at most half of what the endpoint
+allows, so that a second instance that believes itself the owner fits beside it.
+"""
+
+from datetime import timedelta
+
+from .connections import close_connection, open_connection
+from .tables import ConnectionPurpose, EndpointQueue, EndpointRow, State
+
+RESERVED_CONNECTIONS = 2  # Of an owner's half, for monitoring.
+IDLE_LIMIT = timedelta(seconds=60)
+OPENING_LIMIT = timedelta(seconds=2)  # Far above the 30 ms of a slow endpoint.
+
+
+def limit(endpoint: EndpointRow) -> int:
+    """Return how many work connections an owner may have to an endpoint."""
+    return max(1, endpoint.connections // 2 - RESERVED_CONNECTIONS)
+
+
+def queue_of(endpoint: str, state: State) -> EndpointQueue:
+    """Return the queue of an endpoint, creating it at its first use."""
+    queue = state.queues.get(endpoint)
+    if queue is None:
+        queue = EndpointQueue(endpoint)
+        state.queues[endpoint] = queue
+    return queue
+
+
+def take_idle(queue: EndpointQueue) -> int | None:
+    """Remove and return the idle connection that was used last."""
+    return queue.idle.pop()[0] if queue.idle else None
+
+
+def give_back(queue: EndpointQueue, connection: int, state: State) -> None:
+    """Return a connection that has no batch and no transaction to the pool."""
+    if connection in queue.connections:
+        queue.idle.append((connection, state.clock.monotonic()))
+
+
+def open_more(queue: EndpointQueue, wanted: int, state: State) -> None:
+    """Open connections until `wanted` are idle or opening, within the limit."""
+    endpoint = state.endpoints.get(queue.endpoint)
+    if endpoint is None:
+        return
+    room = limit(endpoint) - len(queue.connections)
+    missing = wanted - len(queue.idle) - len(queue.opening)
+    for _ in range(min(room, missing)):
+        connection = open_connection(queue.endpoint, ConnectionPurpose.WORK, state)
+        queue.connections.add(connection)
+        queue.opening[connection] = state.clock.monotonic()
+
+
+def opened(queue: EndpointQueue, connection: int, state: State) -> None:
+    """Put a connection that has just opened into the pool."""
+    queue.opening.pop(connection, None)
+    give_back(queue, connection, state)
+
+
+def forget(queue: EndpointQueue, connection: int) -> None:
+    """Remove a lost connection from the pool."""
+    queue.connections.discard(connection)
+    queue.opening.pop(connection, None)
+    queue.idle = type(queue.idle)(
+        entry for entry in queue.idle if entry[0] != connection
+    )
+
+
+def close(queue: EndpointQueue, connection: int, state: State) -> None:
+    """Close a connection whose state is not known or not wanted any more."""
+    forget(queue, connection)
+    close_connection(connection, state)
+
+
+def close_unused(queue: EndpointQueue, state: State) -> list[int]:
+    """Close connections idle too long; return those that did not open in time."""
+    now = state.clock.monotonic()
+    while queue.idle and now - queue.idle[0][1] > IDLE_LIMIT:
+        close(queue, queue.idle[0][0], state)
+    late = [
+        number for number, since in queue.opening.items() if now - since > OPENING_LIMIT
+    ]
+    for number in late:
+        close(queue, number, state)
+    return late
--- /dev/null
+++ b/pimentodrift/work_limits.py
@@ -0,0 +1,113 @@
+"""Ends work at the owner that must not go on: deadlines, limits, new terms and keys."""
+
+from datetime import timedelta
+
+from . import execution, membership, outcomes, queueing, transactions
+from . import work_connections as pool
+from .errors import Problem, not_run, unknown
+from .messages import Access, Action, Durability, Forward, Position
+from .tables import EndpointQueue, State, WorkRow
+
+CLEANING_INTERVAL = timedelta(seconds=60)
+CLEANING_TIMEOUT = timedelta(seconds=5)
+# How long past its deadline an acknowledgment may still be reported; the entry waits
+# 250 ms.
+ACKNOWLEDGMENT_GRACE = timedelta(milliseconds=100)
+
+
+def recheck(state: State) -> None:
+    """Refuse and stop what a new term or configuration does not allow any more."""
+    transactions.end_replaced(state)
+    for queue in list(state.queues.values()):
+        for work in queueing.queued_work(queue, state):
+            failure = queueing.start_failure(work, state)
+            if failure is not None:
+                queueing.refuse(work, failure, state)
+        for number in list(queue.running):
+            stop_replaced(state.works.get(number), state)
+
+
+def stop_replaced(work: WorkRow | None, state: State) -> None:
+    """Stop a running write on an endpoint that is not the primary any more.
+
+    What has sent its COMMIT goes on: only the database can tell its outcome.
+    """
+    if work is None or work.is_answered or work.forward.transaction:
+        return
+    if not queueing.needs_primary(work.forward) or (work.step and work.step.commits):
+        return
+    failure = queueing.start_failure(work, state)
+    if failure is not None and failure.problem is Problem.PRIMARY_UNAVAILABLE:
+        queueing.give_up(work, failure.problem, failure.detail, state)
+
+
+def run(state: State) -> None:
+    """Enforce deadlines and limits, and keep the outcomes tables small."""
+    transactions.enforce_limits(state)
+    refuse_late(state)
+    for queue in list(state.queues.values()):
+        if pool.close_unused(queue, state):
+            state.counters["queueing.connections_late"] += 1
+            queueing.opening_failed(queue, state)
+        stop_failing(queue, state)
+        clean_outcomes(queue, state)
+        queueing.dispatch(queue, state)
+
+
+def refuse_late(state: State) -> None:
+    """Give up all work that is past its deadline."""
+    now = state.clock.monotonic()
+    detail = "the request's deadline passed"
+    for work in [work for work in state.works.values() if work.deadline <= now]:
+        if work.work not in state.works:
+            continue
+        if work.started_at is None:
+            queueing.refuse(work, not_run(Problem.DEADLINE_EXCEEDED, detail), state)
+        elif work.connection:
+            queueing.give_up(work, Problem.DEADLINE_EXCEEDED, detail, state)
+        elif work.deadline + ACKNOWLEDGMENT_GRACE <= now:
+            failure = unknown(Problem.ACKNOWLEDGMENT_MISSING)
+            execution.finish(work, failure, state)
+
+
+def stop_failing(queue: EndpointQueue, state: State) -> None:
+    """Hand reads back to their entries while the endpoint fails its probes."""
+    endpoint = state.endpoints.get(queue.endpoint)
+    if endpoint is None or endpoint.failing_until <= state.clock.monotonic():
+        return
+    detail = "the endpoint does not answer"
+    for work in queueing.queued_work(queue, state):
+        if not queueing.needs_primary(work.forward):
+            queueing.refuse(work, not_run(Problem.ENDPOINT_UNAVAILABLE, detail), state)
+    for number in list(queue.running):
+        work = state.works.get(number)
+        if work is not None and isinstance(work.step, execution.ReadStep):
+            queueing.give_up(work, Problem.ENDPOINT_UNAVAILABLE, detail, state)
+
+
+def clean_outcomes(queue: EndpointQueue, state: State) -> None:
+    """Delete some old idempotency records now and then, at the primary's owner."""
+    now = state.clock.monotonic()
+    endpoint = state.endpoints.get(queue.endpoint)
+    if endpoint is None or now - queue.outcomes_cleaned_at < CLEANING_INTERVAL:
+        return
+    group = state.groups[endpoint.group]
+    if queue.outcomes_term != group.term or group.primary != endpoint.name:
+        return
+    if not membership.owns(endpoint, state):
+        return
+    queue.outcomes_cleaned_at = now
+    cleaning = Forward(
+        request=state.number(),
+        endpoint=endpoint.name,
+        workspace="",
+        key_id="",
+        action=Action.STATEMENT,
+        access=Access.WRITE,
+        statement=outcomes.delete_old(state.clock.now()),
+        minimum=Position(0, 0),
+        term=group.term,
+        remaining_ms=CLEANING_TIMEOUT // timedelta(milliseconds=1),
+        durability=Durability.MAJORITY,
+    )
+    queueing.accept(cleaning, "", state)
--- /dev/null
+++ b/tests/entry_support.py
@@ -0,0 +1,315 @@
+"""Instances, callers and database groups in one process, moved by a manual clock.
+
+The endpoints understand `put KEY VALUE`, `get KEY`, `fail` and the statements of the
+package. A test can freeze an endpoint, cut its connections, or hold its log back.
+"""
+
+from collections import Counter
+from datetime import timedelta
+from hashlib import sha256
+from random import Random
+from typing import Any
+
+import orjson
+from attrs import define, field
+
+from pimentodrift import core
+from pimentodrift.configuration import build
+from pimentodrift.connections import ConnectionRow
+from pimentodrift.messages import (
+    CallerAnswer,
+    CallerRequest,
+    CloseEndpoint,
+    ConfigurationChanged,
+    EndpointAnswered,
+    EndpointClosed,
+    EndpointOpened,
+    OpenEndpoint,
+    PeerReceived,
+    PrimaryChanged,
+    Rows,
+    RunBatch,
+    Scalar,
+    SendPeer,
+    Statement,
+    StatementResult,
+)
+from pimentodrift.tables import EndpointRow, GroupRow, InstanceRow, State
+
+from .support import ManualClock, make_state
+
+KEYS = {name: f"key-of-{name}" for name in ("alpha", "beta")}
+ABORTED = StatementResult(error="aborted", sqlstate="aborted")
+
+
+def configuration(keys: dict[str, str] = KEYS) -> dict[str, Any]:
+    return {
+        "workspaces": {
+            name: {
+                "rate": 1000,
+                "burst": 1000,
+                "groups": ["g"],
+                "stale_reads": {"g": 500} if name == "beta" else {},
+                "keys": [sha256(keys[name].encode()).hexdigest()]
+                if name in keys
+                else [],
+                "open_routes": {
+                    f"route-{name}": {"group": "g", "statement": "get open"}
+                },
+            }
+            for name in KEYS
+        }
+    }
+
+
+@define
+class FakeEndpoint:
+    """A database whose log the group shares; a replica has replayed a part of it."""
+
+    name: str
+    log: list[tuple[str, Scalar]]
+    term: int = 1
+    is_primary: bool = False
+    replayed: int = 0
+    frozen: bool = False
+    refuses: bool = False
+    fault: str = ""  # A statement word at which connections are lost.
+    after_fault: bool = False  # Lose the connection only after running it.
+    open: dict[tuple[str, int], list[tuple[str, Scalar]] | None] = field(factory=dict)
+    ran: Counter[str] = field(factory=Counter)
+    held: list[tuple[str, RunBatch]] = field(factory=list)
+    opening: list[tuple[str, int]] = field(factory=list)
+
+    def visible(self) -> dict[str, Scalar]:
+        return dict(self.log if self.is_primary else self.log[: self.replayed])
+
+    def run(self, caller: tuple[str, int], batch: RunBatch) -> list[StatementResult]:
+        results = []
+        for segment in batch.segments:
+            aborted = False
+            for statement in segment:
+                result = ABORTED if aborted else self.execute(caller, statement)
+                aborted = aborted or bool(result.error)
+                results.append(result)
+        return results
+
+    def execute(self, caller: tuple[str, int], statement: Statement) -> StatementResult:
+        word, *rest = statement.text.split()
+        if word == self.fault and not self.after_fault:
+            raise ConnectionError
+        self.ran[statement.text] += 1
+        pending = self.open[caller]
+        row: tuple[Scalar, ...] | None = None
+        match word:
+            case "BEGIN":
+                self.open[caller] = []
+            case "COMMIT":
+                self.log.extend(pending or [])
+                self.open[caller] = None
+            case "ROLLBACK":
+                self.open[caller] = None
+            case "put" | "INSERT" | "UPDATE" if not self.is_primary:
+                return StatementResult(error="read-only", sqlstate="25006")
+            case "put":
+                assert pending is not None
+                pending.append((rest[0], rest[1]))
+            case "get":
+                row = (self.visible().get(rest[0]),)
+            case "fail":
+                return StatementResult(error="no such table", sqlstate="42P01")
+            case "SELECT" if "group_status" in statement.text:
+                role = "primary" if self.is_primary else "replica"
+                row = (role, self.term, len(self.log), self.replayed)
+            case "INSERT" | "UPDATE" | "SELECT":
+                row = self.execute_outcomes(word, caller, statement.parameters)
+        if word == self.fault:
+            raise ConnectionError
+        return StatementResult(Rows(("value",), () if row is None else (row,)))
+
+    def execute_outcomes(
+        self, word: str, caller: tuple[str, int], parameters: tuple[Scalar, ...]
+    ) -> tuple[Scalar, ...] | None:
+        """Run a statement on the outcomes table."""
+        pending = self.open[caller]
+        data = self.visible()
+        if word == "SELECT":
+            name = " ".join(str(part) for part in parameters)
+            found = f"outcome {name}" in data
+            return (data[f"outcome {name}"], data[f"answer {name}"]) if found else None
+        assert pending is not None
+        if word == "UPDATE":
+            answer, workspace, key = parameters
+            pending.append((f"answer {workspace} {key}", answer))
+            return None
+        workspace, key, digest, _ = parameters
+        if f"outcome {workspace} {key}" in data:
+            return None
+        pending.append((f"outcome {workspace} {key}", digest))
+        return (workspace,)
+
+
+@define
+class Cluster:
+    """Instances, endpoints and what callers were answered."""
+
+    clock: ManualClock = field(factory=ManualClock)
+    states: dict[str, State] = field(factory=dict)
+    endpoints: dict[str, FakeEndpoint] = field(factory=dict)
+    answers: dict[int, CallerAnswer] = field(factory=dict)
+    lost: set[str] = field(factory=set)  # Instances that get no messages.
+    next_request: int = 0
+
+    def pump(self) -> None:
+        """Deliver messages until there are none."""
+        while True:
+            batches = {
+                name: core.take_outbox(state) for name, state in self.states.items()
+            }
+            if not any(batches.values()):
+                return
+            for name, messages in batches.items():
+                for message in messages:
+                    self.deliver(name, message)
+
+    def deliver(self, sender: str, message: object) -> None:
+        state = self.states[sender]
+        match message:
+            case CallerAnswer():
+                assert message.request not in self.answers
+                self.answers[message.request] = message
+            case SendPeer() if message.instance not in self.lost | {sender}:
+                received = PeerReceived(sender, message.message)
+                core.handle(received, self.states[message.instance])
+            case OpenEndpoint():
+                endpoint = self.endpoints[message.endpoint]
+                endpoint.open[(sender, message.connection)] = None
+                if endpoint.refuses:
+                    core.handle(EndpointClosed(message.connection), state)
+                elif endpoint.frozen:
+                    endpoint.opening.append((sender, message.connection))
+                else:
+                    core.handle(EndpointOpened(message.connection), state)
+            case RunBatch():
+                self.run_batch(sender, message)
+            case CloseEndpoint():
+                for endpoint in self.endpoints.values():
+                    endpoint.open.pop((sender, message.connection), None)
+
+    def run_batch(self, sender: str, batch: RunBatch) -> None:
+        state = self.states[sender]
+        row: ConnectionRow | None = state.connections.get(batch.connection)
+        if row is None:
+            return
+        endpoint = self.endpoints[row.endpoint]
+        if endpoint.frozen:
+            endpoint.held.append((sender, batch))
+            return
+        try:
+            results = endpoint.run((sender, batch.connection), batch)
+        except ConnectionError:
+            core.handle(EndpointClosed(batch.connection), state)
+            return
+        answered = EndpointAnswered(batch.connection, batch.batch, tuple(results))
+        core.handle(answered, state)
+
+    def thaw(self, name: str) -> None:
+        """Answer what a frozen endpoint has received."""
+        endpoint = self.endpoints[name]
+        endpoint.frozen = False
+        for sender, connection in endpoint.opening:
+            core.handle(EndpointOpened(connection), self.states[sender])
+        held, endpoint.held, endpoint.opening = endpoint.held, [], []
+        for sender, batch in held:
+            self.run_batch(sender, batch)
+        self.pump()
+
+    def advance(self, step: timedelta) -> None:
+        """Move the clock in ticks and run every instance's systems."""
+        end = self.clock.time + step
+        while self.clock.time < end:
+            self.clock.advance(min(core.TICK, end - self.clock.time))
+            for name, state in self.states.items():
+                if name not in self.lost:
+                    core.tick(state)
+            self.pump()
+
+    def send(
+        self, path: str, body: object = None, *, method: str = "POST", **options: Any
+    ) -> int:
+        """Send a request and return its number; options: at, key, headers, now."""
+        self.next_request += 1
+        headers = dict(options.get("headers") or {})
+        key = options.get("key", KEYS["alpha"])
+        if key:
+            headers["authorization"] = f"Bearer {key}"
+        content = body if isinstance(body, bytes) else orjson.dumps(body)
+        message = CallerRequest(self.next_request, method, path, headers, content)
+        core.handle(message, self.states[options.get("at", "a")])
+        self.pump()
+        return self.next_request
+
+    def statement(self, text: str, access: str = "read", **options: Any) -> int:
+        """Send a statement to the group."""
+        body = {"statement": text, "access": access} | options.pop("body", {})
+        return self.send("/v1/groups/g/statements", body, **options)
+
+    def result(self, request: int) -> dict[str, Any]:
+        """Return status, body and headers of an answer in one dict."""
+        answer = self.answers[request]
+        content = orjson.loads(answer.body)
+        return {"status": answer.status, "headers": answer.headers} | content
+
+    def promote(self, name: str, term: int, told: bool = True) -> None:
+        """Make an endpoint the primary; the others follow what it has."""
+        chosen = self.endpoints[name]
+        log = list(chosen.log[: chosen.replayed])
+        for endpoint in self.endpoints.values():
+            if endpoint is chosen or not endpoint.frozen:
+                endpoint.term = term
+                endpoint.is_primary = endpoint is chosen
+                endpoint.log = log
+                endpoint.replayed = min(endpoint.replayed, len(log))
+        if told:
+            self.tell(name, term, len(log) + 1)
+
+    def tell(self, name: str, term: int, start: int) -> None:
+        """Tell the instances of a new primary."""
+        for state in self.states.values():
+            group = state.groups["g"]
+            group.term, group.primary = term, name
+            group.term_starts[term] = start
+            core.handle(PrimaryChanged("g"), state)
+        self.pump()
+
+    def configure(self, keys: dict[str, str]) -> None:
+        """Put a configuration with these keys in force everywhere."""
+        for state in self.states.values():
+            version = state.configuration.version + 1
+            state.configuration = build(str(version), version, [configuration(keys)])
+            core.handle(ConfigurationChanged(), state)
+        self.pump()
+
+    def counters(self) -> Counter[str]:
+        return sum((state.counters for state in self.states.values()), Counter())
+
+
+def make_cluster(names: str = "ab", seed: int = 1, slots: int = 3) -> Cluster:
+    """Return instances that know a group of a primary p and replicas q, r."""
+    cluster = Cluster()
+    log: list[tuple[str, Scalar]] = []
+    for name in "pqr":
+        cluster.endpoints[name] = FakeEndpoint(name, log, is_primary=name == "p")
+    for name in names:
+        state = make_state(name)
+        state.clock, state.random = cluster.clock, Random(seed)
+        for other in names:
+            state.instances[other] = InstanceRow(other, "127.0.0.1:1", "r1", "r1-1")
+        for endpoint in "pqr":
+            state.endpoints[endpoint] = EndpointRow(
+                endpoint, "g", "r1", "127.0.0.1:2", slots, 24
+            )
+        state.endpoints["p"].is_primary = True
+        state.groups["g"] = GroupRow("g", 1, "p", {1: 1})
+        cluster.states[name] = state
+    cluster.configure(KEYS)
+    return cluster
--- /dev/null
+++ b/tests/test_entry_requests.py
@@ -0,0 +1,239 @@
+"""Requests through entry and owner: sessions, refusals, retries, at most once."""
+
+from datetime import timedelta
+from typing import Any
+
+import pytest
+
+from pimentodrift import core, tokens
+from pimentodrift.messages import CallerGone, InstanceDown, Position
+
+from .entry_support import KEYS, Cluster, make_cluster
+
+SECOND = timedelta(seconds=1)
+STATEMENTS = "/v1/groups/g/statements"
+READ = {"statement": "get x", "access": "read"}
+
+
+def token_of(result: dict[str, Any]) -> dict[str, str]:
+    return {"session-token": result["headers"]["Session-Token"]}
+
+
+def sample_all(cluster: Cluster) -> None:
+    """Tell the instances the positions of all endpoints, as heartbeats do."""
+    for state in cluster.states.values():
+        for name, endpoint in cluster.endpoints.items():
+            at = len(endpoint.log) if endpoint.is_primary else endpoint.replayed
+            state.endpoints[name].position = Position(endpoint.term, at)
+            state.endpoints[name].sampled_at = cluster.clock.time
+
+
+def test_a_session_reads_its_write_on_replicas_that_have_it_only() -> None:
+    """Guards against reads below the session's position (requirement 1)."""
+    cluster = make_cluster()
+    written = cluster.result(cluster.statement("put x 1", "write"))
+    headers = token_of(written)
+    for name in "ab":
+        read = cluster.result(cluster.statement("get x", headers=headers, at=name))
+        assert read["rows"] == [["1"]]
+    assert cluster.counters()["routing.reads_primary"] == 2
+    cluster.endpoints["q"].replayed = 1
+    sample_all(cluster)
+    read = cluster.result(cluster.statement("get x", headers=headers))
+    assert read["rows"] == [["1"]]
+    assert cluster.counters()["routing.reads_replica"] == 1
+
+
+def test_a_replica_that_lost_what_its_sample_promised_is_not_believed() -> None:
+    """Guards against estimates that decide correctness."""
+    cluster = make_cluster()
+    written = cluster.result(cluster.statement("put x 1", "write"))
+    for state in cluster.states.values():
+        for name in "qr":
+            state.endpoints[name].position = Position(1, 1)
+    read = cluster.result(cluster.statement("get x", headers=token_of(written)))
+    assert read["rows"] == [["1"]]
+    assert cluster.endpoints["q"].ran["get x"] + cluster.endpoints["r"].ran["get x"] > 0
+
+
+REFUSALS: list[tuple[str, object, dict[str, Any], int, str]] = [
+    ("/v1/nothing", READ, {}, 404, "not-found"),
+    (STATEMENTS, READ, {"method": "PUT"}, 405, "method-not-allowed"),
+    (STATEMENTS, b"{", {}, 400, "bad-request"),
+    (STATEMENTS, READ | {"access": "all"}, {}, 400, "bad-request"),
+    (STATEMENTS, READ | {"parameters": [[1]]}, {}, 400, "bad-request"),
+    (STATEMENTS, READ | {"max_age_ms": True}, {}, 400, "bad-request"),
+    (STATEMENTS, READ | {"statement": " /* /* */ */;--x\n(COMMIT"}, {}, 400, ""),
+    (STATEMENTS, READ | {"extra": 1}, {}, 400, "bad-request"),
+    (STATEMENTS, READ | {"statement": "x" * 300_000}, {}, 413, "body-too-large"),
+    (STATEMENTS, READ, {"key": ""}, 401, "key-missing"),
+    (STATEMENTS, READ, {"key": "other"}, 401, "key-invalid"),
+    ("/v1/groups/h/statements", READ, {}, 404, "group-unknown"),
+    (STATEMENTS, READ, {"headers": {"session-token": "?"}}, 400, "session-token"),
+    (STATEMENTS, READ | {"statement": "fail"}, {}, 422, "statement-failed"),
+    (STATEMENTS, READ | {"transaction": "x"}, {}, 404, "transaction-unknown"),
+    ("/v1/groups/g/transactions/x/commit", None, {}, 404, "transaction-unknown"),
+]
+
+
+@pytest.mark.parametrize(("path", "body", "options", "status", "problem"), REFUSALS)
+def test_refusals(
+    path: str, body: object, options: dict[str, Any], status: int, problem: str
+) -> None:
+    """Guards against requests that pass a check, and against wrong outcomes."""
+    cluster = make_cluster()
+    result = cluster.result(cluster.send(path, body, **options))
+    assert result["status"] == status
+    assert problem in result["type"]
+    assert result["outcome"] == "not_run"
+    assert not cluster.states["a"].pending
+
+
+def test_an_open_route_needs_no_key_and_keys_go_no_further() -> None:
+    """Guards against keys that leave the entry (requirement 5)."""
+    cluster = make_cluster()
+    opened = cluster.send("/v1/open/route-beta", method="GET", key="")
+    assert cluster.result(opened)["status"] == 200
+    frozen = cluster.endpoints["p"]
+    frozen.frozen = True
+    cluster.statement("put x 1", "write")
+    held = repr(list(cluster.states.values())) + repr(frozen.held)
+    assert KEYS["alpha"] not in held
+
+
+@pytest.mark.parametrize(
+    ("fault", "after", "headers", "status", "runs"),
+    [
+        ("put", False, {}, 503, 0),
+        ("COMMIT", False, {}, 503, 0),
+        ("COMMIT", True, {}, 503, 1),
+        ("COMMIT", True, {"idempotency-key": "k"}, 200, 1),
+        ("COMMIT", False, {"idempotency-key": "k"}, 200, 1),
+    ],
+)
+def test_a_write_with_a_lost_connection_runs_at_most_once(
+    fault: str, after: bool, headers: dict[str, str], status: int, runs: int
+) -> None:
+    """Guards against repeated writes (10) and false "not run" answers (9)."""
+    cluster = make_cluster()
+    primary = cluster.endpoints["p"]
+    primary.fault, primary.after_fault = fault, after
+    request = cluster.statement("put x 1", "write", headers=headers)
+    if headers:
+        primary.fault = ""
+    cluster.advance(11 * SECOND)
+    result = cluster.result(request)
+    assert result["status"] == status
+    assert primary.log.count(("x", "1")) == runs
+    if status != 200:
+        assert result["outcome"] == ("unknown" if fault == "COMMIT" else "not_run")
+
+
+def test_an_idempotency_key_gives_the_first_answer_or_a_refusal() -> None:
+    """Guards against a second run and against answers of another request."""
+    cluster = make_cluster()
+    key = {"headers": {"idempotency-key": "k"}}
+    first = cluster.result(cluster.statement("put x 1", "write", **key))
+    again = cluster.result(cluster.statement("put x 1", "write", at="b", **key))
+    other = cluster.result(cluster.statement("put x 2", "write", **key))
+    assert again["rows"] == first["rows"]
+    assert again["headers"]["Idempotency-Replayed"] == "true"
+    assert other["type"].endswith("idempotency-key-reused")
+    assert cluster.endpoints["p"].log.count(("x", "1")) == 1
+
+
+def test_a_write_waits_for_the_new_primary() -> None:
+    """Guards against refusals during a failover that ends in time."""
+    cluster = make_cluster()
+    cluster.endpoints["p"].frozen = True
+    request = cluster.statement("put x 1", "write")
+    cluster.advance(SECOND)
+    assert request not in cluster.answers
+    cluster.promote("q", 2)
+    cluster.advance(SECOND)
+    assert cluster.result(request)["status"] == 200
+    assert cluster.endpoints["q"].log == [("x", "1")]
+
+
+def test_without_a_primary_the_deadline_answers_with_a_time_to_retry() -> None:
+    """Guards against requests that hang, and refusals without Retry-After."""
+    cluster = make_cluster()
+    cluster.endpoints["p"].refuses = True
+    request = cluster.statement("put x 1", "write")
+    cluster.advance(11 * SECOND)
+    result = cluster.result(request)
+    assert result["type"].endswith("primary-unavailable")
+    assert result["outcome"] == "not_run"
+    assert int(result["headers"]["Retry-After"]) >= 1
+
+
+def test_a_session_that_saw_a_dropped_write_is_told_once() -> None:
+    """Guards against sessions that wait for a write that no endpoint has."""
+    cluster = make_cluster()
+    seen = {"session-token": tokens.encode({"g": Position(1, 9)})}
+    cluster.promote("q", 2)
+    refused = cluster.result(cluster.statement("get x", headers=seen))
+    assert refused["type"].endswith("write-dropped")
+    read = cluster.result(cluster.statement("get x", headers=token_of(refused)))
+    assert read["status"] == 200
+
+
+@pytest.mark.parametrize(
+    ("unsent", "headers", "outcome"),
+    [
+        (True, {}, "ran"),
+        (False, {}, "unknown"),
+        (False, {"idempotency-key": "k"}, "ran"),
+    ],
+)
+def test_the_death_of_an_owner(
+    unsent: bool, headers: dict[str, str], outcome: str
+) -> None:
+    """Guards against repeated writes when the owner's state is unknown."""
+    cluster = make_cluster("abc")
+    state = cluster.states["a"]
+    owners = [row.name for row in core.membership.owners(state.endpoints["p"], state)]
+    entry = next(name for name in "abc" if name != owners[0])
+    cluster.lost.add(owners[0])
+    request = cluster.statement("put x 1", "write", at=entry, headers=headers)
+    state = cluster.states[entry]
+    attempt = state.pending[request].attempt
+    core.membership.suspect(owners[0], state)
+    down = InstanceDown(owners[0], frozenset([attempt] if unsent else []))
+    core.handle(down, state)
+    cluster.advance(SECOND)
+    result = cluster.result(request)
+    assert result.get("outcome", "ran") == outcome
+    assert cluster.endpoints["p"].log.count(("x", "1")) == (outcome == "ran")
+
+
+def test_withdrawn_keys_and_gone_callers_leave_the_queue() -> None:
+    """Guards against work of withdrawn keys that was already queued (6)."""
+    cluster = make_cluster(slots=1)
+    cluster.endpoints["p"].frozen = True
+    cluster.statement("put x 1", "write", key=KEYS["beta"])
+    withdrawn = cluster.statement("put x 2", "write")
+    gone = cluster.statement("put x 3", "write", key=KEYS["beta"])
+    core.handle(CallerGone(gone), cluster.states["a"])
+    cluster.configure({"beta": KEYS["beta"]})
+    assert cluster.result(withdrawn)["type"].endswith("key-invalid")
+    cluster.thaw("p")
+    assert cluster.endpoints["p"].log == [("x", "1")]
+    assert not any(state.works for state in cluster.states.values())
+
+
+def test_a_read_with_an_age_uses_replicas_that_are_new_enough() -> None:
+    """Guards against data older than the operators and the caller accept."""
+    cluster = make_cluster()
+    options: dict[str, Any] = {"key": KEYS["beta"]}
+    cluster.statement("get x", **options)
+    cluster.statement("put x 1", "write")
+    for _ in range(3):
+        cluster.advance(SECOND / 5)
+        sample_all(cluster)
+    cluster.statement("get x", **options)
+    assert cluster.counters()["routing.reads_replica"] == 0
+    cluster.endpoints["r"].replayed = 1
+    sample_all(cluster)
+    cluster.statement("get x", **options)
+    assert cluster.endpoints["r"].ran["get x"] == 1
