--- a/pimentodrift/work_limits.py
+++ b/pimentodrift/work_limits.py
@@ -80,9 +80,9 @@
         if not queueing.needs_primary(work.forward):
             queueing.refuse(work, not_run(Problem.ENDPOINT_UNAVAILABLE, detail), state)
     for number in list(queue.running):
-        work = state.works.get(number)
-        if work is not None and isinstance(work.step, execution.ReadStep):
-            queueing.give_up(work, Problem.ENDPOINT_UNAVAILABLE, detail, state)
+        running = state.works.get(number)
+        if running is not None and isinstance(running.step, execution.ReadStep):
+            queueing.give_up(running, Problem.ENDPOINT_UNAVAILABLE, detail, state)
 
 
 def clean_outcomes(queue: EndpointQueue, state: State) -> None:
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -15,7 +15,6 @@
 
 from pimentodrift import core
 from pimentodrift.configuration import build
-from pimentodrift.connections import ConnectionRow
 from pimentodrift.messages import (
     CallerAnswer,
     CallerRequest,
@@ -34,7 +33,7 @@
     Statement,
     StatementResult,
 )
-from pimentodrift.tables import EndpointRow, GroupRow, InstanceRow, State
+from pimentodrift.tables import ConnectionRow, EndpointRow, GroupRow, InstanceRow, State
 
 from .support import ManualClock, make_state
 
@@ -256,7 +255,7 @@
     def result(self, request: int) -> dict[str, Any]:
         """Return status, body and headers of an answer in one dict."""
         answer = self.answers[request]
-        content = orjson.loads(answer.body)
+        content: dict[str, Any] = orjson.loads(answer.body)
         return {"status": answer.status, "headers": answer.headers} | content
 
     def promote(self, name: str, term: int, told: bool = True) -> None:
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pimentodrift import core, tokens
+from pimentodrift import core, membership, tokens
 from pimentodrift.messages import CallerGone, InstanceDown, Position
 
 from .entry_support import KEYS, Cluster, make_cluster
@@ -192,13 +192,13 @@
     """Guards against repeated writes when the owner's state is unknown."""
     cluster = make_cluster("abc")
     state = cluster.states["a"]
-    owners = [row.name for row in core.membership.owners(state.endpoints["p"], state)]
+    owners = [row.name for row in membership.owners(state.endpoints["p"], state)]
     entry = next(name for name in "abc" if name != owners[0])
     cluster.lost.add(owners[0])
     request = cluster.statement("put x 1", "write", at=entry, headers=headers)
     state = cluster.states[entry]
     attempt = state.pending[request].attempt
-    core.membership.suspect(owners[0], state)
+    membership.suspect(owners[0], state)
     down = InstanceDown(owners[0], frozenset([attempt] if unsent else []))
     core.handle(down, state)
     cluster.advance(SECOND)
--- /dev/null
+++ b/tests/test_entry_transactions.py
@@ -0,0 +1,164 @@
+"""Callers' transactions at the owner."""
+
+from datetime import timedelta
+from typing import Any
+
+import pytest
+
+from .entry_support import KEYS, Cluster, make_cluster
+
+SECOND = timedelta(seconds=1)
+TRANSACTIONS = "/v1/groups/g/transactions"
+
+
+def begin(cluster: Cluster, **options: Any) -> str:
+    """Begin a transaction and return its id."""
+    result = cluster.result(cluster.send(TRANSACTIONS, **options))
+    return str(result["transaction"])
+
+
+def within(cluster: Cluster, transaction: str, text: str, **options: Any) -> int:
+    """Send a statement of a transaction."""
+    body = {"transaction": transaction}
+    return cluster.statement(text, "write", body=body, **options)
+
+
+def end(cluster: Cluster, transaction: str, how: str, **options: Any) -> dict[str, Any]:
+    return cluster.result(
+        cluster.send(f"{TRANSACTIONS}/{transaction}/{how}", **options)
+    )
+
+
+@pytest.mark.parametrize(("how", "log"), [("commit", ["1", "2"]), ("rollback", [])])
+def test_statements_take_effect_at_the_commit(how: str, log: list[str]) -> None:
+    """Guards against statements outside their transaction, from either entry."""
+    cluster = make_cluster()
+    transaction = begin(cluster)
+    for value, entry in (("1", "a"), ("2", "b")):
+        request = within(cluster, transaction, f"put x {value}", at=entry)
+        assert cluster.result(request)["status"] == 200
+    assert cluster.endpoints["p"].log == []
+    ended = end(cluster, transaction, how, at="b")
+    assert ended["status"] == 200
+    assert cluster.endpoints["p"].log == [("x", value) for value in log]
+    again = end(cluster, transaction, how)
+    assert again["type"].endswith("transaction-ended")
+
+
+def test_transactions_on_shared_connections_stay_apart() -> None:
+    """Guards against mixed statements and strangers in a transaction (3, 4)."""
+    cluster = make_cluster()
+    first, second = begin(cluster), begin(cluster, key=KEYS["beta"])
+    stranger = within(cluster, first, "put x 9", key=KEYS["beta"])
+    assert cluster.result(stranger)["type"].endswith("transaction-unknown")
+    within(cluster, first, "put x 1")
+    within(cluster, second, "put y 2", key=KEYS["beta"])
+    cluster.result(cluster.statement("put z 3", "write"))
+    end(cluster, second, "rollback", key=KEYS["beta"])
+    end(cluster, first, "commit")
+    assert cluster.endpoints["p"].log == [("z", "3"), ("x", "1")]
+
+
+def test_pipelined_statements_run_in_order_and_one_at_a_time() -> None:
+    """Guards against two batches on one connection."""
+    cluster = make_cluster()
+    transaction = begin(cluster)
+    cluster.endpoints["p"].frozen = True
+    requests = [within(cluster, transaction, f"put x {n}") for n in range(3)]
+    assert len(cluster.endpoints["p"].held) == 1
+    cluster.thaw("p")
+    assert [cluster.result(request)["status"] for request in requests] == [200] * 3
+    end(cluster, transaction, "commit")
+    assert cluster.endpoints["p"].log == [("x", "0"), ("x", "1"), ("x", "2")]
+
+
+def test_other_work_proceeds_beside_open_transactions() -> None:
+    """Guards against transactions that take all slots or connections."""
+    cluster = make_cluster(slots=2)
+    begin(cluster)
+    waiting = cluster.send(TRANSACTIONS)
+    assert waiting not in cluster.answers
+    assert cluster.result(cluster.statement("put x 1", "write"))["status"] == 200
+    cluster.advance(6 * SECOND)
+    assert cluster.result(waiting)["status"] == 200
+
+
+def idle(cluster: Cluster, transaction: str) -> None:
+    cluster.advance(6 * SECOND)
+
+
+def too_long(cluster: Cluster, transaction: str) -> None:
+    for _ in range(4):
+        cluster.advance(3 * SECOND)
+        within(cluster, transaction, "put x 2")
+
+
+def failed_statement(cluster: Cluster, transaction: str) -> None:
+    within(cluster, transaction, "fail")
+
+
+def lost_connection(cluster: Cluster, transaction: str) -> None:
+    cluster.endpoints["p"].fault = "put"
+    within(cluster, transaction, "put x 2")
+    cluster.endpoints["p"].fault = ""
+
+
+def replaced_primary(cluster: Cluster, transaction: str) -> None:
+    cluster.promote("q", 2)
+
+
+def hung_statement(cluster: Cluster, transaction: str) -> None:
+    cluster.endpoints["p"].frozen = True
+    request = within(cluster, transaction, "put x 2")
+    cluster.advance(11 * SECOND)
+    assert cluster.result(request)["outcome"] == "not_run"
+    cluster.thaw("p")
+
+
+@pytest.mark.parametrize(
+    "cause",
+    [
+        idle,
+        too_long,
+        failed_statement,
+        lost_connection,
+        replaced_primary,
+        hung_statement,
+    ],
+)
+def test_an_ended_transaction_leaves_nothing_behind(cause: Any) -> None:
+    """Guards against effects of, and connections with, a transaction cut short."""
+    cluster = make_cluster()
+    transaction = begin(cluster)
+    within(cluster, transaction, "put x 1")
+    cause(cluster, transaction)
+    result = end(cluster, transaction, "commit")
+    assert result["type"].endswith("transaction-ended")
+    assert result["outcome"] == "not_run"
+    assert ("x", "1") not in cluster.endpoints["p"].log
+    written = cluster.result(cluster.statement("put y 1", "write"))
+    assert written["status"] == 200
+    for state in cluster.states.values():
+        assert not state.works
+        assert not any(queue.running for queue in state.queues.values())
+
+
+def test_a_withdrawn_key_ends_its_transactions() -> None:
+    """Guards against a withdrawn key that goes on in a transaction (6)."""
+    cluster = make_cluster()
+    transaction = begin(cluster)
+    within(cluster, transaction, "put x 1")
+    cluster.configure({"beta": KEYS["beta"]})
+    assert all(not queue for queue in cluster.endpoints["p"].open.values())
+    assert cluster.endpoints["p"].log == []
+
+
+def test_a_connection_lost_in_a_commit_leaves_the_outcome_unknown() -> None:
+    """Guards against a false "not run" (9)."""
+    cluster = make_cluster()
+    transaction = begin(cluster)
+    within(cluster, transaction, "put x 1")
+    cluster.endpoints["p"].fault = "COMMIT"
+    cluster.endpoints["p"].after_fault = True
+    assert end(cluster, transaction, "commit")["outcome"] == "unknown"
+    assert cluster.endpoints["p"].log == [("x", "1")]
