Let the fake endpoint refuse a second record of an idempotency key at COMMIT

A trial with random faults showed a write twice; the fake let two transactions insert the same key, which the primary key of a real table does not.

--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -103,8 +103,11 @@
             case "BEGIN":
                 self.open[caller] = []
             case "COMMIT":
-                self.log.extend(pending or [])
                 self.open[caller] = None
+                known = {name for name, _ in self.log if name.startswith("outcome")}
+                if any(name in known for name, _ in pending or []):
+                    return StatementResult(error="duplicate", sqlstate="23505")
+                self.log.extend(pending or [])
             case "ROLLBACK":
                 self.open[caller] = None
             case "put" | "INSERT" | "UPDATE" if not self.is_primary:
