--- a/pimentodrift/positions.py
+++ b/pimentodrift/positions.py
@@ -11,11 +11,14 @@
 from collections import deque
 from datetime import timedelta
 
+from . import membership, replica_lag
 from .messages import Position
 from .tables import State
 
 HISTORY = timedelta(seconds=60)
-# Below the interval in which owners read positions (a heartbeat each 200 ms).
+# Below the interval in which positions arrive (a heartbeat each 200 ms).
+RUN_INTERVAL = timedelta(milliseconds=100)
+# Bounds the samples that replies add.
 SAMPLE_INTERVAL = timedelta(milliseconds=20)
 
 
@@ -37,33 +40,52 @@
     history = state.histories.get(group)
     if history is None or (history and at - history[-1][0] < SAMPLE_INTERVAL):
         return
+    if history and position.term < history[-1][1].term:
+        return  # From a replaced primary.
+    # A failover may have dropped what the last samples of the term before had seen.
+    while history and history[-1][1].offset > position.offset:
+        history.pop()
     history.append((at, position))
     while history[-1][0] - history[0][0] > HISTORY:
         history.popleft()
 
 
-def position_before(group: str, age: timedelta, state: State) -> Position | None:
-    """Return a position at or past the one that the primary had `age` ago."""
+def history_of(group: str, state: State) -> deque[tuple[timedelta, Position]]:
+    """Return the history of a group, kept from the first read that needs it."""
     history = state.histories.get(group)
     if history is None:
-        # Kept from the first read that accepts an age.
-        state.histories[group] = deque()
-        sample_primary(group, state)
-        history = state.histories[group]
+        history = state.histories[group] = deque()
+        sample_group(group, state)
+    return history
+
+
+def position_before(group: str, age: timedelta, state: State) -> Position | None:
+    """Return a position at or past the one that the primary had `age` ago."""
+    history = history_of(group, state)
     oldest = state.clock.monotonic() - age
     index = bisect_left(history, oldest, key=lambda entry: entry[0])
     return history[index][1] if index < len(history) else None
 
 
-def sample_primary(group: str, state: State) -> None:
-    """Add the newest known position of a group's primary to its history."""
+def sample_group(group: str, state: State) -> None:
+    """Use the newest known positions of a group's endpoints."""
     row = state.groups.get(group)
     primary = state.endpoints.get(row.primary) if row is not None else None
-    if primary is not None and primary.is_primary:
+    if primary is None:
+        return
+    if primary.is_primary:
         sample(group, primary.position, primary.sampled_at, state)
+    history = state.histories[group]
+    for endpoint in membership.group_endpoints(group, state):
+        if endpoint is not primary:
+            replica_lag.observe(endpoint, history, state)
 
 
 def run(state: State) -> None:
-    """Sample the primaries of the groups whose history is kept."""
+    """Sample the groups whose history is kept."""
+    now = state.clock.monotonic()
+    if now - state.histories_sampled_at < RUN_INTERVAL:
+        return
+    state.histories_sampled_at = now
     for group in state.histories:
-        sample_primary(group, state)
+        sample_group(group, state)
--- a/pimentodrift/replica_choice.py
+++ b/pimentodrift/replica_choice.py
@@ -7,11 +7,11 @@
 
 from attrs import frozen
 
-from . import membership, positions, transactions
+from . import membership, positions, replica_lag, transactions
 from .errors import Failure, Problem, not_run
 from .messages import Access, Position
 from .tables import EndpointRow, PendingRequest, Presence, State
-from .tokens import join, reaches
+from .tokens import join
 
 START = Position(0, 0)
 
@@ -65,7 +65,7 @@
         row
         for row in untried_replicas(pending, state)
         if row.failing_until <= state.clock.monotonic()
-        and reaches(row.position, minimum)
+        and replica_lag.has_reached(row, minimum, state)
     ]
     return pick(rows, minimum, state)
 
@@ -86,6 +86,7 @@
 def replica_minimum(pending: PendingRequest, state: State) -> Position | None:
     """Return what a replica must have reached, or None if only the primary will do."""
     session = pending.session.get(pending.group)
+    positions.history_of(pending.group, state)
     if pending.max_age is None:
         return session
     needed = positions.position_before(pending.group, pending.max_age, state)
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -10,7 +10,7 @@
 
 from attrs import evolve
 
-from . import peers, positions, replica_choice, work_limits
+from . import peers, positions, replica_choice, replica_lag, work_limits
 from .answers import refuse_request, send_result
 from .dispatch import handle, handle_peer
 from .errors import Failure, Outcome, Problem, not_run, unknown
@@ -190,6 +190,8 @@
     elif failure.outcome is Outcome.UNKNOWN:
         on_unknown(pending, failure, state)
     elif failure.problem in RETRYABLE:
+        if pending.access is Access.READ:
+            replica_lag.missed(pending.endpoint, state)
         retry(pending, failure, state)
     elif failure.problem in OVERLOADED and pending.access is Access.READ:
         retry_elsewhere(pending, failure, state)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -176,6 +176,15 @@
     failure: Failure | None = None  # Of the last attempt.
 
 
+@define
+class LagRow:
+    """How far a replica is estimated to lag; None before the first estimate."""
+
+    endpoint: str
+    lag: timedelta | None = None
+    sampled_at: timedelta = NEVER  # Of the newest sample that was used.
+
+
 # --- queueing, execution, transactions (the owner's side)
 
 
@@ -289,6 +298,8 @@
     outstanding: Counter[str] = field(factory=Counter)  # Attempts by endpoint.
     # Samples of the primary's position by group, oldest first: (time, position).
     histories: dict[str, deque[tuple[timedelta, Position]]] = field(factory=dict)
+    histories_sampled_at: timedelta = NEVER
+    lags: dict[str, LagRow] = field(factory=dict)  # By endpoint.
     works: dict[int, WorkRow] = field(factory=dict)
     forwarded: dict[tuple[str, int], int] = field(factory=dict)  # To the work.
     connection_works: dict[int, int] = field(factory=dict)
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -235,5 +235,6 @@
     assert cluster.counters()["routing.reads_replica"] == 0
     cluster.endpoints["r"].replayed = 1
     sample_all(cluster)
-    cluster.statement("get x", **options)
-    assert cluster.endpoints["r"].ran["get x"] == 1
+    read = cluster.result(cluster.statement("get x", **options))
+    assert read["rows"] == [["1"]]
+    assert cluster.counters()["routing.reads_replica"] == 1
