Bound the growth of average costs and keep open transactions per endpoint

One piece of work that waited ten seconds for a frozen endpoint added a second to the average cost, and later requests were refused because their wait seemed too long. Counting open transactions scanned all that had ended in the last minute, at each dispatch. A withdrawn key also ends requests that pause at the entry.

--- a/pimentodrift/queueing.py
+++ b/pimentodrift/queueing.py
@@ -162,6 +162,7 @@
 def _(message: WorkConnectionReady, state: State) -> None:
     queue = pool.queue_of(state.connections[message.connection].endpoint, state)
     pool.opened(queue, message.connection, state)
+    note_reachable(queue, True, state)
     dispatch(queue, state)
 
 
@@ -193,7 +194,7 @@
     queued = sum(len(numbers) for numbers in queue.waiting.values())
     if not queued:
         return False
-    open_transactions = transactions.open_count(queue.endpoint, state)
+    open_transactions = len(queue.transactions)
     free = free_slots(queue, endpoint, open_transactions)
     if free <= 0:
         return False
@@ -266,16 +267,25 @@
         detail = "the connection to the database was lost"
         give_up(work, Problem.ENDPOINT_UNAVAILABLE, detail, state)
     else:
-        transactions.connection_lost(message.connection, state)
+        transactions.connection_lost(queue, message.connection, state)
     dispatch(queue, state)
 
 
 def opening_failed(queue: EndpointQueue, state: State) -> None:
     """Refuse the queued work if no connection is left that could serve it."""
     if not queue.connections - queue.opening.keys():
+        note_reachable(queue, False, state)
         refuse_queued(queue, "the endpoint accepts no connection", state)
 
 
+def note_reachable(queue: EndpointQueue, is_reachable: bool, state: State) -> None:
+    """Log when an endpoint begins or ceases to accept connections."""
+    if queue.is_reachable is not is_reachable:
+        queue.is_reachable = is_reachable
+        name = "endpoint_reachable" if is_reachable else "endpoint_unreachable"
+        state.events.append((name, {"endpoint": queue.endpoint}))
+
+
 def give_up(work: WorkRow, problem: Problem, detail: str, state: State) -> None:
     """Stop running work; its transaction, if any, ends with the connection."""
     row = state.transactions.get(work.forward.transaction)
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -66,6 +66,9 @@
         late = pending.failure or not_run(Problem.PRIMARY_UNAVAILABLE)
         finish_failure(pending, late, state)
         return
+    if pending.key_id and pending.key_id not in state.configuration.key_ids:
+        finish_failure(pending, not_run(Problem.KEY_INVALID), state)
+        return
     session = without_dropped_write(pending, state)
     if session is not None:
         failure = not_run(Problem.WRITE_DROPPED)
--- a/pimentodrift/scheduling.py
+++ b/pimentodrift/scheduling.py
@@ -13,6 +13,10 @@
 
 INITIAL_COST = 0.005  # Seconds, until a workspace has an average.
 AVERAGE_WEIGHT = 0.1  # Of the newest value in the moving average.
+# Work that an endpoint's freeze has held up for seconds would otherwise raise the
+# average so far that later requests are refused because their wait seems too long.
+MAX_GROWTH = 4.0  # Factor over the average at which a value is counted.
+MIN_AVERAGE = 0.001  # Seconds; lets an average of nearly zero grow again.
 ROUNDING = 1e-9  # Seconds.
 MIN_SHARE = 0.001  # Bounds the number of rounds that a share of zero would need.
 
@@ -119,7 +123,8 @@
     """Record the slot time that work took, in seconds."""
     key = (work.forward.workspace, work.forward.access)
     average = state.costs.get(key, INITIAL_COST)
-    state.costs[key] = average + AVERAGE_WEIGHT * (used - average)
+    counted = min(used, max(average, MIN_AVERAGE) * MAX_GROWTH)
+    state.costs[key] = average + AVERAGE_WEIGHT * (counted - average)
     if work.forward.workspace in queue.deficits:
         queue.deficits[work.forward.workspace] -= used - work.expected_cost
 
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -228,6 +228,8 @@
     idle: deque[tuple[int, timedelta]] = field(factory=deque)  # (number, since).
     opening: dict[int, timedelta] = field(factory=dict)  # Number: since.
     connections: set[int] = field(factory=set)  # All work connections.
+    transactions: set[str] = field(factory=set)  # The open ones.
+    is_reachable: bool = True  # The last attempt to open a connection succeeded.
     outcomes_term: int = 0  # The term in which the outcomes table was seen.
     outcomes_cleaned_at: timedelta = NEVER
 
@@ -305,6 +307,7 @@
     connection_works: dict[int, int] = field(factory=dict)
     queues: dict[str, EndpointQueue] = field(factory=dict)
     transactions: dict[str, TransactionRow] = field(factory=dict)
+    ended_transactions: deque[str] = field(factory=deque)  # In the order of their end.
     # Moving average of slot time (seconds) by workspace and access.
     costs: dict[tuple[str, Access], float] = field(factory=dict)
 
--- a/pimentodrift/transactions.py
+++ b/pimentodrift/transactions.py
@@ -125,12 +125,6 @@
     state.queues[row.endpoint].urgent.append(row.work)
 
 
-def open_count(endpoint: str, state: State) -> int:
-    """Return how many transactions hold a connection to an endpoint."""
-    rows = state.transactions.values()
-    return sum(1 for row in rows if row.endpoint == endpoint and row.connection)
-
-
 # --- Steps
 
 
@@ -160,6 +154,7 @@
         used_at=now,
     )
     state.transactions[row.transaction] = row
+    state.queues[row.endpoint].transactions.add(row.transaction)
     state.counters["transactions.begun"] += 1
     finish(work, Ran(Rows(), status.position, row.transaction), state)
     handle(SlotReleased(forward.endpoint), state)
@@ -231,6 +226,8 @@
     row.ended = failure
     row.connection = 0
     row.used_at = state.clock.monotonic()
+    state.queues[row.endpoint].transactions.discard(row.transaction)
+    state.ended_transactions.append(row.transaction)
     state.counters["transactions.ended"] += 1
     waiting, row.waiting = row.waiting, type(row.waiting)()
     for number in waiting:
@@ -244,6 +241,14 @@
     if work is not None and work.step is not None and work.step.commits:
         return  # The outcome of the COMMIT decides.
     connection = row.connection
+    # The id stays out of the log: whoever has it and the key may use the transaction.
+    fields: dict[str, object] = {
+        "workspace": row.workspace,
+        "endpoint": row.endpoint,
+        "problem": failure.problem,
+        "detail": failure.detail,
+    }
+    state.events.append(("transaction_ended", fields))
     end_row(row, failure, state)
     if work is None:
         roll_back_idle(row, queue, connection, state)
@@ -267,21 +272,25 @@
     handle(SlotReleased(row.endpoint), state)
 
 
-def connection_lost(connection: int, state: State) -> None:
+def connection_lost(queue: EndpointQueue, connection: int, state: State) -> None:
     """End the transaction whose idle connection was lost."""
-    for row in list(state.transactions.values()):
-        if connection and row.connection == connection:
+    for row in open_rows(queue, state):
+        if row.connection == connection:
             detail = "the connection to the database was lost"
             end(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
 
 
-def end_replaced(state: State) -> None:
+def open_rows(queue: EndpointQueue, state: State) -> list[TransactionRow]:
+    """Return the open transactions of an endpoint, oldest first."""
+    rows = [state.transactions[number] for number in queue.transactions]
+    return sorted(rows, key=lambda row: (row.began_at, row.connection))
+
+
+def end_replaced(queue: EndpointQueue, state: State) -> None:
     """End the transactions of withdrawn keys and of replaced primaries."""
-    for row in list(state.transactions.values()):
-        if not row.connection:
-            continue
-        endpoint = state.endpoints.get(row.endpoint)
-        group = state.groups.get(endpoint.group) if endpoint is not None else None
+    endpoint = state.endpoints.get(queue.endpoint)
+    group = state.groups.get(endpoint.group) if endpoint is not None else None
+    for row in open_rows(queue, state):
         if row.key_id not in state.configuration.key_ids:
             end(row, not_run(Problem.KEY_INVALID), state)
         elif group is None or group.term > row.term:
@@ -289,17 +298,22 @@
             end(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
 
 
-def enforce_limits(state: State) -> None:
-    """End transactions past their limits and forget those that ended long ago."""
+def enforce_limits(queue: EndpointQueue, state: State) -> None:
+    """End the transactions of an endpoint that are past their limits."""
     now = state.clock.monotonic()
     limit = state.settings.transaction_timeout
-    for row in list(state.transactions.values()):
-        if row.ended is not None:
-            if now - row.used_at > MEMORY:
-                del state.transactions[row.transaction]
-        elif now - row.began_at > limit:
+    for row in open_rows(queue, state):
+        if now - row.began_at > limit:
             detail = "the transaction was open too long"
             end(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
         elif not row.work and now - row.used_at > IDLE_LIMIT:
             detail = "the transaction was idle too long"
             end(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
+
+
+def forget_ended(state: State) -> None:
+    """Forget the transactions that ended long ago."""
+    oldest = state.clock.monotonic() - MEMORY
+    ended = state.ended_transactions
+    while ended and state.transactions[ended[0]].used_at < oldest:
+        del state.transactions[ended.popleft()]
--- a/pimentodrift/work_limits.py
+++ b/pimentodrift/work_limits.py
@@ -17,8 +17,8 @@
 
 def recheck(state: State) -> None:
     """Refuse and stop what a new term or configuration does not allow any more."""
-    transactions.end_replaced(state)
     for queue in list(state.queues.values()):
+        transactions.end_replaced(queue, state)
         for work in queueing.queued_work(queue, state):
             failure = queueing.start_failure(work, state)
             if failure is not None:
@@ -43,9 +43,10 @@
 
 def run(state: State) -> None:
     """Enforce deadlines and limits, and keep the outcomes tables small."""
-    transactions.enforce_limits(state)
+    transactions.forget_ended(state)
     refuse_late(state)
     for queue in list(state.queues.values()):
+        transactions.enforce_limits(queue, state)
         if pool.close_unused(queue, state):
             state.counters["queueing.connections_late"] += 1
             queueing.opening_failed(queue, state)
