Add the shell of an instance on circuits

Callers over HTTP/1.1, peers over msgpack streams, endpoints through libpq and the platform's object API, all on one poller that calls the owners of descriptors directly. The connections to endpoints and to the store have no tests yet.

--- /dev/null
+++ b/pimentodrift/http_requests.py
@@ -0,0 +1,161 @@
+"""Parses the requests of one caller's connection, within the limits of size."""
+
+from typing import Any
+
+import httptools
+from attrs import frozen
+
+from .errors import Failure, Problem, not_run
+
+MAX_HEAD_BYTES = 16 * 1024
+# Bytes of a header line beside its name and value: colon, space, end of line.
+HEADER_OVERHEAD_BYTES = 4
+
+
+@frozen
+class ParsedRequest:
+    """A whole request; `path` has no query and header names are in lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    keep_alive: bool
+    http_1_0: bool = False
+
+
+class RefusedError(Exception):
+    """Stops the parser; the reason is in `RequestParser.failure`."""
+
+
+class RequestParser:
+    """Collects requests; after a failure it takes no more input."""
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self.max_body_bytes = max_body_bytes
+        self.failure: Failure | None = None
+        self.complete: list[ParsedRequest] = []
+        self.unfinished = False  # A request has begun.
+        self.in_head = True
+        self.expects_continue = False
+        self.ended = False
+        self.fed_bytes = 0  # Since the end of the previous request.
+        self.begin()
+        self.parser: Any = httptools.HttpRequestParser(self)
+
+    def begin(self) -> None:
+        """Forget the previous request."""
+        self.url = b""
+        self.headers: dict[str, str] = {}
+        self.body: list[bytes] = []
+        self.head_bytes = 0
+        self.body_bytes = 0
+
+    def feed(self, data: bytes) -> list[ParsedRequest]:
+        """Return the requests that the data completes."""
+        if self.failure or self.ended:
+            return []
+        self.fed_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.ended = True  # Upgrades are not offered; the request is served.
+        except httptools.HttpParserError as error:
+            if self.failure is None:
+                self.failure = not_run(Problem.BAD_REQUEST, str(error))
+        # The parser reports a header only when it is whole, so an endless one shows
+        # only in the bytes fed.
+        if self.unfinished and self.in_head and self.fed_bytes > MAX_HEAD_BYTES:
+            self.failure = self.failure or head_too_large()
+        if self.failure or self.ended:
+            self.parser = None  # Breaks the reference cycle with its callbacks.
+        complete, self.complete = self.complete, []
+        return complete
+
+    def refuse(self, failure: Failure) -> None:
+        """Stop the parser with a failure."""
+        self.failure = failure
+        raise RefusedError
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.begin()
+        self.unfinished = True
+        self.in_head = True
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self.url += url
+        self.count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; join repeated ones."""
+        self.count_head(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
+        key = name.decode("latin-1").lower()
+        text = value.decode("latin-1")
+        known = self.headers.get(key)
+        self.headers[key] = text if known is None else f"{known}, {text}"
+
+    def count_head(self, size: int) -> None:
+        """Refuse a head over the limit."""
+        self.head_bytes += size
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self.refuse(head_too_large())
+
+    def on_headers_complete(self) -> None:
+        """Check what the head announces."""
+        self.in_head = False
+        length = self.headers.get("content-length", "0")
+        if length.isdigit() and int(length) > self.max_body_bytes:
+            self.refuse(self.body_too_large())
+        if "host" not in self.headers and self.parser.get_http_version() == "1.1":
+            self.refuse(not_run(Problem.BAD_REQUEST, "the Host header is missing"))
+        expected = self.headers.get("expect")
+        self.expects_continue = expected is not None and expected.lower() == (
+            "100-continue"
+        )
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        self.body.append(data)
+        self.body_bytes += len(data)
+        if self.body_bytes > self.max_body_bytes:
+            self.refuse(self.body_too_large())
+
+    def on_message_complete(self) -> None:
+        """Finish a request."""
+        self.unfinished = False
+        self.in_head = True
+        self.expects_continue = False
+        parser = self.parser
+        self.complete.append(
+            ParsedRequest(
+                parser.get_method().decode("latin-1"),
+                path_of(self.url),
+                self.headers,
+                b"".join(self.body),
+                keep_alive=parser.should_keep_alive() and not parser.should_upgrade(),
+                http_1_0=parser.get_http_version() == "1.0",
+            )
+        )
+        self.fed_bytes = 0
+
+    def body_too_large(self) -> Failure:
+        """Return the failure of a body over the limit."""
+        detail = f"the limit is {self.max_body_bytes} bytes"
+        return not_run(Problem.BODY_TOO_LARGE, detail)
+
+
+def head_too_large() -> Failure:
+    """Return the failure of a head over the limit."""
+    return not_run(Problem.HEAD_TOO_LARGE, f"the limit is {MAX_HEAD_BYTES} bytes")
+
+
+def path_of(target: bytes) -> str:
+    """Return the path of a request target without its query."""
+    if not target.startswith(b"/"):
+        try:
+            target = httptools.parse_url(target).path or b"/"
+        except httptools.HttpParserInvalidURLError:
+            return target.decode("latin-1")
+    return target.partition(b"?")[0].decode("latin-1")
--- /dev/null
+++ b/pimentodrift/logs.py
@@ -0,0 +1,35 @@
+"""Writes changes of state as JSON lines on standard error, in eliot's format."""
+
+import sys
+
+import eliot  # type: ignore[import-untyped]
+
+from .tables import State
+
+
+def start_logging() -> None:
+    """Send log messages to standard error."""
+    eliot.to_file(sys.stderr)
+
+
+def log_event(name: str, **fields: object) -> None:
+    """Write one line."""
+    eliot.log_message(message_type=f"pimentodrift:{name}", **fields)
+
+
+def write_events(state: State) -> None:
+    """Write the events that the core has noted since the last call."""
+    events, state.events = state.events, []
+    for name, fields in events:
+        eliot.log_message(
+            message_type=f"pimentodrift:{name}",
+            instance=state.settings.name,
+            **{key: loggable(value) for key, value in fields.items()},
+        )
+
+
+def loggable(value: object) -> object:
+    """Return a value that JSON has."""
+    if value is None or isinstance(value, str | int | float | bool | list | dict):
+        return value
+    return str(value)
--- /dev/null
+++ b/pimentodrift/peer_streams.py
@@ -0,0 +1,207 @@
+"""Streams between instances: dialed on demand, and accepted on the peer port.
+
+A message goes out on the stream that this instance dialed, or else on one that the
+other instance opened with `Hello`, or else a stream is dialed. A lost stream becomes
+`PeerLost` with the requests of which no byte was written: those certainly did not run.
+"""
+
+import socket
+from collections import deque
+from collections.abc import Callable
+
+import msgpack  # type: ignore[import-untyped]
+from attrs import define, field
+
+from .dump import DumpRequest, dump_reply
+from .errors import Problem, unknown
+from .listeners import listen
+from .messages import (
+    ClosePeer,
+    Forward,
+    Hello,
+    PeerLost,
+    PeerMessage,
+    PeerReceived,
+    Reply,
+    SendPeer,
+)
+from .peer_codec import MAX_MESSAGE_BYTES, PeerCodec, PeerCodecError, make_unpacker
+from .sockets import Poller, Stream, Timer, connect
+from .tables import State
+
+CONNECT_TIMEOUT_S = 0.5
+# A peer that leaves this much unread is given up.
+MAX_PENDING_BYTES = 16 * 1024 * 1024
+
+
+@define(eq=False)
+class PeerStream:
+    """A stream to another instance; `instance` is empty until its `Hello`."""
+
+    streams: "PeerStreams"
+    instance: str = ""
+    dialed: bool = False
+    unpacker: msgpack.Unpacker = field(factory=make_unpacker)
+    # Requests of unsent `Forward` messages with the offset of their first byte.
+    unsent: deque[tuple[int, int]] = field(factory=deque)
+    timer: Timer | None = None
+    stream: Stream = field(init=False)
+
+    def send(self, message: PeerMessage, data: bytes) -> None:
+        """Queue a message."""
+        if isinstance(message, Forward):
+            self.forget_sent()
+            self.unsent.append((self.stream.queued, message.request))
+        self.stream.write(data)
+        if self.stream.pending > MAX_PENDING_BYTES:
+            self.stream.fail()
+
+    def forget_sent(self) -> None:
+        """Drop the requests that have begun to be sent."""
+        while self.unsent and self.unsent[0][0] < self.stream.sent:
+            self.unsent.popleft()
+
+    def take_unsent(self) -> frozenset[int]:
+        """Return the requests of which no byte was sent."""
+        self.forget_sent()
+        return frozenset(request for _, request in self.unsent)
+
+    def on_connected(self) -> None:
+        """End the connect timeout."""
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def on_data(self, data: bytes) -> None:
+        """Decode messages and pass them on."""
+        try:
+            self.unpacker.feed(data)
+            messages = [self.streams.codec.decode(part) for part in self.unpacker]
+        except (PeerCodecError, msgpack.UnpackException, ValueError):
+            self.streams.state.counters["peers.undecodable"] += 1
+            self.stream.fail()
+            return
+        self.streams.receive(self, messages)
+
+    def on_drained(self) -> None:
+        """Do nothing; nobody waits for it."""
+
+    def on_closed(self) -> None:
+        """Report the loss."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.streams.lost(self)
+
+
+class PeerStreams:
+    """All streams of an instance to other instances."""
+
+    def __init__(
+        self,
+        state: State,
+        poller: Poller,
+        deliver_all: Callable[[list[object]], None],
+    ) -> None:
+        self.state = state
+        self.poller = poller
+        self.deliver_all = deliver_all
+        self.codec = PeerCodec()
+        self.dialed: dict[str, PeerStream] = {}
+        self.accepted: dict[str, PeerStream] = {}
+        self.unnamed: set[PeerStream] = set()  # Accepted, before their `Hello`.
+        self.listener = listen(poller, state.settings.peer_listen, self.accept)
+
+    def accept(self, connection: socket.socket) -> None:
+        """Wait for the `Hello` on a stream."""
+        peer = PeerStream(self)
+        peer.stream = Stream(self.poller, connection, peer)
+        self.unnamed.add(peer)
+
+    def send(self, message: SendPeer) -> None:
+        """Send a message, dialing if there is no stream."""
+        peer = self.dialed.get(message.instance) or self.accepted.get(message.instance)
+        if peer is None:
+            peer = self.dial(message.instance, message.address)
+        if peer is None:
+            request = message.message
+            unsent = {request.request} if isinstance(request, Forward) else set()
+            self.deliver_all([PeerLost(message.instance, frozenset(unsent))])
+            return
+        self.send_on(peer, message.message)
+
+    def send_on(self, peer: PeerStream, message: PeerMessage) -> None:
+        """Encode and send a message within the limit of size."""
+        data = self.codec.encode(message)
+        if len(data) > MAX_MESSAGE_BYTES:
+            self.state.counters["peers.too_large"] += 1
+            if not isinstance(message, Reply):
+                return
+            detail = f"the result is larger than {MAX_MESSAGE_BYTES} bytes"
+            failure = unknown(Problem.STATEMENT_FAILED, detail)
+            data = self.codec.encode(Reply(message.request, failure))
+        self.state.counters["peers.sent"] += 1
+        peer.send(message, data)
+
+    def dial(self, instance: str, address: str) -> PeerStream | None:
+        """Begin to connect; return None if that fails at once."""
+        self.state.counters["peers.dialed"] += 1
+        peer = PeerStream(self, instance, dialed=True)
+        try:
+            peer.stream = connect(self.poller, address, peer)
+        except OSError:
+            return None
+        peer.timer = self.poller.timers.later(CONNECT_TIMEOUT_S, peer.stream.fail)
+        self.dialed[instance] = peer
+        settings = self.state.settings
+        hello = Hello(settings.name, settings.region, settings.data_centre)
+        self.send_on(peer, hello)
+        return peer
+
+    def receive(self, peer: PeerStream, messages: list[PeerMessage]) -> None:
+        """Pass on messages; the first on an accepted stream says whose they are."""
+        self.state.counters["peers.received"] += len(messages)
+        received: list[object] = []
+        for message in messages:
+            if isinstance(message, DumpRequest):
+                peer.stream.write(self.codec.encode(dump_reply(self.state)))
+                continue
+            if isinstance(message, Hello) and not peer.dialed:
+                self.introduce(peer, message.instance)
+            if not peer.instance:
+                peer.stream.fail()
+                return
+            received.append(PeerReceived(peer.instance, message))
+        if received:
+            self.deliver_all(received)
+
+    def introduce(self, peer: PeerStream, instance: str) -> None:
+        """Name an accepted stream; an older one of the instance is lost."""
+        self.unnamed.discard(peer)
+        older = self.accepted.get(instance)
+        if older is not None and older is not peer:
+            older.stream.fail()
+        peer.instance = instance
+        self.accepted[instance] = peer
+
+    def lost(self, peer: PeerStream) -> None:
+        """Report a lost stream."""
+        self.unnamed.discard(peer)
+        table = self.dialed if peer.dialed else self.accepted
+        if table.get(peer.instance) is not peer:
+            return
+        del table[peer.instance]
+        self.state.counters["peers.lost"] += 1
+        self.deliver_all([PeerLost(peer.instance, peer.take_unsent())])
+
+    def close_peer(self, message: ClosePeer) -> None:
+        """Close the streams to an instance; the core learns what was unsent."""
+        for table in (self.dialed, self.accepted):
+            peer = table.get(message.instance)
+            if peer is not None:
+                peer.stream.fail()
+
+    def close(self) -> None:
+        """Close everything."""
+        self.listener.close()
+        peers = [*self.dialed.values(), *self.accepted.values(), *self.unnamed]
+        for peer in peers:
+            peer.stream.close()
--- /dev/null
+++ b/pimentodrift/process.py
@@ -0,0 +1,95 @@
+"""Assembles an instance and runs it on the circuits loop until it has stopped.
+
+circuits events are used at the edges only: signals, start and stop.
+"""
+
+from random import Random, SystemRandom
+from typing import Any
+
+from circuits import BaseComponent, handler
+
+from .clock import SystemClock
+from .logs import log_event, start_logging, write_events
+from .messages import StopRequested
+from .metrics import PERIOD_S, Metrics
+from .settings import Settings
+from .shell import Shell
+from .sockets import Poller
+from .tables import State
+
+SEED_BITS = 64
+# After the core's last decision, callers whose request is on its way still get an
+# answer, and then their answers are flushed.
+EXIT_GRACE_S = 0.2
+EXIT_FLUSH_S = 2.0
+EXIT_CHECK_S = 0.02
+
+
+class Instance(BaseComponent):
+    """The root component of an instance."""
+
+    channel = "instance"
+
+    def __init__(self, state: State) -> None:
+        super().__init__()
+        self.state = state
+        self.poller = Poller().register(self)
+        self.shell = Shell(state, self.poller, self.begin_exit)
+        self.exiting = False
+        self.checks_left = round(EXIT_FLUSH_S / EXIT_CHECK_S)
+        if state.settings.statsd:
+            self.metrics = Metrics(state)
+            self.poller.timers.every(PERIOD_S, self.send_metrics)
+
+    @handler("started", channel="*")  # type: ignore[untyped-decorator]
+    def _on_started(self, *_: Any) -> None:
+        log_event(
+            "listening",
+            instance=self.state.settings.name,
+            port=self.shell.http.listener.port,
+            peer_port=self.shell.peers.listener.port,
+        )
+
+    @handler("signal", channel="*")  # type: ignore[untyped-decorator]
+    def _on_signal(self, *_: Any) -> None:
+        self.shell.deliver_all([StopRequested()])
+
+    def send_metrics(self) -> None:
+        """Send counters and gauges to statsd."""
+        self.metrics.send(self.shell.gauges())
+
+    def begin_exit(self) -> None:
+        """Stop listening; requests that are on their way are still answered."""
+        if self.exiting:
+            return
+        self.exiting = True
+        self.shell.http.stop_listening()
+        self.poller.timers.later(EXIT_GRACE_S, self.end_idle)
+
+    def end_idle(self) -> None:
+        """Close idle connections and wait for the others to be flushed."""
+        self.shell.http.end_idle()
+        self.finish_exit()
+
+    def finish_exit(self) -> None:
+        """Stop the loop when all answers are written, or after `EXIT_FLUSH_S`."""
+        self.checks_left -= 1
+        if self.shell.http.connections and self.checks_left > 0:
+            self.poller.timers.later(EXIT_CHECK_S, self.finish_exit)
+            return
+        if self.state.settings.statsd:
+            self.send_metrics()
+        self.shell.close()
+        log_event("stopped", instance=self.state.settings.name)
+        self.stop()
+
+
+def run(settings: Settings) -> int:
+    """Run an instance until it has stopped; return the exit status."""
+    start_logging()
+    seed = SystemRandom().getrandbits(SEED_BITS)
+    state = State(settings, SystemClock(), Random(seed))
+    instance = Instance(state)
+    instance.run()
+    write_events(state)
+    return 0
--- /dev/null
+++ b/tests/test_shell_http.py
@@ -0,0 +1,204 @@
+"""Limits, order and closing of callers' connections."""
+
+from datetime import timedelta
+
+import pytest
+
+from pimentodrift import http_requests, http_server
+from pimentodrift.errors import Problem, not_run
+from pimentodrift.http_answers import problem_body
+from pimentodrift.messages import CallerGone, CallerRequest
+
+from .shell_support import answer_to, running
+
+GET = b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def post(size: int, extra: bytes = b"") -> bytes:
+    head = b"POST /x HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n"
+    return head % (extra, size) + b"x" * size
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (GET, b"200 OK"),
+        (b"GET http://a/p?q=1 HTTP/1.1\r\nHost: a\r\n\r\n", b"200 OK"),
+        (b"BROKEN\r\n\r\n", b"400 "),
+        (b"GET / HTTP/1.1\r\n\r\n", b"400 "),
+        (post(5, b"Content-Length: 4\r\n"), b"400 "),
+        (post(5, b"Transfer-Encoding: chunked\r\n"), b"400 "),
+        (post(2048), b"200 OK"),
+        (post(2049), b"413 "),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nA: " + b"x" * 16384 + b"\r\n\r\n", b"431 "),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nA: " + b"x" * 17000, b"431 "),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nA: " + b"x" * 16000 + b"\r\n\r\n", b"200 "),
+    ],
+)
+def test_limits(sent: bytes, status: bytes) -> None:
+    """Guards against wrong statuses at the limits and for broken requests."""
+    with running(max_body_bytes=2048) as rig:
+        client = rig.call(sent)
+        received = client.until(b"\r\n\r\n")
+        assert received.startswith(b"HTTP/1.1 " + status)
+        if not status.startswith(b"200"):
+            assert b'"outcome":"not_run"' in client.until_closed()
+
+
+def test_chunked_body_over_the_limit() -> None:
+    """Guards against a body without announced size that grows without limit."""
+    with running(max_body_bytes=1024) as rig:
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        client = rig.call(head + b"800\r\n" + b"x" * 2048 + b"\r\n0\r\n\r\n")
+        assert client.until_closed().startswith(b"HTTP/1.1 413 ")
+
+
+def test_answers_keep_the_order_of_requests() -> None:
+    """Guards against an answer that reaches another request of the pipeline."""
+    with running() as rig:
+        rig.core.answers = False
+        client = rig.call(
+            b"".join(GET.replace(b"healthz", b"%d" % n) for n in range(40))
+        )
+        taken: list[CallerRequest] = []
+        while len(taken) < 40:
+            rig.until(lambda: rig.core.received)
+            requests = [m for m in rig.core.received if isinstance(m, CallerRequest)]
+            rig.core.received.clear()
+            assert len(requests) <= http_server.MAX_PIPELINED
+            taken += requests
+            for request in reversed(requests):
+                rig.state.outbox.append(answer_to(request))
+            rig.shell.carry_out()
+        received = client.until(b"GET /39 0")
+        places = [received.index(b"GET /%d 0" % n) for n in range(40)]
+        assert places == sorted(places)
+
+
+def test_request_in_small_parts() -> None:
+    """Guards against parts of a request being lost between reads."""
+    with running() as rig:
+        client = rig.call(b"")
+        for byte in post(3):
+            client.send(bytes([byte]))
+            rig.step()
+        assert client.until(b"POST /x 3").count(b"HTTP/1.1") == 1
+
+
+@pytest.mark.parametrize(
+    ("sent", "stopping", "closes"),
+    [
+        (GET, False, False),
+        (GET, True, True),
+        (GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"), False, True),
+        (GET.replace(b"1.1", b"1.0"), False, True),
+    ],
+)
+def test_connection_close(sent: bytes, stopping: bool, closes: bool) -> None:
+    """Guards against a connection kept open, or closed, without notice."""
+    with running() as rig:
+        rig.state.stopping = stopping
+        client = rig.call(sent)
+        received = client.until(b"GET /healthz 0")
+        assert (b"Connection: close" in received) is closes
+        if closes:
+            client.until_closed()
+        else:
+            client.send(GET)
+            client.until(b"GET /healthz 0", 2)
+
+
+def test_pipeline_is_answered_whole_in_a_planned_stop() -> None:
+    """Guards against a stop that drops requests already taken."""
+    with running() as rig:
+        rig.core.answers = False
+        client = rig.call(GET * 3)
+        rig.until(lambda: len(rig.core.received) == 3)
+        rig.state.stopping = True
+        for request in rig.core.received:
+            assert isinstance(request, CallerRequest)
+            rig.state.outbox.append(answer_to(request))
+        rig.shell.carry_out()
+        received = client.until_closed()
+        assert received.count(b"200 OK") == 3
+        assert received.count(b"Connection: close") == 1
+
+
+def test_caller_that_disconnects() -> None:
+    """Guards against work for callers that have gone."""
+    with running() as rig:
+        rig.core.answers = False
+        client = rig.call(GET)
+        rig.until(lambda: rig.core.received)
+        client.connection.close()
+        rig.until(lambda: rig.core.of(CallerGone))
+        request, gone = rig.core.received
+        assert isinstance(request, CallerRequest)
+        assert gone == CallerGone(request.request)
+        rig.state.outbox.append(answer_to(request))
+        rig.shell.carry_out()
+        assert not rig.shell.http.slots
+
+
+def test_too_many_connections() -> None:
+    """Guards against unbounded connections and refusals without an answer."""
+    with running(max_connections=1) as rig:
+        first = rig.call(GET)
+        first.until(b"200 OK")
+        second = rig.call(GET)
+        assert second.until_closed().startswith(b"HTTP/1.1 503 ")
+        first.connection.close()
+        rig.until(lambda: not rig.shell.http.connections)
+        rig.call(GET).until(b"200 OK")
+
+
+def test_half_sent_request_times_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against connections that occupy memory with half a request."""
+    monkeypatch.setattr(http_server, "REQUEST_TIMEOUT_S", 0.0)
+    with running() as rig:
+        client = rig.call(GET[:-2])
+        rig.until(lambda: rig.shell.http.unfinished)
+        rig.shell.http.sweep()
+        assert client.until_closed().startswith(b"HTTP/1.1 400 ")
+
+
+def test_unread_answer_closes_the_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against answers that are kept for a caller that does not read."""
+    monkeypatch.setattr(http_server, "UNREAD_ANSWER_TIMEOUT_S", 0.0)
+    with running() as rig:
+        rig.core.answers = False
+        client = rig.call(GET)
+        rig.until(lambda: rig.core.received)
+        request = rig.core.received[0]
+        assert isinstance(request, CallerRequest)
+        large = answer_to(request).__class__(request.request, 200, {}, b"x" * 2**24)
+        rig.state.outbox.append(large)
+        rig.shell.carry_out()
+        assert rig.poller.held_up
+        rig.poller.close_unread()
+        assert not rig.shell.http.connections
+        assert not client.closed
+
+
+def test_error_in_the_core_closes_the_connection() -> None:
+    """Guards against a caller that waits for ever after an internal error."""
+    with running() as rig:
+        rig.core.raises = True
+        assert rig.call(GET).until_closed() == b""
+        assert rig.state.counters["shell.errors"] >= 1
+
+
+def test_retry_after_is_rounded_up() -> None:
+    """Guards against retries that come too early."""
+    failure = not_run(Problem.RATE_EXCEEDED, "", timedelta(milliseconds=1200))
+    status, headers, body = problem_body(failure)
+    assert (status, headers["Retry-After"]) == (429, "2")
+    assert b"https://pimentodrift.dev/problems/rate-exceeded" in body
+
+
+def test_duplicate_headers_are_joined() -> None:
+    """Guards against a second key that replaces the first unnoticed."""
+    parser = http_requests.RequestParser(1024)
+    sent = GET.replace(b"\r\n\r\n", b"\r\nAuthorization: a\r\nauthorization: b\r\n\r\n")
+    (request,) = parser.feed(sent)
+    assert request.headers["authorization"] == "a, b"
--- /dev/null
+++ b/tests/test_shell_peers.py
@@ -0,0 +1,165 @@
+"""The codec and the streams between instances."""
+
+from datetime import timedelta
+
+import pytest
+from attrs import evolve
+
+from pimentodrift import messages as m
+from pimentodrift.dump import dump_state
+from pimentodrift.errors import Problem, unknown
+from pimentodrift.messages import PeerLost, PeerMessage, PeerReceived, SendPeer
+from pimentodrift.peer_codec import (
+    MAX_MESSAGE_BYTES,
+    PeerCodec,
+    PeerCodecError,
+    make_unpacker,
+)
+from pimentodrift.tables import KeyRow
+
+from .shell_support import Rig, running
+
+STATEMENT = m.Statement("SELECT $1", (1, "x", None, True, 2.5))
+POSITION = m.Position(1, 2)
+FORWARD = m.Forward(
+    7,
+    "e1",
+    "w",
+    "0123456789ab",
+    m.Action.STATEMENT,
+    m.Access.READ,
+    STATEMENT,
+    POSITION,
+    3,
+    900,
+)
+ROWS = m.Rows(("a", "b"), ((1, "x"), (2, None)))
+OBJECT = m.StoreObject("k", "n", 1, {"pieces": ["a", {"b": 2}]})
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        m.Hello("a", "r", "d"),
+        m.Ping(1),
+        m.Pong(1, 20, (m.EndpointSample("e", True, POSITION, 5),)),
+        FORWARD,
+        m.Reply(1, m.Ran(ROWS, POSITION, "t", True)),
+        m.Reply(2, unknown(Problem.QUEUE_FULL, "d", timedelta(seconds=1.5))),
+        m.ViewUpdate(3, 0, (OBJECT, m.StoreObject("k", "n", 2, None))),
+        m.ShareReport("w", m.Epoch(1, "h"), 1, 2.0, 3.0, 4.0, 5.0),
+        m.GroupChanged("g", 1, "p", {1: 2, 3: 4}),
+    ],
+)
+def test_codec_returns_the_message(message: PeerMessage) -> None:
+    """Guards against a type of field that does not survive the wire."""
+    codec = PeerCodec()
+    unpacker = make_unpacker()
+    unpacker.feed(codec.encode(message))
+    assert codec.decode(unpacker.unpack()) == message
+
+
+def test_codec_accepts_other_versions() -> None:
+    """Guards against instances of neighbouring versions that cannot talk."""
+    codec = PeerCodec()
+    assert codec.decode(("Pong", (1, 2))) == m.Pong(1, 2)
+    assert codec.decode(("Ping", (1, "later field"))) == m.Ping(1)
+
+
+@pytest.mark.parametrize(
+    "broken", [1, (), ("Unknown", ()), ("Ping", ()), ("Ping", ("x",)), ("Ping", 1)]
+)
+def test_codec_refuses_what_is_no_message(broken: object) -> None:
+    """Guards against broken input that reaches the core."""
+    with pytest.raises(PeerCodecError):
+        PeerCodec().decode(broken)
+
+
+def link(a: Rig, b: Rig, message: PeerMessage) -> None:
+    address = f"127.0.0.1:{b.shell.peers.listener.port}"
+    a.state.outbox.append(SendPeer(b.state.settings.name, address, message))
+    a.shell.carry_out()
+
+
+def both(a: Rig, b: Rig, kind: type, count: int = 1) -> list[object]:
+    def arrived() -> bool:
+        a.step()
+        return len(b.core.of(kind)) >= count
+
+    b.until(arrived)
+    return b.core.of(kind)
+
+
+def test_messages_travel_both_ways_on_one_stream() -> None:
+    """Guards against answers that need a stream of their own."""
+    with running(name="a") as a, running(name="b") as b:
+        link(a, b, FORWARD)
+        hello, forward = both(a, b, PeerReceived, 2)
+        assert hello == PeerReceived("a", m.Hello("a", "r1", "r1-1"))
+        assert forward == PeerReceived("a", FORWARD)
+        b.state.outbox.append(SendPeer("a", "127.0.0.1:1", m.Ping(1)))
+        b.shell.carry_out()
+        assert both(b, a, PeerReceived) == [PeerReceived("b", m.Ping(1))]
+        a.shell.peers.dialed["b"].stream.close()
+        assert both(a, b, PeerLost) == [PeerLost("a")]
+
+
+def test_too_large_reply_becomes_a_failure() -> None:
+    """Guards against a result that ends the stream of all requests."""
+    with running(name="a") as a, running(name="b") as b:
+        rows = m.Rows(("a",), (("x" * MAX_MESSAGE_BYTES,),))
+        link(a, b, m.Reply(1, m.Ran(rows, POSITION)))
+        reply = both(a, b, PeerReceived, 2)[1]
+        assert isinstance(reply, PeerReceived)
+        assert isinstance(reply.message, m.Reply)
+        assert not isinstance(reply.message.result, m.Ran)
+
+
+def test_unsent_requests_of_a_failed_dial() -> None:
+    """Guards against "not run" that is not told, or told of sent requests."""
+    with running(name="a") as a, running(name="b") as b:
+        port = b.shell.peers.listener.port
+        b.shell.peers.listener.close()
+        a.state.outbox.append(SendPeer("b", f"127.0.0.1:{port}", FORWARD))
+        a.state.outbox.append(SendPeer("b", f"127.0.0.1:{port}", m.Ping(1)))
+        a.shell.carry_out()
+        a.until(lambda: a.core.of(PeerLost))
+        lost = [part for part in a.core.received if isinstance(part, PeerLost)]
+        assert lost[0] == PeerLost("b", frozenset({7}))
+
+
+def test_partly_sent_request_is_not_unsent() -> None:
+    """Guards against a request repeated although its first bytes were sent."""
+    with running(name="a") as a, running(name="b") as b:
+        large = evolve(FORWARD, statement=m.Statement("x" * 3_000_000))
+        link(a, b, FORWARD)
+        both(a, b, PeerReceived, 2)
+        for number in range(100, 104):  # More than the socket's buffers take.
+            link(a, b, evolve(large, request=number))
+        a.shell.peers.close_peer(m.ClosePeer("b"))
+        (lost,) = a.core.of(PeerLost)
+        assert isinstance(lost, PeerLost)
+        assert 103 in lost.unsent
+        assert not lost.unsent & {7, 100}
+
+
+def test_stream_with_garbage_is_closed() -> None:
+    """Guards against a stream that is read on after an error."""
+    with running() as rig:
+        client = rig.dial(rig.shell.peers.listener.port)
+        client.sendall(b"\xc1garbage")
+        rig.until(lambda: rig.state.counters["peers.undecodable"])
+        rig.until(lambda: not rig.shell.peers.unnamed)
+
+
+def test_dump_has_no_key_digest() -> None:
+    """Guards against digests of keys in dumps."""
+    with running() as rig:
+        digest = "ab" * 32
+        state = rig.state
+        state.configuration.keys[digest] = KeyRow(digest, digest[:12], "w")
+        value = {"workspaces": {"w": {"keys": [digest]}}}
+        state.view.objects["piece", "p"] = m.StoreObject("piece", "p", 1, value)
+        dump = dump_state(state)
+        assert digest not in repr(dump)
+        assert dump["configuration"]["keys"][digest[:12]]["workspace"] == "w"
