--- a/pimentodrift/store_client.py
+++ b/pimentodrift/store_client.py
@@ -56,6 +56,8 @@
         self.body: list[bytes] = []
         self.size = 0
         self.complete = False
+        self.keep_alive = False
+        self.status = 0
         self.parser: Any = httptools.HttpResponseParser(self)
 
     def add(self, call: Call, timeout_s: float) -> None:
@@ -146,18 +148,20 @@
         self.body.append(data)
 
     def on_message_complete(self) -> None:
-        """Note the end of the response."""
+        """Note the end of the response; the parser forgets its state afterwards."""
         self.complete = True
+        self.keep_alive = self.parser.should_keep_alive()
+        self.status = self.parser.get_status_code()
 
     def respond(self) -> None:
         """Report the first call."""
         call = self.calls.popleft()
         self.is_sent = False
-        if not self.parser.should_keep_alive():
+        if not self.keep_alive:
             self.disconnect()
         try:
             value = orjson.loads(b"".join(self.body) or b"null")
-            message = call.convert(self.parser.get_status_code(), value)
+            message = call.convert(self.status, value)
         except (ValueError, KeyError, TypeError) as error:
             message = StoreFailed(call.number, f"bad response: {error!r}")
         self.end(call, message)
--- a/tests/shell_support.py
+++ b/tests/shell_support.py
@@ -17,8 +17,8 @@
 
 from .support import make_state
 
-MAX_STEPS = 2000
-STEP_S = 0.02
+MAX_STEPS = 20_000
+STEP_S = 0.002
 
 
 @define(eq=False)
