Resume reading after held-back output, and guard the loop against internal errors

Reading stayed paused when a pipeline's output passed the high-water mark and was then written at once, because only held-up output led to on_drained. A target whose handler raises is now closed, and idle connections are probed by TCP keep-alive.

--- a/pimentodrift/endpoint_connections.py
+++ b/pimentodrift/endpoint_connections.py
@@ -52,6 +52,7 @@
     libpq: pq.abc.PGconn
     descriptor: int = -1
     is_open: bool = False
+    is_closed: bool = False
     batch: int = 0
     syncs: int = 0  # Segments of the batch that are still to end.
     results: list[StatementResult] = field(factory=list)
@@ -125,13 +126,17 @@
             self.libpq.consume_input()
         if events & EPOLLOUT:
             self.flush()
+        ends = 0  # A statement's results end with one None.
         while self.batch and not self.libpq.is_busy():
             result = self.libpq.get_result()
             if result is not None:
+                ends = 0
                 self.take(result)
-            elif self.libpq.status != pq.ConnStatus.OK:
+                continue
+            ends += 1
+            if ends > 1 or self.libpq.status != pq.ConnStatus.OK:
                 self.fail(self.libpq.get_error_message())
-        if not self.batch:
+        if not self.batch and not self.is_closed:
             self.libpq.is_busy()  # Parses notices that arrive between batches.
 
     def take(self, result: pq.abc.PGresult) -> None:
@@ -156,15 +161,18 @@
         answer = EndpointAnswered(self.number, batch, tuple(results))
         self.owner.deliver_all([answer])
 
-    def fail(self, detail: str) -> None:
+    def fail(self, detail: str = "internal error") -> None:
         """Close and tell the core."""
-        if self.owner.connections.get(self.number) is self:
+        if not self.is_closed:
             self.close()
             closed = EndpointClosed(self.number, detail.strip())
             self.owner.deliver_all([closed])
 
     def close(self) -> None:
         """Close without a message."""
+        if self.is_closed:
+            return
+        self.is_closed = True
         self.owner.connections.pop(self.number, None)
         if self.timer is not None:
             self.timer.cancel()
--- a/pimentodrift/http_requests.py
+++ b/pimentodrift/http_requests.py
@@ -68,10 +68,15 @@
         if self.unfinished and self.in_head and self.fed_bytes > MAX_HEAD_BYTES:
             self.failure = self.failure or head_too_large()
         if self.failure or self.ended:
-            self.parser = None  # Breaks the reference cycle with its callbacks.
+            self.close()
         complete, self.complete = self.complete, []
         return complete
 
+    def close(self) -> None:
+        """Break the reference cycle of the parser and its callbacks."""
+        self.ended = True
+        self.parser = None
+
     def refuse(self, failure: Failure) -> None:
         """Stop the parser with a failure."""
         self.failure = failure
--- a/pimentodrift/http_server.py
+++ b/pimentodrift/http_server.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 from time import monotonic
@@ -42,8 +43,8 @@
     def __init__(self, server: "HttpServer", connection: socket.socket) -> None:
         self.server = server
         self.parser = RequestParser(server.state.settings.max_body_bytes)
-        self.slots: list[AnswerSlot] = []
-        self.backlog: list[ParsedRequest] = []  # Beyond MAX_PIPELINED.
+        self.slots: deque[AnswerSlot] = deque()
+        self.backlog: deque[ParsedRequest] = deque()  # Beyond MAX_PIPELINED.
         self.ending = False  # No request is taken any more.
         self.deadline = 0.0  # Of the unfinished request.
         self.stream = Stream(
@@ -78,7 +79,7 @@
         """Pass on as many requests as may be unanswered at a time."""
         requests: list[object] = []
         while self.backlog and not self.ending and self.has_room():
-            requests.append(self.accept(self.backlog.pop(0)))
+            requests.append(self.accept(self.backlog.popleft()))
         if self.parser.failure and not self.backlog and not self.ending:
             self.refuse(self.parser.failure)
         self.stream.set_reading(self.ending or (not self.backlog and self.has_room()))
@@ -116,7 +117,7 @@
         """Write the answers whose predecessors are written."""
         slots = self.slots
         while slots and (answer := slots[0].answer) is not None:
-            slot = slots.pop(0)
+            slot = slots.popleft()
             # In a planned stop, all requests already taken are still answered.
             stops = self.server.closes_connections() and not slots and not self.backlog
             is_last = stops or not slot.parsed.keep_alive
@@ -134,6 +135,7 @@
         is_last: bool,
     ) -> None:
         """Write an answer."""
+        self.server.state.counters[f"http.answers.{answer[0]}"] += 1
         fixed = self.server.date
         if is_last:
             fixed += "Connection: close\r\n"
@@ -154,6 +156,7 @@
     def on_closed(self) -> None:
         """Tell the core which requests lost their caller."""
         self.ending = True
+        self.parser.close()
         self.server.connections.discard(self)
         self.forget_requests()
 
@@ -232,13 +235,16 @@
 
     def stop_listening(self) -> None:
         """Accept what has connected already, and nothing more."""
-        self.listener.on_ready(0)
+        while self.listener.accept():
+            pass
         self.listener.close()
 
     def end_idle(self) -> None:
         """Close the connections that wait for no answer."""
         self.exiting = True
         for connection in list(self.connections):
+            if not connection.slots and not connection.backlog:
+                connection.stream.read()  # A request may just have arrived.
             if not connection.slots and not connection.backlog:
                 connection.end()
 
--- a/pimentodrift/listeners.py
+++ b/pimentodrift/listeners.py
@@ -13,6 +13,16 @@
 ACCEPT_BATCH = 64
 # Without free descriptors the listener would be ready all the time.
 NO_DESCRIPTOR_PAUSE_S = 0.1
+# Accepted sockets inherit the options of the listener. Keep-alive probes find peers
+# that are gone without a FIN; an idle connection has no other time limit.
+SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_REUSEADDR, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 60),  # Seconds.
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 20),  # Seconds.
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+)
 
 
 @define(eq=False)
@@ -32,23 +42,28 @@
     def on_ready(self, events: int) -> None:
         """Accept waiting connections."""
         for _ in range(ACCEPT_BATCH):
-            try:
-                connection = self.server.accept()[0]
-            except BlockingIOError:
+            if not self.accept():
                 return
-            except OSError as error:
-                if error.errno == ECONNABORTED:
-                    continue
-                if error.errno not in (EMFILE, ENFILE):
-                    raise
-                self.pause()
-                return
-            connection.setblocking(False)
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.accepted(connection)
 
-    def pause(self) -> None:
-        """Leave connections in the backlog until descriptors may be free."""
+    def accept(self) -> bool:
+        """Accept a connection; return False if there is none or no descriptor."""
+        try:
+            connection = self.server.accept()[0]
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            if error.errno == ECONNABORTED:
+                return True
+            if error.errno not in (EMFILE, ENFILE):
+                raise
+            self.fail()
+            return False
+        connection.setblocking(False)
+        self.accepted(connection)
+        return True
+
+    def fail(self) -> None:
+        """Leave connections in the backlog for a while after an error."""
         self.poller.unwatch(self.descriptor)
         self.poller.timers.later(NO_DESCRIPTOR_PAUSE_S, self.resume)
 
@@ -69,7 +84,8 @@
     """Listen on a numeric `host:port`; raise OSError."""
     family, target = parse_address(address)
     server = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-    server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    for option in SOCKET_OPTIONS:
+        server.setsockopt(*option)
     server.bind(target)
     server.listen(BACKLOG)
     listener = Listener(poller, server, accepted, server.fileno())
--- a/pimentodrift/peer_streams.py
+++ b/pimentodrift/peer_streams.py
@@ -175,9 +175,11 @@
 
     def introduce(self, peer: PeerStream, instance: str) -> None:
         """Name an accepted stream; an older one of the instance is lost."""
+        if peer.instance:
+            return
         self.unnamed.discard(peer)
         older = self.accepted.get(instance)
-        if older is not None and older is not peer:
+        if older is not None:
             older.stream.fail()
         peer.instance = instance
         self.accepted[instance] = peer
--- a/pimentodrift/process.py
+++ b/pimentodrift/process.py
@@ -4,6 +4,7 @@
 """
 
 from random import Random, SystemRandom
+from resource import RLIMIT_NOFILE, getrlimit
 from typing import Any
 
 from circuits import BaseComponent, handler
@@ -18,6 +19,8 @@
 from .tables import State
 
 SEED_BITS = 64
+# For peers, endpoints, the store and the process itself.
+OTHER_DESCRIPTORS = 512
 # After the core's last decision, callers whose request is on its way still get an
 # answer, and then their answers are flushed.
 EXIT_GRACE_S = 0.2
@@ -36,6 +39,7 @@
         self.poller = Poller().register(self)
         self.shell = Shell(state, self.poller, self.begin_exit)
         self.exiting = False
+        self.has_stopped = False
         self.checks_left = round(EXIT_FLUSH_S / EXIT_CHECK_S)
         if state.settings.statsd:
             self.metrics = Metrics(state)
@@ -81,15 +85,31 @@
             self.send_metrics()
         self.shell.close()
         log_event("stopped", instance=self.state.settings.name)
+        self.has_stopped = True
         self.stop()
 
 
 def run(settings: Settings) -> int:
     """Run an instance until it has stopped; return the exit status."""
     start_logging()
+    check_descriptor_limit(settings)
     seed = SystemRandom().getrandbits(SEED_BITS)
     state = State(settings, SystemClock(), Random(seed))
-    instance = Instance(state)
+    try:
+        instance = Instance(state)
+    except OSError as error:
+        log_event("start_failed", instance=settings.name, error=str(error))
+        return 1
     instance.run()
     write_events(state)
-    return 0
+    return 0 if instance.has_stopped else 1
+
+
+def check_descriptor_limit(settings: Settings) -> None:
+    """Log when the process may not open as many connections as are configured."""
+    limit = getrlimit(RLIMIT_NOFILE)[0]
+    needed = settings.max_connections + OTHER_DESCRIPTORS
+    if 0 <= limit < needed:
+        log_event(
+            "descriptor_limit_low", instance=settings.name, limit=limit, needed=needed
+        )
--- a/pimentodrift/sockets.py
+++ b/pimentodrift/sockets.py
@@ -42,6 +42,9 @@
     def on_ready(self, events: int) -> None:
         """Handle the epoll events of the descriptor."""
 
+    def fail(self) -> None:
+        """Give up after an internal error."""
+
 
 class StreamUser(Protocol):
     """The user of a stream."""
@@ -53,7 +56,7 @@
         """Handle the end of connecting."""
 
     def on_drained(self) -> None:
-        """Handle that all output was written after it had been held up."""
+        """Handle that all output was written after reading or writing had to wait."""
 
     def on_closed(self) -> None:
         """Handle the loss of the stream; not called after `close`."""
@@ -188,6 +191,7 @@
             target.on_ready(events)
         except Exception as error:  # noqa: BLE001
             self.on_error(type(target).__name__, error)
+            target.fail()
 
 
 def raise_error(where: str, error: Exception) -> None:
@@ -282,13 +286,14 @@
 
     def end_hold_up(self) -> None:
         """Go on after all output was sent."""
-        if self in self.poller.held_up:
+        was_held_up = self in self.poller.held_up
+        if was_held_up:
             self.poller.held_up.discard(self)
             self.update()
-            if not self.finishing:
-                self.user.on_drained()
         if self.finishing:
             self.linger()
+        elif was_held_up or not self.reading:
+            self.user.on_drained()
 
     def set_reading(self, reading: bool) -> None:
         """Stop or resume reading."""
@@ -346,6 +351,8 @@
 
     def finish(self) -> None:
         """Close after the output is written; discard further input."""
+        if self.finishing:
+            return
         self.finishing = True
         self.set_reading(True)
         if not self.output:
--- a/tests/test_shell_http.py
+++ b/tests/test_shell_http.py
@@ -7,7 +7,8 @@
 from pimentodrift import http_requests, http_server
 from pimentodrift.errors import Problem, not_run
 from pimentodrift.http_answers import problem_body
-from pimentodrift.messages import CallerGone, CallerRequest
+from pimentodrift.messages import CallerAnswer, CallerGone, CallerRequest
+from pimentodrift.sockets import HIGH_WATER_BYTES
 
 from .shell_support import answer_to, running
 
@@ -75,6 +76,26 @@
         assert places == sorted(places)
 
 
+def test_large_answers_to_a_pipeline() -> None:
+    """Guards against reading that stays paused after output was held back."""
+    with running() as rig:
+        rig.core.answers = False
+        client = rig.call(GET * 40)
+        body = b"x" * (HIGH_WATER_BYTES + 1)
+        answered = 0
+        while answered < 40:
+            rig.until(lambda: (client.pull(), rig.core.received)[1])
+            for request in rig.core.received:
+                assert isinstance(request, CallerRequest)
+                answer = CallerAnswer(request.request, 200, {}, body)
+                rig.state.outbox.append(answer)
+            answered += len(rig.core.received)
+            rig.core.received.clear()
+            rig.shell.carry_out()
+        client.until(b"HTTP/1.1 200", 40)
+        rig.until(lambda: client.pull().count(b"x") == 40 * len(body))
+
+
 def test_request_in_small_parts() -> None:
     """Guards against parts of a request being lost between reads."""
     with running() as rig:
@@ -92,6 +113,11 @@
         (GET, True, True),
         (GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"), False, True),
         (GET.replace(b"1.1", b"1.0"), False, True),
+        (
+            GET.replace(b"a\r\n", b"a\r\nConnection: upgrade\r\nUpgrade: x\r\n"),
+            False,
+            True,
+        ),
     ],
 )
 def test_connection_close(sent: bytes, stopping: bool, closes: bool) -> None:
@@ -171,8 +197,7 @@
         rig.until(lambda: rig.core.received)
         request = rig.core.received[0]
         assert isinstance(request, CallerRequest)
-        large = answer_to(request).__class__(request.request, 200, {}, b"x" * 2**24)
-        rig.state.outbox.append(large)
+        rig.state.outbox.append(CallerAnswer(request.request, 200, {}, b"x" * 2**24))
         rig.shell.carry_out()
         assert rig.poller.held_up
         rig.poller.close_unread()
