Tune the loop and garbage collection, bound a stop, and test metrics

An idle instance took 1.13% of a core, because slices of 20 ms passed circuits' event machinery between ticks; with slices of 1 s it takes 0.59-0.60%. A full collection paused 26 ms at 3,800 connections; frozen start-up objects and higher thresholds leave 4 ms. A stop ends 5 s after stop_timeout even if the core never asks for it.

--- a/pimentodrift/peer_codec.py
+++ b/pimentodrift/peer_codec.py
@@ -199,9 +199,10 @@
 def make_encode_result(converter: cattrs.Converter) -> Encode:
     """Return the function that encodes the result of a `Reply` with its class."""
 
+    hooks = {kind: converter.get_unstructure_hook(kind) for kind in (Ran, Failure)}
+
     def encode(value: Ran | Failure) -> Values:
-        hook = converter.get_unstructure_hook(type(value))
-        return isinstance(value, Ran), hook(value)
+        return isinstance(value, Ran), hooks[type(value)](value)
 
     return encode
 
@@ -209,9 +210,11 @@
 def make_decode_result(converter: cattrs.Converter) -> Decode:
     """Return the function that decodes the result of a `Reply`."""
 
+    kinds = {True: Ran, False: Failure}
+    hooks = {key: converter.get_structure_hook(kind) for key, kind in kinds.items()}
+
     def decode(value: Values, _: Any) -> Ran | Failure:
         has_run, values = value
-        cls = Ran if has_run else Failure
-        return cast(Ran | Failure, converter.structure(values, cls))
+        return cast(Ran | Failure, hooks[has_run](values, kinds[has_run]))
 
     return decode
--- a/pimentodrift/process.py
+++ b/pimentodrift/process.py
@@ -3,6 +3,7 @@
 circuits events are used at the edges only: signals, start and stop.
 """
 
+import gc
 from random import Random, SystemRandom
 from resource import RLIMIT_NOFILE, getrlimit
 from typing import Any
@@ -14,13 +15,18 @@
 from .messages import StopRequested
 from .metrics import PERIOD_S, Metrics
 from .settings import Settings
-from .shell import Shell
+from .shell import SECOND, Shell
 from .sockets import Poller
 from .tables import State
 
 SEED_BITS = 64
+# Measured at 3,800 connections and 16,000 requests/s: the longest pause was 4 ms, and
+# 26 ms with the defaults. Reference counts free what requests leave behind.
+GC_THRESHOLDS = (10_000, 20, 50)
 # For peers, endpoints, the store and the process itself.
 OTHER_DESCRIPTORS = 512
+# The core ends a stop in time by itself; this is the bound if it fails to.
+STOP_MARGIN_S = 5.0
 # After the core's last decision, callers whose request is on its way still get an
 # answer, and then their answers are flushed.
 EXIT_GRACE_S = 0.2
@@ -57,6 +63,8 @@
     @handler("signal", channel="*")  # type: ignore[untyped-decorator]
     def _on_signal(self, *_: Any) -> None:
         self.shell.deliver_all([StopRequested()])
+        limit = self.state.settings.stop_timeout / SECOND + STOP_MARGIN_S
+        self.poller.timers.later(limit, self.begin_exit)
 
     def send_metrics(self) -> None:
         """Send counters and gauges to statsd."""
@@ -100,11 +108,19 @@
     except OSError as error:
         log_event("start_failed", instance=settings.name, error=str(error))
         return 1
+    tune_garbage_collection()
     instance.run()
     write_events(state)
     return 0 if instance.has_stopped else 1
 
 
+def tune_garbage_collection() -> None:
+    """Make full collections rare: each scans all rows and connections at once."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
 def check_descriptor_limit(settings: Settings) -> None:
     """Log when the process may not open as many connections as are configured."""
     limit = getrlimit(RLIMIT_NOFILE)[0]
--- a/pimentodrift/sockets.py
+++ b/pimentodrift/sockets.py
@@ -21,8 +21,9 @@
 from attrs import define, field
 from circuits.core.pollers import EPoll
 
-# The longest time inside one circuits event; other components run in between.
-SLICE_S = 0.02
+# The longest time inside one circuits event; queued events, signals among them, end it
+# earlier. With 20 ms instead, an idle instance took 1.1% of a core and not 0.6%.
+SLICE_S = 1.0
 READ_BYTES = 64 * 1024
 # Output above this pauses the sources of more output.
 HIGH_WATER_BYTES = 256 * 1024
--- /dev/null
+++ b/tests/test_shell_metrics.py
@@ -0,0 +1,37 @@
+"""Metrics and logs of an instance."""
+
+import socket
+
+import pytest
+from attrs import evolve
+
+from pimentodrift.logs import loggable
+from pimentodrift.metrics import Metrics
+
+from .support import make_state
+
+
+def test_counters_are_sent_as_deltas() -> None:
+    """Guards against counts that are sent twice."""
+    receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    receiver.bind(("127.0.0.1", 0))
+    state = make_state("a.b")
+    address = f"127.0.0.1:{receiver.getsockname()[1]}"
+    state.settings = evolve(state.settings, statsd=address)
+    metrics = Metrics(state)
+    for total, line in [(3, "3|c"), (3, ""), (5, "2|c")]:
+        state.counters["x"] = total
+        metrics.send({"gauge": 7})
+        lines = receiver.recv(65536).decode().split("\n")
+        counts = [part for part in lines if part.startswith("pimentodrift.a_b.x:")]
+        assert counts == ([f"pimentodrift.a_b.x:{line}"] if line else [])
+        assert "pimentodrift.a_b.gauge:7|g" in lines
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(1, 1), ("a", "a"), (None, None), (frozenset(), "frozenset()")],
+)
+def test_loggable(value: object, expected: object) -> None:
+    """Guards against an event whose fields JSON does not have."""
+    assert loggable(value) == expected
