--- a/pimentodrift/peer_codec.py
+++ b/pimentodrift/peer_codec.py
@@ -15,7 +15,7 @@
 
 import attrs
 import cattrs
-import msgpack  # type: ignore[import-untyped]
+import msgpack
 import orjson
 
 from .errors import Failure
--- a/pimentodrift/peer_streams.py
+++ b/pimentodrift/peer_streams.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 
-import msgpack  # type: ignore[import-untyped]
+import msgpack
 from attrs import define, field
 
 from .dump import DumpRequest, dump_reply
--- a/tests/test_shell_metrics.py
+++ b/tests/test_shell_metrics.py
@@ -1,5 +1,6 @@
 """Metrics and logs of an instance."""
 
+import contextlib
 import socket
 
 import pytest
@@ -11,6 +12,16 @@
 from .support import make_state
 
 
+def received_lines(receiver: socket.socket) -> list[str]:
+    """Return the lines of all datagrams; statsd fills one after the other."""
+    receiver.setblocking(False)
+    lines: list[str] = []
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            lines += receiver.recv(65536).decode().split("\n")
+    return lines
+
+
 def test_counters_are_sent_as_deltas() -> None:
     """Guards against counts that are sent twice."""
     receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -22,7 +33,7 @@
     for total, line in [(3, "3|c"), (3, ""), (5, "2|c")]:
         state.counters["x"] = total
         metrics.send({"gauge": 7})
-        lines = receiver.recv(65536).decode().split("\n")
+        lines = received_lines(receiver)
         counts = [part for part in lines if part.startswith("pimentodrift.a_b.x:")]
         assert counts == ([f"pimentodrift.a_b.x:{line}"] if line else [])
         assert "pimentodrift.a_b.gauge:7|g" in lines
--- a/tests/test_shell_peers.py
+++ b/tests/test_shell_peers.py
@@ -46,7 +46,7 @@
         FORWARD,
         m.Reply(1, m.Ran(ROWS, POSITION, "t", True)),
         m.Reply(2, unknown(Problem.QUEUE_FULL, "d", timedelta(seconds=1.5))),
-        m.ViewUpdate(3, 0, (OBJECT, m.StoreObject("k", "n", 2, None))),
+        m.ViewUpdate(3, 0, items=(OBJECT, m.StoreObject("k", "n", 2, None))),
         m.ShareReport("w", m.Epoch(1, "h"), 1, 2.0, 3.0, 4.0, 5.0),
         m.GroupChanged("g", 1, "p", {1: 2, 3: 4}),
     ],
