--- a/tests/test_operators_settings.py
+++ b/tests/test_operators_settings.py
@@ -3,10 +3,10 @@
 from pathlib import Path
 
 import pytest
-from attrs import fields
+from attrs import NOTHING, fields
 
 from pimentodrift import cli
-from pimentodrift.settings import Settings, flag, variable
+from pimentodrift.settings import Settings, allowed, flag, render, variable
 from pimentodrift.settings_sources import load
 
 REQUIRED = {
@@ -119,3 +119,15 @@
     monkeypatch.setenv("SHELL", "/bin/bash")
     assert cli.run(["--completion", "generate"]) == cli.DONE
     assert "pimentodrift" in capsys.readouterr().out
+
+
+def test_the_page_lists_every_setting() -> None:
+    """Guards against a settings table that no longer says what is allowed."""
+    page = Path(__file__).parent.parent / "docs" / "operations.md"
+    rows = [line for line in page.read_text().splitlines() if line.startswith("| `--")]
+    for attribute, row in zip(fields(Settings), rows, strict=True):
+        default = "required" if attribute.default is NOTHING else attribute.default
+        text = render(default) if default != "" else "empty"
+        assert f"`{flag(attribute.name)}` | `{variable(attribute.name)}`" in row
+        assert f"| {allowed(attribute)} |" in row
+        assert row.rstrip("| ").strip("`").endswith(text)
