Test any interleaving of publications and faults

The table of races covers chosen orders only; hypothesis now nests whole publications and faults at any call of the store.

--- a/pimentodrift/cli.py
+++ b/pimentodrift/cli.py
@@ -204,7 +204,7 @@
 @execute.register
 def _(command: Publish) -> int:
     from .operator_rules import check  # noqa: PLC0415
-    from .publishing import Publisher  # noqa: PLC0415
+    from .publishing import Publisher, Retries, describe  # noqa: PLC0415
     from .store_api import StoreApi  # noqa: PLC0415
 
     platform = command.platform or os.environ.get(PLATFORM_VARIABLE, "")
@@ -223,9 +223,9 @@
             print(finding)
         complain(f"{len(files.findings)} findings; nothing was published")
         return FAILED
-    result = Publisher(StoreApi(platform)).publish(
-        files.pieces(), tuple(command.remove)
-    )
+    retries = Retries(notify=lambda failure: complain(describe(failure)))
+    publisher = Publisher(StoreApi(platform), retries)
+    result = publisher.publish(files.pieces(), tuple(command.remove))
     if result.is_error():
         complain(result.error)
         return FAILED
--- a/pimentodrift/publishing.py
+++ b/pimentodrift/publishing.py
@@ -26,6 +26,7 @@
 GIVE_UP_AFTER = timedelta(seconds=60)
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(seconds=5)
+MOST_DOUBLINGS = 6  # FIRST_PAUSE doubled so often is above LONGEST_PAUSE.
 
 T = TypeVar("T")
 Call = Callable[[], Result[T, StoreFailure]]
@@ -145,6 +146,7 @@
     random: Random = field(factory=Random)
     pause: Callable[[float], None] = sleep
     bound: timedelta = GIVE_UP_AFTER
+    notify: Callable[[StoreFailure], None] = lambda failure: None
 
     def run(self, call: Call[T]) -> tuple[Result[T, StoreFailure], int]:
         """Return the final answer and the number of unanswered attempts before it."""
@@ -155,7 +157,9 @@
             failure = answer.swap().default_value(None)
             if not isinstance(failure, StoreUnavailable):
                 return answer, unanswered
-            longest = min(FIRST_PAUSE * 2**unanswered, LONGEST_PAUSE)
+            self.notify(failure)
+            doublings = min(unanswered, MOST_DOUBLINGS)
+            longest = min(FIRST_PAUSE * 2**doublings, LONGEST_PAUSE)
             unanswered += 1
             # Full jitter: operators' scripts that wait for one store spread out.
             wait = longest * self.random.random()
--- a/tests/test_operators_publishing.py
+++ b/tests/test_operators_publishing.py
@@ -1,12 +1,15 @@
 """Publishing: racing operators, lost answers and a store that is down."""
 
 from datetime import timedelta
+from itertools import pairwise
 from random import Random
 from typing import Any
 
 import pytest
 from attrs import define, field
 from expression import Error, Ok, Result
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from pimentodrift.messages import StoreObject
 from pimentodrift.operator_files import Piece
@@ -224,3 +227,82 @@
     result = publish(store, "p", piece("a"))
     assert isinstance(result, StoreFailed)
     assert result.unknown is unknown
+
+
+# What happens at one call of the store: nothing, a fault, or a whole publication of
+# another operator with calls of its own.
+FAULTS = st.sampled_from(["", "", "down", "lost", "late"])
+SCHEDULES = st.recursive(
+    st.lists(FAULTS, max_size=8),
+    lambda inner: st.lists(st.one_of(FAULTS, inner), max_size=8),
+    max_leaves=40,
+)
+
+
+@define
+class ScheduledStore(FakeStore):
+    """A store whose calls follow schedules; it keeps the history of manifests."""
+
+    schedules: list[list[Any]] = field(factory=list)
+    results: list[Publication | PublishFailure] = field(factory=list)
+    history: list[dict[str, Any]] = field(factory=list)
+
+    def publish(self, schedule: list[Any]) -> None:
+        number = len(self.results) + len(self.schedules)
+        self.schedules.append(schedule[:])
+        services = [piece(f"s{number % 3}", f"w{number}")]
+        self.results.append(publish(self, f"p{number}", *services))
+        self.schedules.pop()
+
+    def next_fault(self) -> str:
+        schedule = self.schedules[-1]
+        step = schedule.pop(0) if schedule else ""
+        if isinstance(step, list):
+            self.publish(step)
+            return ""
+        return str(step)
+
+    def get(self, kind: str, name: str) -> Result[StoreObject | None, StoreFailure]:
+        if self.next_fault():
+            return Error(StoreUnavailable("down"))
+        return super().get(kind, name)
+
+    def put(
+        self, kind: str, name: str, value: dict[str, Any], version: int
+    ) -> Result[StoreObject, StoreFailure]:
+        self.faults = [self.next_fault()]
+        return super().put(kind, name, value, version)
+
+    def write(
+        self, kind: str, name: str, value: dict[str, Any], version: int
+    ) -> Result[StoreObject, StoreFailure]:
+        answer = super().write(kind, name, value, version)
+        if kind == "manifest" and answer.is_ok():
+            self.history.append(value)
+        return answer
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(SCHEDULES)
+def test_any_interleaving_of_publications(schedule: list[Any]) -> None:
+    """Guards against lost updates and untrue results under races and faults."""
+    store = ScheduledStore()
+    store.write("group", "g", {}, 0)
+    store.publish(schedule)
+    for late in store.late:
+        store.write(*late)
+    history = [manifest["publication"] for manifest in store.history]
+    assert len(set(history)) == len(history)
+    for before, after in pairwise(store.history):
+        assert after["previous"] == before["publication"]
+        changed = dict(before["services"].items() - after["services"].items())
+        assert len(changed) <= 1
+        assert before["services"].keys() <= after["services"].keys()
+    for result in store.results:
+        match result:
+            case Publication():
+                assert result.publication in history
+            case PublicationConflict():
+                assert result.publication not in history
+            case StoreFailed(unknown=False):
+                assert result.publication not in history
