--- a/pimentodrift/local.py
+++ b/pimentodrift/local.py
@@ -17,6 +17,7 @@
 
 import orjson
 from attrs import define, evolve, field
+from expression import Result
 
 from .children import (
     Child,
@@ -29,6 +30,7 @@
 )
 from .keys import new_key
 from .local_layout import DEPLOYMENTS, Database, Instance, Layout, make_layout, objects
+from .messages import StoreObject
 from .operator_files import Service, make_piece
 from .operator_rules import check
 from .operator_values import Located
@@ -40,6 +42,7 @@
 READY_POLL = timedelta(milliseconds=50)
 # Longer than the default of the setting stop_timeout.
 INSTANCE_STOP = timedelta(seconds=25)
+LIST_INTERVAL = timedelta(seconds=1)
 STAND_IN_STOP = timedelta(seconds=3)
 OK = 200
 
@@ -63,8 +66,7 @@
     try:
         run.start()
         run.announce()
-        while True:
-            signal.pause()
+        run.keep_list()
     except Stopped:
         return run.end()
     except (ChildFailed, SetupFailed) as error:
@@ -89,6 +91,8 @@
     databases: dict[str, Child] = field(factory=dict)
     instances: dict[str, Child] = field(factory=dict)
     keys: dict[str, str] = field(factory=dict)
+    platform: Child | None = None
+    leaving: set[str] = field(factory=set)
 
     @property
     def platform_url(self) -> str:
@@ -97,7 +101,7 @@
 
     def start(self) -> None:
         """Start everything and wait until the instances are ready."""
-        platform = self.children.start(
+        self.platform = self.children.start(
             "platform",
             module_command(
                 "standins.platform_server", ["--listen", self.layout.platform]
@@ -106,7 +110,7 @@
         )
         primaries = [row for row in self.layout.databases if row.is_primary]
         replicas = [row for row in self.layout.databases if not row.is_primary]
-        started = [platform, *map(self.start_database, primaries)]
+        started = [self.platform, *map(self.start_database, primaries)]
         wait_ready(started)
         following = [self.start_database(row) for row in replicas]
         wait_ready(following)
@@ -162,8 +166,10 @@
             answer, _ = Retries().run(call)
             if answer.is_error():
                 raise SetupFailed(f"{kind} {name}: {answer.error}")
-        directories = sorted((EXAMPLES / self.layout.deployment.name).iterdir())
-        files = check(directories)
+        examples = EXAMPLES / self.layout.deployment.name
+        files = check(sorted(path for path in examples.glob("*") if path.is_dir()))
+        if not files.services:
+            raise SetupFailed(f"{examples} has no example files")
         if files.findings:
             raise SetupFailed(str(files.findings[0]))
         pieces = tuple(make_piece(self.with_keys(item)) for item in files.services)
@@ -195,6 +201,25 @@
                 raise ChildFailed(f"not ready in time: {names}")
             sleep(READY_POLL.total_seconds() if waiting else 0)
 
+    def keep_list(self) -> NoReturn:
+        """List instances that have ended as leaving, as the platform does with lag."""
+        while True:
+            sleep(LIST_INTERVAL.total_seconds())
+            for name, child in self.instances.items():
+                ended = child.process.poll() is not None
+                if ended and name not in self.leaving and self.list_leaving(name):
+                    self.leaving.add(name)
+                    print(f"local: {name} ended, listed as leaving", file=sys.stderr)
+
+    def list_leaving(self, name: str) -> bool:
+        """Change the state of an instance's object; return False if that failed."""
+        store = StoreApi(self.platform_url)
+        match store.get("instance", name):
+            case Result(tag="ok", ok=StoreObject(version=version, value=dict(value))):
+                changed = {**value, "state": "leaving"}
+                return store.put("instance", name, changed, version).is_ok()
+        return False
+
     def announce(self) -> None:
         """Print the line of JSON that tells what runs where."""
         line = {
@@ -202,6 +227,7 @@
             "groups": list(self.layout.deployment.groups),
             "keys": self.keys,
             "platform": self.platform_url,
+            "platform_pid": self.platform.pid if self.platform else 0,
             "endpoints": [self.describe_database(row) for row in self.layout.databases],
             "instances": [self.describe_instance(row) for row in self.layout.instances],
             "pids": [self.instances[row.name].pid for row in self.layout.instances],
--- a/pimentodrift/operator_rules.py
+++ b/pimentodrift/operator_rules.py
@@ -45,7 +45,7 @@
     files = read(directories)
     findings = list(files.findings)
     for service in files.services:
-        findings += check_service(service)
+        findings += check_service(service, files.findings)
         for workspace in service.workspaces:
             findings += check_workspace(workspace, service)
     findings += duplicate_services(files.services)
@@ -56,12 +56,14 @@
     return Files(files.services, tuple(sorted(findings)))
 
 
-def check_service(service: Service) -> Iterable[Finding]:
-    """Check what concerns a whole directory."""
+def check_service(service: Service, known: Iterable[Finding]) -> Iterable[Finding]:
+    """Check what concerns a whole directory; `known` has the findings of reading it."""
     if NAME.fullmatch(service.name) is None:
         text = f"the directory's name {service.name!r} cannot name a service"
         yield Finding(service.directory, 1, Code.INVALID_NAME, text)
-    if not service.workspaces:
+    places = {service.directory, *service.directory.glob("*")}
+    # A file that cannot be read may well declare workspaces.
+    if not service.workspaces and all(item.file not in places for item in known):
         text = "no workspace is declared; to end a service use publish --remove"
         yield Finding(service.directory, 1, Code.NO_WORKSPACES, text)
 
--- /dev/null
+++ b/tests/test_operators_local.py
@@ -0,0 +1,72 @@
+"""The local run: its layout fits the instances, and its children end."""
+
+import sys
+from datetime import timedelta
+
+import pytest
+
+from pimentodrift import membership
+from pimentodrift.children import ChildFailed, Children, drain, wait_ready
+from pimentodrift.local_layout import DEPLOYMENTS, make_layout, objects
+from pimentodrift.messages import StoreObject
+
+from .support import make_state
+
+LONG = "import time; time.sleep(1000)"
+READY = f"print('starting\\nready', flush=True); {LONG}"
+STUBBORN = f"import signal; signal.signal(signal.SIGTERM, signal.SIG_IGN); {READY}"
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+def test_instances_understand_the_layout(name: str) -> None:
+    """Guards against objects that instances read differently from what runs."""
+    layout = make_layout(DEPLOYMENTS[name])
+    state = make_state()
+    for version, (kind, object_name, value) in enumerate(objects(layout), 1):
+        membership.apply(StoreObject(kind, object_name, version, value), state)
+    primaries = [state.endpoints[row.primary] for row in state.groups.values()]
+    assert len(state.instances) == 6
+    assert [row.group for row in primaries] == list(layout.deployment.groups)
+    assert {row.region for row in primaries} == set(layout.deployment.regions)
+    for row in layout.databases:
+        assert state.endpoints[row.name].address == row.address
+        assert state.endpoints[row.name].slots == layout.deployment.slots
+    for group in layout.deployment.groups:
+        endpoints = membership.group_endpoints(group, state)
+        assert {row.region for row in endpoints} == set(layout.deployment.regions)
+
+
+def test_addresses_of_a_layout_differ() -> None:
+    """Guards against two processes on one port."""
+    layout = make_layout(DEPLOYMENTS["kanitli"])
+    addresses = [layout.platform]
+    for database in layout.databases:
+        addresses += [database.address, database.replication]
+    for instance in layout.instances:
+        addresses += [instance.address, instance.peer_address]
+    assert len(set(addresses)) == len(addresses) == 1 + 18 + 12
+
+
+def test_children_are_ended() -> None:
+    """Guards against stand-ins that outlive the command that started them."""
+    children = Children()
+    started = [
+        children.start(name, [sys.executable, "-c", code], prints_ready=True)
+        for name, code in (("usual", READY), ("stubborn", STUBBORN))
+    ]
+    try:
+        wait_ready(started)
+        drain(started)
+    finally:
+        children.end(children.running, timedelta(milliseconds=500))
+    assert children.running == []
+    assert [child.process.poll() for child in started] == [-15, -9]
+
+
+def test_a_child_that_ends_before_it_is_ready() -> None:
+    """Guards against waiting for a stand-in that has failed."""
+    children = Children()
+    command = [sys.executable, "-c", "raise SystemExit(3)"]
+    child = children.start("failing", command, prints_ready=True)
+    with pytest.raises(ChildFailed, match="failing ended with status 3"):
+        wait_ready([child])
