--- a/pimentodrift/operator_files.py
+++ b/pimentodrift/operator_files.py
@@ -154,7 +154,7 @@
         findings.append(yaml_finding(path, error, Code.DUPLICATE_FIELD))
         # The rest of the file is read too, so that its findings are shown at once.
         node = parse(text, allow_duplicates=True)
-    except (YAMLError, ValueError) as error:
+    except (YAMLError, ValueError, RecursionError) as error:
         findings.append(yaml_finding(path, error, Code.INVALID_YAML))
         return None
     if node is None:
@@ -176,7 +176,8 @@
 def yaml_finding(path: Path, error: Exception, code: Code) -> Finding:
     """Convert an error of the YAML parser."""
     if not isinstance(error, MarkedYAMLError):
-        return Finding(path, 1, code, str(error).splitlines()[0])
+        text = (str(error) or type(error).__name__).splitlines()[0]
+        return Finding(path, 1, code, text)
     mark = error.problem_mark or error.context_mark
     line = mark.line + 1 if mark is not None else 1
     return Finding(path, line, code, str(error.problem or error.context))
--- a/pimentodrift/operator_rules.py
+++ b/pimentodrift/operator_rules.py
@@ -27,6 +27,10 @@
 # Buckets are refilled each tick of 20 ms. A burst below what accrues in five ticks
 # would lose tokens whenever the loop is briefly busy, and the rate could not be used.
 BURST_WINDOW = timedelta(milliseconds=100)
+# The target of the whole fleet (docs/design.md, section 2): more is a typing error.
+HIGHEST_RATE = 12_000_000  # Requests/s.
+LONGEST_AGE = timedelta(days=1)
+LONGEST_AGE_MS = LONGEST_AGE // timedelta(milliseconds=1)
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 DIGEST = re.compile(r"[0-9a-f]{64}")
 SHOWN_DIGITS = 8
@@ -101,8 +105,9 @@
         return Finding(workspace.name.file, line, code, f"{title}: {text}")
 
     rate, burst, share = workspace.rate, workspace.burst, workspace.share
-    if rate is not None and not is_positive(rate):
-        yield at("rate", Code.INVALID_RATE, f"rate {rate:g} must be above 0")
+    if rate is not None and not (is_positive(rate) and rate <= HIGHEST_RATE):
+        text = f"rate {rate:g} must be above 0 and at most {HIGHEST_RATE}"
+        yield at("rate", Code.INVALID_RATE, text)
     if burst is not None and not (isfinite(burst) and burst >= 1):
         yield at("burst", Code.INVALID_BURST, f"burst {burst:g} must be at least 1")
     elif rate is not None and burst is not None and is_positive(rate):
@@ -115,8 +120,10 @@
     if share is not None and not is_positive(share):
         yield at("share", Code.INVALID_SHARE, f"share {share:g} must be above 0")
     for group, age in workspace.stale_reads:
-        if age <= 0:
-            text = f"stale reads of {group.text}: {age} ms must be above 0"
+        if not 0 < age <= LONGEST_AGE_MS:
+            text = (
+                f"stale reads of {group.text}: {age} ms must be 1 to {LONGEST_AGE_MS}"
+            )
             yield finding(group, Code.INVALID_AGE, text)
     durability = workspace.durability
     if durability is not None and durability.text not in list(Durability):
@@ -186,8 +193,8 @@
     if route.statement is not None and not is_read(route.statement.text):
         text = f"{title}: the statement must be one read (SELECT, VALUES or WITH)"
         yield finding(route.statement, Code.NOT_A_READ, text)
-    if route.max_age_ms is not None and route.max_age_ms < 0:
-        text = f"{title}: max_age_ms {route.max_age_ms} must not be negative"
+    if route.max_age_ms is not None and not 0 <= route.max_age_ms <= LONGEST_AGE_MS:
+        text = f"{title}: max_age_ms {route.max_age_ms} must be 0 to {LONGEST_AGE_MS}"
         yield finding(route.name, Code.INVALID_AGE, text)
 
 
--- a/pimentodrift/operator_values.py
+++ b/pimentodrift/operator_values.py
@@ -152,8 +152,14 @@
 
 
 def is_number(value: Any) -> bool:
-    """Return whether a value is a finite or infinite number; YAML's true is none."""
-    return isinstance(value, int | float) and not isinstance(value, bool)
+    """Return whether a value is a number that fits a float; YAML's true is none."""
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return False
+    try:
+        float(value)
+    except OverflowError:
+        return False
+    return True
 
 
 def is_whole(value: Any) -> bool:
@@ -171,7 +177,7 @@
         case str():
             return "a text"
         case int() | float():
-            return f"the number {value}"
+            return "such a number"
         case list():
             return "a list"
         case dict():
--- a/tests/test_operators_files.py
+++ b/tests/test_operators_files.py
@@ -29,6 +29,8 @@
 FAULTS = [
     ({"rate": "0"}, ["invalid-rate"]),
     ({"rate": ".inf"}, ["invalid-rate"]),
+    ({"rate": "1" + "0" * 400}, ["wrong-type"]),
+    ({"rate": "12000001", "burst": "12000001"}, ["invalid-rate"]),
     ({"rate": "true"}, ["wrong-type"]),
     ({"rate": ""}, ["missing-field"]),
     ({"burst": "0.5"}, ["invalid-burst"]),
@@ -44,6 +46,8 @@
     ({"stale_reads": "{h: 5}"}, ["unlisted-group"]),
     ({"stale_reads": "{g: 1.5}"}, ["wrong-type"]),
     ({"stale_reads": "{g: 0}"}, ["invalid-age"]),
+    # An age that no timedelta holds would end every instance that applies it.
+    ({"stale_reads": "{g: 100000000000000000}"}, ["invalid-age"]),
     ({"keys": "[abc]"}, ["invalid-digest"]),
     ({"keys": f"[{DIGEST.upper()}]"}, ["invalid-digest"]),
     ({"keys": f"[{DIGEST}, {DIGEST}]"}, ["duplicate-key"]),
