--- a/tests/test_operators_files.py
+++ b/tests/test_operators_files.py
@@ -29,6 +29,8 @@
 FAULTS = [
     ({"rate": "0"}, ["invalid-rate"]),
     ({"rate": ".inf"}, ["invalid-rate"]),
+    ({"rate": "1" + "0" * 400}, ["wrong-type"]),
+    ({"rate": "12000001", "burst": "12000001"}, ["invalid-rate"]),
     ({"rate": "true"}, ["wrong-type"]),
     ({"rate": ""}, ["missing-field"]),
     ({"burst": "0.5"}, ["invalid-burst"]),
@@ -44,6 +46,8 @@
     ({"stale_reads": "{h: 5}"}, ["unlisted-group"]),
     ({"stale_reads": "{g: 1.5}"}, ["wrong-type"]),
     ({"stale_reads": "{g: 0}"}, ["invalid-age"]),
+    # An age that no timedelta holds would end every instance that applies it.
+    ({"stale_reads": "{g: 100000000000000000}"}, ["invalid-age"]),
     ({"keys": "[abc]"}, ["invalid-digest"]),
     ({"keys": f"[{DIGEST.upper()}]"}, ["invalid-digest"]),
     ({"keys": f"[{DIGEST}, {DIGEST}]"}, ["duplicate-key"]),
@@ -100,7 +104,6 @@
     two = write(tmp_path / "two", second)
     findings = check([one, two, tmp_path / "none"]).findings
     assert [(item.file.name, item.line, str(item.code)) for item in findings] == [
-        ("none", 1, "no-workspaces"),
         ("none", 1, "unreadable-file"),
         ("a.yaml", 4, "duplicate-field"),
         ("b.yaml", 1, "wrong-type"),
@@ -112,6 +115,12 @@
     ]
 
 
+def test_an_empty_service_is_refused(tmp_path: Path) -> None:
+    """Guards against an emptied file that ends a service by mistake."""
+    findings = check([write(tmp_path / "s", "workspaces:\n")]).findings
+    assert [finding.code for finding in findings] == ["no-workspaces"]
+
+
 def test_a_disclosed_key_is_not_repeated(tmp_path: Path) -> None:
     """Guards against keys in the output of continuous integration."""
     key = new_key()
