--- a/standins/database.py
+++ b/standins/database.py
@@ -206,6 +206,12 @@
         """Return whether log entries from a primary of a term may be taken."""
         return upstream is self.upstream and not self.cut and tenure >= self.seen_term
 
+    def agree(self, tenure: int, common: int) -> None:
+        """Begin to follow a primary that shares the log up to an offset."""
+        if common < self.log.last_offset:
+            self.drop_after(common)
+        self.receive(tenure, [], 0)
+
     def drop_after(self, offset: int) -> None:
         """Move the log's tail to the dropped entries; rebuild if it was replayed."""
         self.dropped += self.log.truncate(offset)
--- a/standins/replication.py
+++ b/standins/replication.py
@@ -151,9 +151,7 @@
         tenure, common = await read_frame(reader)
         if not database.accepts(upstream, tenure):
             return
-        if common < log.last_offset:
-            database.drop_after(common)
-        database.receive(tenure, [], 0)
+        database.agree(tenure, common)
         send_frame(writer, (log.last_term, log.last_offset))
         await store_entries(upstream, reader, writer, database)
 
--- /dev/null
+++ b/tests/test_standin_groups.py
@@ -0,0 +1,230 @@
+"""The databases of a group replicate and fail over as the design expects."""
+
+import random
+from collections.abc import Iterator
+from pathlib import Path
+
+import psycopg
+import pytest
+from attrs import define, field
+
+from standins.database import Database, Options, ReplicaState, Role, Upstream
+from standins.database_server import make_database
+from standins.group_log import Write
+
+from .standin_processes import Processes, running_processes, wait_for
+
+
+@pytest.fixture
+def processes() -> Iterator[Processes]:
+    with running_processes() as result:
+        yield result
+
+
+def test_replicas_receive_at_once_and_replay_later(processes: Processes) -> None:
+    """Guards against positions that claim more than a replica shows."""
+    primary, replica, other = processes.group()
+    primary.run("CREATE TABLE t (k bigint)")
+    wait_for(lambda: replica.status() == ("replica", 1, 1, 1))
+    replica.control("frozen", 1)
+    primary.run("INSERT INTO t VALUES (%s)", 5)
+    wait_for(lambda: primary.acknowledged()["b"] == (1, 2))
+    wait_for(lambda: other.run("SELECT * FROM t") == [(5,)])
+    assert replica.status() == ("replica", 1, 2, 1)
+    assert replica.run("SELECT * FROM t") == []
+    replica.control("frozen", 0)
+    wait_for(lambda: replica.run("SELECT * FROM t") == [(5,)])
+    with pytest.raises(psycopg.errors.ReadOnlySqlTransaction):
+        replica.run("INSERT INTO t VALUES (6)")
+
+
+def test_failover_drops_what_only_the_old_primary_has(processes: Processes) -> None:
+    """Guards against a lost acknowledged write and against an old primary's writes."""
+    old, new, third = endpoints = processes.group()
+    old.run("CREATE TABLE t (k bigint)")
+    old.run("INSERT INTO t VALUES (1)")
+    for endpoint in endpoints:
+        wait_for(lambda endpoint=endpoint: endpoint.status()[2:] == (2, 2))
+    new.control("frozen", 1)
+    old.run("INSERT INTO t VALUES (2)")
+    wait_for(lambda: old.acknowledged() == {"b": (1, 3), "c": (1, 3)})
+    old.control("cut", 1)
+    old.run("INSERT INTO t VALUES (%s)", 666)
+    with old.connect() as late:
+        late.execute("BEGIN")
+        late.execute("INSERT INTO t VALUES (667)")
+        assert [new.fence(2), third.fence(2)] == [(True, 1, 3)] * 2
+        assert new.fence(2)[0] is False
+        assert new.promote(3)[0] is False
+        assert new.promote(2) == (True, 4)
+        assert third.follow(2, new, 4) is True
+        new.run("INSERT INTO t VALUES (3)")
+        wait_for(lambda: new.acknowledged() == {"c": (2, 5)})
+        assert old.fence(2) == (True, 1, 4)
+        with pytest.raises(psycopg.errors.ReadOnlySqlTransaction):
+            late.execute("COMMIT")
+    assert old.status()[0] == "fenced"
+    assert old.follow(1, new, 4) is False
+    assert old.follow(2, new, 4) is True
+    old.control("cut", 0)
+    for endpoint in endpoints:
+        wait_for(lambda endpoint=endpoint: endpoint.status()[1:] == (2, 5, 5))
+        assert endpoint.run("SELECT k FROM t ORDER BY k") == [(1,), (2,), (3,)]
+    text = "SELECT term, position, statement FROM group_dropped()"
+    assert old.run(text) == [(1, 4, "INSERT INTO t VALUES (666)")]
+
+
+def test_following_drops_a_tail_from_before_the_last_promotion(
+    processes: Processes,
+) -> None:
+    """Guards against a divergent tail below START_POSITION that survives."""
+    old, second, third = processes.group()
+    old.run("CREATE TABLE t (k bigint)")
+    for replica in (second, third):
+        wait_for(lambda replica=replica: replica.status()[2] == 1)
+    old.control("cut", 1)
+    old.run("INSERT INTO t VALUES (666)")
+    for term, primary, replica in ((2, second, third), (3, third, second)):
+        primary.fence(term)
+        replica.fence(term)
+        accepted, start = primary.promote(term)
+        assert replica.follow(term, primary, start) is True
+        primary.run("INSERT INTO t VALUES (%s)", term)
+        wait_for(
+            lambda primary=primary, term=term: (
+                term in {item[0] for item in primary.acknowledged().values()}
+            )
+        )
+        wait_for(
+            lambda replica=replica, p=primary: replica.status()[1:] == p.status()[1:]
+        )
+    assert old.follow(3, third, 4) is True
+    old.control("cut", 0)
+    wait_for(lambda: old.status() == ("replica", 3, 5, 5))
+    assert old.run("SELECT k FROM t ORDER BY k") == [(2,), (3,)]
+
+
+# --- Any order of cuts and failovers
+
+
+@define
+class Group:
+    """Three databases in memory, with a network and a coordinator by chance."""
+
+    directory: Path
+    random: random.Random
+    databases: list[Database] = field(init=False)
+    # Connections: the replica's view of its primary and the next offset to send.
+    shipped: dict[int, tuple[Upstream, int]] = field(factory=dict)
+    written: int = 0
+    acknowledged: set[int] = field(factory=set)
+    term: int = 1
+
+    def __attrs_post_init__(self) -> None:
+        self.databases = []
+        for number in range(3):
+            path = self.directory / str(number)
+            path.mkdir()
+            upstream = Upstream("", 0) if number else None
+            database = make_database(Options(str(number)), path, upstream)
+            self.databases.append(database)
+        primary, *replicas = self.databases
+        self.commit(primary, "CREATE TABLE t (k bigint)")
+        for replica in replicas:
+            replica.receive(1, primary.log.entries[:], 0)
+
+    def commit(self, database: Database, text: str) -> None:
+        database.storage.replay_connection.execute(text)
+        write: Write = (text, ())
+        database.committed((write,))
+
+    def write(self) -> None:
+        primaries = [item for item in self.databases if item.role is Role.PRIMARY]
+        if primaries:
+            self.written += 1
+            text = f"INSERT INTO t VALUES ({self.written})"
+            self.commit(self.random.choice(primaries), text)
+
+    def connect(self) -> None:
+        number = self.random.randrange(3)
+        replica = self.databases[number]
+        upstream = replica.upstream
+        if upstream is None:
+            return
+        primary = self.databases[upstream.port]
+        if primary.role is not Role.PRIMARY:
+            return
+        if not replica.accepts(upstream, primary.tenure):
+            return
+        log = replica.log
+        common = primary.log.common_offset(log.term_starts(), log.last_offset)
+        replica.agree(primary.tenure, common)
+        self.shipped[number] = (upstream, common)
+
+    def ship(self) -> None:
+        for number, (upstream, offset) in list(self.shipped.items()):
+            replica, primary = self.databases[number], self.databases[upstream.port]
+            entries = primary.log.entries[offset : offset + self.random.randrange(3)]
+            is_closed = primary.role is Role.REPLICA
+            if is_closed or not replica.accepts(upstream, primary.tenure):
+                del self.shipped[number]
+                continue
+            replica.receive(primary.tenure, entries, 0)
+            self.shipped[number] = (upstream, offset + len(entries))
+            state = ReplicaState(replica.log.last_term, replica.log.last_offset)
+            primary.replicas[replica.options.name] = state
+
+    def acknowledge(self) -> None:
+        """Acknowledge writes as an owner does from group_replicas()."""
+        for primary in self.databases:
+            if primary.role is not Role.PRIMARY:
+                continue
+            for state in primary.replicas.values():
+                if state.term == primary.log.last_term:
+                    self.acknowledged |= rows_of(primary, state.received)
+
+    def replay(self) -> None:
+        replica = self.random.choice(self.databases)
+        if replica.role is Role.REPLICA:
+            replica.replay_up_to(self.random.randint(0, replica.log.last_offset))
+
+    def fail_over(self) -> None:
+        """Fence a majority, promote its best member, and tell some of the others."""
+        self.term += 1
+        fenced = self.random.sample(self.databases, self.random.choice((2, 3)))
+        for database in fenced:
+            assert database.fence(self.term)
+        best = max(fenced, key=lambda item: (item.log.last_term, item.log.last_offset))
+        start = best.promote(self.term)
+        assert start is not None
+        assert self.acknowledged <= rows_of(best, best.log.last_offset)
+        address = ("", self.databases.index(best))
+        for database in self.databases:
+            if database is not best and self.random.random() < 0.7:
+                assert database.follow(self.term, address, start)
+
+
+def rows_of(database: Database, offset: int) -> set[int]:
+    """Return the rows that the log has up to an offset."""
+    texts = [
+        text for entry in database.log.entries[:offset] for text, _ in entry.writes
+    ]
+    return {int(text.split("(")[1][:-1]) for text in texts if "INSERT" in text}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_acknowledged_write_is_lost_in_any_order(tmp_path: Path, seed: int) -> None:
+    """Guards against a promotion without an acknowledged write, and stray rows."""
+    chance = random.Random(seed)
+    group = Group(tmp_path, chance)
+    steps = [group.write, group.connect, group.ship, group.acknowledge, group.replay]
+    for _ in range(1000):
+        chance.choice(steps)()
+        if chance.random() < 0.01:
+            group.fail_over()
+    assert group.acknowledged
+    for database in group.databases:
+        if database.role is Role.REPLICA:
+            database.replay_up_to(database.log.last_offset)
+        rows = database.storage.connect().execute("SELECT k FROM t").fetchall()
+        assert {row[0] for row in rows} == rows_of(database, database.replayed)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,126 +1,30 @@
-"""The stand-ins speak their protocols and fail over as the design expects."""
+"""The stand-ins speak the protocols of the systems that they stand for."""
 
 import json
 import select
 import socket
-import subprocess
-import sys
-import time
 import urllib.error
 import urllib.request
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 import psycopg
 import pytest
-from attrs import define, field
 from psycopg import pq
 
-PATIENCE_S = 20  # Ends a test that would wait forever; no result depends on it.
-
-
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [int(item.getsockname()[1]) for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
-def wait_for(condition: Callable[[], bool]) -> None:
-    deadline = time.monotonic() + PATIENCE_S
-    while not condition():
-        assert time.monotonic() < deadline, "the condition never held"
-        time.sleep(0.005)
-
-
-@define
-class Processes:
-    running: list[subprocess.Popen[str]] = field(factory=list)
-
-    def start(self, module: str, *arguments: object) -> subprocess.Popen[str]:
-        process = subprocess.Popen(
-            [sys.executable, "-m", f"standins.{module}", *map(str, arguments)],
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-        self.running.append(process)
-        assert process.stdout is not None
-        assert process.stdout.readline() == "ready\n"
-        return process
-
-    def database(self, name: str, *arguments: object) -> "Endpoint":
-        sql, replication = free_ports(2)
-        process = self.start(
-            "database_server",
-            *("--name", name, "--listen", f"127.0.0.1:{sql}"),
-            *("--replication-listen", f"127.0.0.1:{replication}", *arguments),
-        )
-        return Endpoint(name, sql, replication, process)
-
-    def group(self, *arguments: object) -> list["Endpoint"]:
-        primary = self.database("a", "--primary", *arguments)
-        address = f"127.0.0.1:{primary.replication}"
-        followers = [
-            self.database(name, "--follow", address, *arguments) for name in "bc"
-        ]
-        for follower in followers:
-            wait_for(lambda name=follower.name: name in primary.acknowledged())
-        return [primary, *followers]
-
-
-@define
-class Endpoint:
-    name: str
-    sql: int
-    replication: int
-    process: subprocess.Popen[str]
-
-    def connect(self) -> psycopg.Connection[Any]:
-        conninfo = f"host=127.0.0.1 port={self.sql} user=test dbname=test"
-        return psycopg.connect(conninfo, autocommit=True)
-
-    def run(self, text: str, *parameters: object) -> list[Any]:
-        with self.connect() as connection:
-            cursor = connection.execute(text, parameters or None)
-            return cursor.fetchall() if cursor.description else []
-
-    def status(self) -> tuple[str, int, int, int]:
-        (row,) = self.run("SELECT role, term, received, replayed FROM group_status()")
-        return row  # type: ignore[no-any-return]
-
-    def acknowledged(self) -> dict[str, tuple[int, int]]:
-        rows = self.run("SELECT endpoint, term, received FROM group_replicas()")
-        return {name: (term, received) for name, term, received in rows}
-
-    def fence(self, term: int) -> Any:
-        text = "SELECT accepted, last_term, received FROM group_fence(%s)"
-        return self.run(text, term)[0]
-
-    def promote(self, term: int) -> Any:
-        text = "SELECT accepted, start_position FROM group_promote(%s)"
-        return self.run(text, term)[0]
-
-    def follow(self, term: int, primary: "Endpoint", start: int) -> Any:
-        text = "SELECT accepted FROM group_follow(%s, %s, %s, %s)"
-        return self.run(text, term, "127.0.0.1", primary.sql, start)[0][0]
-
-    def control(self, name: str, value: int) -> None:
-        self.run("SELECT standin_set(%s, %s)", name, value)
+from .standin_processes import (
+    PATIENCE_S,
+    Endpoint,
+    Processes,
+    free_ports,
+    running_processes,
+)
 
 
 @pytest.fixture
 def processes() -> Iterator[Processes]:
-    result = Processes()
-    yield result
-    for process in result.running:
-        process.terminate()
-    for process in result.running:
-        process.wait()
-        assert process.stdout is not None
-        process.stdout.close()
+    with running_processes() as result:
+        yield result
 
 
 # --- SQL over the PostgreSQL protocol
@@ -256,92 +160,6 @@
     assert database.run("SELECT k FROM t ORDER BY k") == [(1,), (2,)]
 
 
-# --- Groups
-
-
-def test_replicas_receive_at_once_and_replay_later(processes: Processes) -> None:
-    """Guards against positions that claim more than a replica shows."""
-    primary, replica, other = processes.group()
-    primary.run("CREATE TABLE t (k bigint)")
-    wait_for(lambda: replica.status() == ("replica", 1, 1, 1))
-    replica.control("frozen", 1)
-    primary.run("INSERT INTO t VALUES (%s)", 5)
-    wait_for(lambda: primary.acknowledged()["b"] == (1, 2))
-    wait_for(lambda: other.run("SELECT * FROM t") == [(5,)])
-    assert replica.status() == ("replica", 1, 2, 1)
-    assert replica.run("SELECT * FROM t") == []
-    replica.control("frozen", 0)
-    wait_for(lambda: replica.run("SELECT * FROM t") == [(5,)])
-    with pytest.raises(psycopg.errors.ReadOnlySqlTransaction):
-        replica.run("INSERT INTO t VALUES (6)")
-
-
-def test_failover_drops_what_only_the_old_primary_has(processes: Processes) -> None:
-    """Guards against a lost acknowledged write and against an old primary's writes."""
-    old, new, third = endpoints = processes.group()
-    old.run("CREATE TABLE t (k bigint)")
-    old.run("INSERT INTO t VALUES (1)")
-    for endpoint in endpoints:
-        wait_for(lambda endpoint=endpoint: endpoint.status()[2:] == (2, 2))
-    new.control("frozen", 1)
-    old.run("INSERT INTO t VALUES (2)")
-    wait_for(lambda: old.acknowledged() == {"b": (1, 3), "c": (1, 3)})
-    old.control("cut", 1)
-    old.run("INSERT INTO t VALUES (%s)", 666)
-    with old.connect() as late:
-        late.execute("BEGIN")
-        late.execute("INSERT INTO t VALUES (667)")
-        assert [new.fence(2), third.fence(2)] == [(True, 1, 3)] * 2
-        assert new.fence(2)[0] is False
-        assert new.promote(3)[0] is False
-        assert new.promote(2) == (True, 4)
-        assert third.follow(2, new, 4) is True
-        new.run("INSERT INTO t VALUES (3)")
-        wait_for(lambda: new.acknowledged() == {"c": (2, 5)})
-        assert old.fence(2) == (True, 1, 4)
-        with pytest.raises(psycopg.errors.ReadOnlySqlTransaction):
-            late.execute("COMMIT")
-    assert old.status()[0] == "fenced"
-    assert old.follow(1, new, 4) is False
-    assert old.follow(2, new, 4) is True
-    old.control("cut", 0)
-    for endpoint in endpoints:
-        wait_for(lambda endpoint=endpoint: endpoint.status()[1:] == (2, 5, 5))
-        assert endpoint.run("SELECT k FROM t ORDER BY k") == [(1,), (2,), (3,)]
-    text = "SELECT term, position, statement FROM group_dropped()"
-    assert old.run(text) == [(1, 4, "INSERT INTO t VALUES (666)")]
-
-
-def test_following_drops_a_tail_from_before_the_last_promotion(
-    processes: Processes,
-) -> None:
-    """Guards against a divergent tail below START_POSITION that survives."""
-    old, second, third = processes.group()
-    old.run("CREATE TABLE t (k bigint)")
-    for replica in (second, third):
-        wait_for(lambda replica=replica: replica.status()[2] == 1)
-    old.control("cut", 1)
-    old.run("INSERT INTO t VALUES (666)")
-    for term, primary, replica in ((2, second, third), (3, third, second)):
-        primary.fence(term)
-        replica.fence(term)
-        accepted, start = primary.promote(term)
-        assert replica.follow(term, primary, start) is True
-        primary.run("INSERT INTO t VALUES (%s)", term)
-        wait_for(
-            lambda primary=primary, term=term: (
-                term in {item[0] for item in primary.acknowledged().values()}
-            )
-        )
-        wait_for(
-            lambda replica=replica, p=primary: replica.status()[1:] == p.status()[1:]
-        )
-    assert old.follow(3, third, 4) is True
-    old.control("cut", 0)
-    wait_for(lambda: old.status() == ("replica", 3, 5, 5))
-    assert old.run("SELECT k FROM t ORDER BY k") == [(2,), (3,)]
-
-
 # --- Store
 
 
