--- a/tests/test_standin_groups.py
+++ b/tests/test_standin_groups.py
@@ -200,7 +200,7 @@
         assert self.acknowledged <= rows_of(best, best.log.last_offset)
         address = ("", self.databases.index(best))
         for database in self.databases:
-            if database is not best and self.random.random() < 0.7:
+            if database is not best and self.random.random() < 0.5:
                 assert database.follow(self.term, address, start)
 
 
