--- a/standins/client_protocol.py
+++ b/standins/client_protocol.py
@@ -55,17 +55,28 @@
     statements: dict[str, Prepared] = field(factory=dict)
     portals: dict[str, Portal] = field(factory=dict)
     is_skipping: bool = False  # After an error, until Sync.
+    output: bytearray = field(factory=bytearray)  # Until Sync or Flush.
 
     async def serve(self) -> None:
         """Answer messages until the client leaves."""
         self.send_ready()
-        await self.writer.drain()
+        await self.flush()
         while True:
             kind, body = await self.read_message()
             if kind == b"X":
                 return
             await self.handle(kind, body)
 
+    def send(self, data: bytes) -> None:
+        """Add to the output, which goes out in one piece at Sync or Flush."""
+        self.output += data
+
+    async def flush(self) -> None:
+        """Send the output."""
+        self.writer.write(bytes(self.output))
+        self.output.clear()
+        await self.writer.drain()
+
     async def read_message(self) -> tuple[bytes, wire.Reader]:
         """Return the next message."""
         kind = await self.reader.readexactly(1)
@@ -83,14 +94,14 @@
         elif kind == b"Q":
             await self.simple_query(body.text())
         elif kind == b"H":
-            await self.writer.drain()
+            await self.flush()
         elif not self.is_skipping:
             try:
                 await self.extended(kind, body)
             except SqlError as error:
                 self.is_skipping = True
                 self.session.fail()
-                self.writer.write(wire.error_response(error))
+                self.send(wire.error_response(error))
 
     async def extended(self, kind: bytes, body: wire.Reader) -> None:
         """Carry out a message of the extended query protocol."""
@@ -111,15 +122,15 @@
             try:
                 self.session.end_segment()
             except SqlError as error:
-                self.writer.write(wire.error_response(error))
+                self.send(wire.error_response(error))
         self.is_skipping = False
         self.portals.clear()
         self.send_ready()
-        await self.writer.drain()
+        await self.flush()
 
     def send_ready(self) -> None:
         """Tell the client the transaction state."""
-        self.writer.write(wire.ready_for_query(self.session.ready()))
+        self.send(wire.ready_for_query(self.session.ready()))
 
     # --- Simple query
 
@@ -128,28 +139,28 @@
         try:
             parts = split(text)
             if not parts:
-                self.writer.write(wire.message(b"I"))
+                self.send(wire.message(b"I"))
             for part in parts:
                 result = await self.session.execute(parse(part), ())
                 self.send_description(result)
                 self.send_rows(result)
             self.session.end_segment()
         except SqlError as error:
-            self.writer.write(wire.error_response(error))
+            self.send(wire.error_response(error))
         self.send_ready()
-        await self.writer.drain()
+        await self.flush()
 
     def send_description(self, result: Result) -> None:
         """Send the columns of a result that has any."""
         if result.columns is None:
             return
-        self.writer.write(wire.row_description(columns_of(result)))
+        self.send(wire.row_description(columns_of(result)))
 
     def send_rows(self, result: Result) -> None:
         """Send the rows and the command tag."""
         for row in result.rows:
-            self.writer.write(wire.data_row(row))
-        self.writer.write(wire.command_complete(result.tag))
+            self.send(wire.data_row(row))
+        self.send(wire.command_complete(result.tag))
 
     # --- Extended query
 
@@ -158,7 +169,7 @@
         name, text = body.text(), body.text()
         oids = tuple(body.int32() for _ in range(body.int16()))
         self.statements[name] = Prepared(parse(text.rstrip("; \n\t")), oids)
-        self.writer.write(wire.message(b"1"))
+        self.send(wire.message(b"1"))
 
     async def on_bind(self, body: wire.Reader) -> None:
         """Bind parameters to a statement."""
@@ -176,7 +187,7 @@
             for number, (data, form) in enumerate(zip(raw, formats, strict=True), 1)
         )
         self.portals[portal_name] = Portal(prepared.parsed, parameters)
-        self.writer.write(wire.message(b"2"))
+        self.send(wire.message(b"2"))
 
     async def on_describe(self, body: wire.Reader) -> None:
         """Describe a portal, which runs it, or a statement."""
@@ -190,9 +201,9 @@
         """Describe parameters, and the columns of a read by running it on NULLs."""
         parsed = prepared.parsed
         oids = [prepared.oid(number + 1) for number in range(parsed.parameter_count)]
-        self.writer.write(wire.parameter_description(oids))
+        self.send(wire.parameter_description(oids))
         if parsed.kind is not Kind.READ:
-            self.writer.write(wire.message(b"n"))
+            self.send(wire.message(b"n"))
             return
         nulls = (None,) * parsed.parameter_count
         result = await self.session.execute(parsed, nulls)
@@ -201,7 +212,7 @@
     def send_columns(self, result: Result) -> None:
         """Send a RowDescription, or NoData."""
         if result.columns is None:
-            self.writer.write(wire.message(b"n"))
+            self.send(wire.message(b"n"))
         else:
             self.send_description(result)
 
@@ -209,17 +220,17 @@
         """Send a portal's rows, at most the given number of them if it is not 0."""
         portal, limit = self.portal(body.text()), body.int32()
         if portal.parsed.kind is Kind.EMPTY:
-            self.writer.write(wire.message(b"I"))
+            self.send(wire.message(b"I"))
             return
         result = await self.run_portal(portal)
         end = portal.sent_rows + limit if limit > 0 else len(result.rows)
         for row in result.rows[portal.sent_rows : end]:
-            self.writer.write(wire.data_row(row))
+            self.send(wire.data_row(row))
         portal.sent_rows = end
         if end < len(result.rows):
-            self.writer.write(wire.message(b"s"))
+            self.send(wire.message(b"s"))
         else:
-            self.writer.write(wire.command_complete(result.tag))
+            self.send(wire.command_complete(result.tag))
 
     async def run_portal(self, portal: Portal) -> Result:
         """Run a portal once and keep its result."""
@@ -234,7 +245,7 @@
             self.statements.pop(name, None)
         else:
             self.portals.pop(name, None)
-        self.writer.write(wire.message(b"3"))
+        self.send(wire.message(b"3"))
 
     def statement(self, name: str) -> Prepared:
         """Return a prepared statement; raise `SqlError` if there is none."""
--- a/standins/database_server.py
+++ b/standins/database_server.py
@@ -153,7 +153,7 @@
         task.cancel()
 
 
-def parse_arguments() -> argparse.Namespace:
+def parse_arguments(texts: list[str] | None) -> argparse.Namespace:
     """Parse the command line."""
     parser = argparse.ArgumentParser(description="Stand-in for a database of a group.")
     parser.add_argument("--name", required=True)
@@ -169,12 +169,12 @@
     parser.add_argument("--service-ms", type=float, default=0)
     parser.add_argument("--lag-ms", type=float, default=0)
     parser.add_argument("--max-connections", type=int, default=1000)
-    return parser.parse_args()
+    return parser.parse_args(texts)
 
 
-def main() -> None:
+def main(texts: list[str] | None = None) -> None:
     """Run the database as a process."""
-    arguments = parse_arguments()
+    arguments = parse_arguments(texts)
     options = Options(
         name=arguments.name,
         region=arguments.region,
--- a/standins/link.py
+++ b/standins/link.py
@@ -198,7 +198,7 @@
     return Pair(host_port(parts[0]), host_port(parts[1]), delay_ms)
 
 
-def main() -> None:
+def main(texts: list[str] | None = None) -> None:
     """Run the link as a process."""
     parser = argparse.ArgumentParser(description="Link with delay and cuts.")
     parser.add_argument("--listen", type=host_port)
@@ -212,7 +212,7 @@
         metavar="LISTEN=TO[=DELAY_MS]",
     )
     parser.add_argument("--control", type=host_port, metavar="HOST:PORT")
-    arguments = parser.parse_args()
+    arguments = parser.parse_args(texts)
     pairs: list[Pair] = arguments.pair
     if (arguments.listen is None) != (arguments.to is None):
         parser.error("--listen and --to go together")
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -277,7 +277,7 @@
         await runner.cleanup()
 
 
-def main() -> None:
+def main(texts: list[str] | None = None) -> None:
     """Run the store as a process."""
     parser = argparse.ArgumentParser(description="Stand-in for the platform's store.")
     parser.add_argument(
@@ -287,7 +287,7 @@
         type=listen_address,
         metavar="[REGION=]HOST:PORT",
     )
-    asyncio.run(serve(parser.parse_args().listen))
+    asyncio.run(serve(parser.parse_args(texts).listen))
 
 
 if __name__ == "__main__":
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -40,6 +40,7 @@
 
 INT16 = struct.Struct("!h")
 INT32 = struct.Struct("!i")
+HEAD = struct.Struct("!ci")  # Kind and length of a message.
 LENGTH_BYTES = 4  # A message's length counts itself.
 INVALID_TEXT = "22P02"
 NOT_SUPPORTED = "0A000"
