Count the work of a database stand-in

Measurements need the share of reads at replicas and the peaks of connections and statements as the databases see them, independent of the proxy's own counters.

--- a/bench/load_sessions.py
+++ b/bench/load_sessions.py
@@ -165,6 +165,8 @@
         answer = await client.send(self, SELECT_LAST, [self.name], "read")
         if answer.outcome is not Outcome.RAN:
             return answer
+        if client.max_age_ms is not None:
+            return answer  # The caller accepts data older than its own writes.
         value = int(answer.rows[0][0] or 0)
         if value < self.last_acknowledged():
             self.report(Violation.STALE_READ, value, self.last_acknowledged())
--- a/standins/database.py
+++ b/standins/database.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from enum import StrEnum
 
@@ -112,6 +113,7 @@
     interrupt_writer: Callable[[SqlError], None] | None = None
     replication_transports: set[asyncio.WriteTransport] = field(factory=set)
     wakeups: Wakeups = field(factory=Wakeups)
+    counts: Counter[str] = field(factory=Counter)  # For standin_counts().
 
     # --- Writing
 
@@ -126,6 +128,7 @@
 
     def committed(self, writes: tuple[Write, ...]) -> None:
         """Append a transaction that sqlite has just committed."""
+        self.counts["commits"] += 1
         self.log.append(self.tenure, writes)
         self.arrivals.append(0)
         self.replayed = self.log.last_offset
--- a/standins/database_server.py
+++ b/standins/database_server.py
@@ -2,6 +2,11 @@
 
 Clients and replicas connect with a startup packet; the parameter `replication` tells
 them apart. The data is in a temporary directory that is removed at exit.
+
+Tests change its behaviour by `SELECT standin_set(NAME, VALUE)` with lag_ms,
+service_ms, connect_ms, frozen (1: replay stops) and cut (1: no replication in either
+direction, while clients still connect). `SELECT name, value FROM standin_counts()`
+tells reads, writes, commits, connections and peaks.
 """
 
 import argparse
@@ -21,7 +26,7 @@
 from .group_log import GroupLog
 from .processes import CONNECTION_ENDS, host_port, run_until_signal
 from .sql_errors import SqlError
-from .sql_session import SqlSession
+from .sql_session import Slots, SqlSession
 from .storage import Storage
 
 TOO_MANY_CONNECTIONS = "53300"
@@ -43,7 +48,7 @@
     """Accepts clients and replicas of one database."""
 
     database: Database
-    slots: asyncio.Semaphore
+    slots: Slots
     open_clients: int = 0
     numbers: Iterator[int] = field(factory=itertools.count)
 
@@ -84,12 +89,16 @@
     ) -> None:
         """Serve a client within the connection limit."""
         options = self.database.options
+        counts = self.database.counts
         if self.open_clients >= options.max_connections:
+            counts["refused_connections"] += 1
             error = SqlError(TOO_MANY_CONNECTIONS, "too many connections", "FATAL")
             writer.write(wire.error_response(error))
             await writer.drain()
             return
         self.open_clients += 1
+        counts["connections"] += 1
+        counts["peak_connections"] = max(counts["peak_connections"], self.open_clients)
         try:
             await asyncio.sleep(options.connect_ms / 1000)
             self.greet(writer)
@@ -135,7 +144,7 @@
 
 async def serve(arguments: argparse.Namespace, database: Database) -> None:
     """Serve until a signal arrives."""
-    server = Server(database, asyncio.Semaphore(database.options.slots))
+    server = Server(database, Slots(database.options.slots, database.counts))
     listeners = [
         await asyncio.start_server(server.accept, host, port, backlog=1024)
         for host, port in filter(None, (arguments.listen, arguments.replication_listen))
--- a/standins/group_functions.py
+++ b/standins/group_functions.py
@@ -124,6 +124,12 @@
     return ("standin_set",), [(True,)]
 
 
+def standin_counts(database: Database) -> Table:
+    """Tell what the database has done, for measurements."""
+    rows: list[tuple[Value, ...]] = list(sorted(database.counts.items()))
+    return ("name", "value"), rows
+
+
 FUNCTIONS: dict[str, Callable[..., Table]] = {
     function.__name__: function
     for function in (
@@ -134,5 +140,6 @@
         group_follow,
         group_dropped,
         standin_set,
+        standin_counts,
     )
 }
--- a/standins/sql_session.py
+++ b/standins/sql_session.py
@@ -8,7 +8,9 @@
 
 import asyncio
 import sqlite3
-from contextlib import suppress
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
 
 from attrs import define, field
 
@@ -29,12 +31,39 @@
 SERIALIZATION_FAILURE = "40001"
 
 
+@define(eq=False)
+class Slots:
+    """Limits the statements that run at once and counts how many wanted to."""
+
+    limit: int
+    counts: Counter[str]
+    wanted: int = 0
+    semaphore: asyncio.Semaphore = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the semaphore."""
+        self.semaphore = asyncio.Semaphore(self.limit)
+
+    @asynccontextmanager
+    async def slot(self) -> AsyncIterator[None]:
+        """Hold a slot."""
+        self.wanted += 1
+        self.counts["peak_statements"] = max(
+            self.counts["peak_statements"], self.wanted
+        )
+        try:
+            async with self.semaphore:
+                yield
+        finally:
+            self.wanted -= 1
+
+
 @define(eq=False)
 class SqlSession:
     """One client's connection to sqlite and its transaction."""
 
     database: Database
-    slots: asyncio.Semaphore
+    slots: Slots
     connection: sqlite3.Connection = field(init=False)
     generation: int = field(init=False)
     state: str = IDLE
@@ -98,17 +127,19 @@
 
     async def read(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
         """Run a statement that changes nothing."""
-        async with self.slots:
+        self.database.counts["reads"] += 1
+        async with self.slots.slot():
             await self.serve()
             self.raise_interruption()
             return self.run_in_sqlite(parsed, parameters)
 
     async def write(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
         """Run a statement that changes data, in sqlite's transaction."""
+        self.database.counts["writes"] += 1
         self.database.check_writable()
         # The lock comes before the slot: its holder needs slots to finish.
         await self.begin_write()
-        async with self.slots:
+        async with self.slots.slot():
             await self.serve()
             self.raise_interruption()
             result = self.run_in_sqlite(parsed, parameters)
--- a/standins/statements.py
+++ b/standins/statements.py
@@ -22,7 +22,7 @@
 CHANGE = re.compile(r"\b(INSERT|UPDATE|DELETE|REPLACE)\b", re.IGNORECASE)
 WORD = re.compile(r"[A-Za-z_]+")
 GROUP_FUNCTION = re.compile(
-    r"\b(?:group_(?:status|replicas|fence|promote|follow|dropped)|standin_set)\s*\(",
+    r"\b(?:group_(?:status|replicas|fence|promote|follow|dropped)|standin_(?:set|counts))\s*\(",
     re.IGNORECASE,
 )
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -158,6 +158,8 @@
         first.execute("COMMIT")
         assert command_result(second.pgconn) == pq.ExecStatus.COMMAND_OK
     assert database.run("SELECT k FROM t ORDER BY k") == [(1,), (2,)]
+    counts = dict(database.run("SELECT name, value FROM standin_counts()"))
+    assert (counts["writes"], counts["reads"], counts["commits"]) == (3, 2, 3)
 
 
 # --- Store
