--- a/tests/test_entry_scheduling.py
+++ b/tests/test_entry_scheduling.py
@@ -53,6 +53,7 @@
     names = ("small", "large")
     for name, share in zip(names, shares, strict=True):
         state.configuration.workspaces[name] = WorkspaceRow(name, 1, 1, share)
+        state.costs[(name, Access.READ)] = costs[names.index(name)]
         for _ in range(20 if name == "small" else 40):
             add_work(queue, name, state)
     used = dict.fromkeys(names, 0.0)
