--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -10,7 +10,7 @@
 
 from attrs import evolve
 
-from . import peers, positions, replica_choice, replica_lag, work_limits
+from . import peers, positions, rates, replica_choice, replica_lag, work_limits
 from .answers import refuse_request, send_result
 from .dispatch import handle, handle_peer
 from .errors import Failure, Outcome, Problem, not_run, unknown
@@ -288,6 +288,7 @@
         detail = "the owner has not answered"
         finish_failure(pending, unknown(Problem.DEADLINE_EXCEEDED, detail), state)
     else:
+        rates.forget(pending.workspace, pending.request, state)
         finish_failure(pending, not_run(Problem.RATE_EXCEEDED), state)
 
 
--- a/pimentodrift/work_connections.py
+++ b/pimentodrift/work_connections.py
@@ -73,6 +73,16 @@
     close_connection(connection, state)
 
 
+def close_idle(queue: EndpointQueue, state: State) -> None:
+    """Close the idle connections of an endpoint that has stopped answering.
+
+    The connections of a machine that has died stay open on this side. When the endpoint
+    is back, the first work on each of them would wait for its deadline.
+    """
+    while queue.idle:
+        close(queue, queue.idle[0][0], state)
+
+
 def close_unused(queue: EndpointQueue, state: State) -> list[int]:
     """Close connections idle too long; return those that did not open in time."""
     now = state.clock.monotonic()
--- a/pimentodrift/work_limits.py
+++ b/pimentodrift/work_limits.py
@@ -65,6 +65,7 @@
         if work.started_at is None:
             queueing.refuse(work, not_run(Problem.DEADLINE_EXCEEDED, detail), state)
         elif work.connection:
+            pool.close_idle(state.queues[work.forward.endpoint], state)
             queueing.give_up(work, Problem.DEADLINE_EXCEEDED, detail, state)
         elif work.deadline + ACKNOWLEDGMENT_GRACE <= now:
             failure = unknown(Problem.ACKNOWLEDGMENT_MISSING)
@@ -76,6 +77,7 @@
     endpoint = state.endpoints.get(queue.endpoint)
     if endpoint is None or endpoint.failing_until <= state.clock.monotonic():
         return
+    pool.close_idle(queue, state)
     detail = "the endpoint does not answer"
     for work in queueing.queued_work(queue, state):
         if not queueing.needs_primary(work.forward):
