Refuse addresses that are not numeric, and count batches, calls and tick gaps

An address of the store goes into libpq's connection string, so it is parsed first; a name would block the loop while it is resolved.

--- a/pimentodrift/endpoint_connections.py
+++ b/pimentodrift/endpoint_connections.py
@@ -25,7 +25,7 @@
     RunBatch,
     StatementResult,
 )
-from .sockets import Poller, Timer
+from .sockets import Poller, Timer, parse_address
 from .tables import State
 
 CONNECT_TIMEOUT_S = 2.0
@@ -103,6 +103,7 @@
             answer = EndpointAnswered(self.number, message.batch, refused)
             self.owner.deliver_all([answer])
             return
+        self.owner.state.counters["endpoints.batches"] += 1
         self.batch = message.batch
         self.syncs = len(message.segments)
         self.results = []
@@ -165,6 +166,7 @@
         """Close and tell the core."""
         if not self.is_closed:
             self.close()
+            self.owner.state.counters["endpoints.lost"] += 1
             closed = EndpointClosed(self.number, detail.strip())
             self.owner.deliver_all([closed])
 
@@ -198,7 +200,13 @@
     def open(self, message: OpenEndpoint) -> None:
         """Begin to connect."""
         self.state.counters["endpoints.connects"] += 1
-        libpq = pq.PGconn.connect_start(conninfo(message.address))
+        try:
+            text = conninfo(message.address)
+        except OSError as error:
+            closed = EndpointClosed(message.connection, str(error))
+            self.deliver_all([closed])
+            return
+        libpq = pq.PGconn.connect_start(text)
         connection = EndpointConnection(self, message.connection, libpq)
         self.connections[message.connection] = connection
         if libpq.status == pq.ConnStatus.BAD:
@@ -228,10 +236,10 @@
 
 
 def conninfo(address: str) -> bytes:
-    """Return libpq's connection string; hostaddr needs no name resolution."""
-    host, _, port = address.rpartition(":")
+    """Return libpq's connection string for a numeric address; raise OSError."""
+    host, port = parse_address(address)[1][:2]
     text = (
-        f"hostaddr={host.strip('[]')} port={port} user=pimentodrift"
+        f"hostaddr={host} port={port} user=pimentodrift"
         " dbname=pimentodrift sslmode=disable gssencmode=disable"
     )
     return text.encode()
--- a/pimentodrift/peer_streams.py
+++ b/pimentodrift/peer_streams.py
@@ -175,7 +175,7 @@
 
     def introduce(self, peer: PeerStream, instance: str) -> None:
         """Name an accepted stream; an older one of the instance is lost."""
-        if peer.instance:
+        if peer.instance or instance == self.state.settings.name:
             return
         self.unnamed.discard(peer)
         older = self.accepted.get(instance)
--- a/pimentodrift/shell.py
+++ b/pimentodrift/shell.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from functools import singledispatch
+from time import monotonic
 from traceback import extract_tb
 from typing import Protocol
 
@@ -58,6 +59,8 @@
         self.exit_process = exit_process
         self.core: Core = core
         self.carrying_out = False
+        self.last_tick = monotonic()
+        self.longest_tick_gap_s = 0.0
         self.known_errors: set[tuple[str, str]] = set()
         poller.on_error = self.report_error
         self.http = HttpServer(state, poller, self.deliver_all)
@@ -79,6 +82,9 @@
 
     def tick(self) -> None:
         """Run the core's systems."""
+        now = monotonic()
+        self.longest_tick_gap_s = max(self.longest_tick_gap_s, now - self.last_tick)
+        self.last_tick = now
         try:
             self.core.tick(self.state)
         except Exception as error:  # noqa: BLE001
@@ -128,8 +134,10 @@
         self.state.events.append(("internal_error", fields))
 
     def gauges(self) -> dict[str, int]:
-        """Return the sizes of what the shell keeps."""
+        """Return the sizes of what the shell keeps, and the longest gap of ticks."""
+        gap_s, self.longest_tick_gap_s = self.longest_tick_gap_s, 0.0
         return {
+            "shell.longest_tick_gap_ms": round(gap_s * 1000),
             "http.connections": len(self.http.connections),
             "http.requests": len(self.http.slots),
             "peers.streams": len(self.peers.dialed) + len(self.peers.accepted),
--- a/pimentodrift/sockets.py
+++ b/pimentodrift/sockets.py
@@ -10,7 +10,7 @@
 
 import socket
 from collections.abc import Callable
-from errno import EAGAIN, EINPROGRESS, ENOENT
+from errno import EAGAIN, EINPROGRESS, EINVAL, ENOENT
 from functools import lru_cache
 from heapq import heappop, heappush
 from itertools import count
@@ -207,12 +207,13 @@
     Names are refused, because resolving them would block the loop.
     """
     host, _, port = text.rpartition(":")
-    found = socket.getaddrinfo(
-        host.strip("[]"),
-        int(port) if port.isdigit() else port,
-        type=socket.SOCK_STREAM,
-        flags=socket.AI_NUMERICHOST | socket.AI_NUMERICSERV,
-    )
+    flags = socket.AI_NUMERICHOST | socket.AI_NUMERICSERV
+    try:
+        found = socket.getaddrinfo(
+            host.strip("[]"), port, type=socket.SOCK_STREAM, flags=flags
+        )
+    except UnicodeError as error:
+        raise OSError(EINVAL, f"not an address: {text!r}") from error
     return found[0][0], found[0][4]
 
 
--- a/pimentodrift/store_client.py
+++ b/pimentodrift/store_client.py
@@ -62,6 +62,7 @@
 
     def add(self, call: Call, timeout_s: float) -> None:
         """Queue a call."""
+        self.client.state.counters["store.calls"] += 1
         call.timer = self.client.poller.timers.later(
             timeout_s, lambda: self.time_out(call)
         )
--- a/tests/test_shell_endpoints.py
+++ b/tests/test_shell_endpoints.py
@@ -120,10 +120,11 @@
     monkeypatch.setattr(endpoint_connections, "CONNECT_TIMEOUT_S", 0.0)
     with connected(answers_startup=False) as (rig, _):
         rig.until(lambda: rig.core.of(m.EndpointClosed))
-        rig.core.received.clear()
-        rig.state.outbox.append(m.OpenEndpoint(2, "e2", "127.0.0.1:1"))
-        rig.shell.carry_out()
-        rig.until(lambda: rig.core.of(m.EndpointClosed))
+        for address in ["127.0.0.1:1", "name:1", "127.0.0.1:1 user=a", ""]:
+            rig.core.received.clear()
+            rig.state.outbox.append(m.OpenEndpoint(2, "e2", address))
+            rig.shell.carry_out()
+            rig.until(lambda: rig.core.of(m.EndpointClosed))
 
 
 def test_closed_connection_is_silent() -> None:
