--- a/pimentodrift/draining.py
+++ b/pimentodrift/draining.py
@@ -40,7 +40,7 @@
     row = state.instances.get(name)
     if row is not None and row.presence is not Presence.LEAVING:
         row.presence = Presence.LEAVING
-        state.events.append(("instance_leaving", {"instance": name}))
+        state.events.append(("instance_leaving", {"peer": name}))
 
 
 def is_idle(state: State) -> bool:
--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -12,6 +12,7 @@
 from .messages import (
     ClosePeer,
     EndpointSample,
+    Hello,
     InstanceDown,
     Ping,
     Pong,
@@ -85,6 +86,13 @@
     peers.send(row.name, Ping(state.number()), state)
 
 
+@handle_peer.register
+def _(message: Hello, sender: str, state: State) -> None:
+    instance = state.instances.get(sender)
+    if instance is not None:
+        instance.last_heard = state.clock.monotonic()
+
+
 @handle_peer.register
 def _(message: Ping, sender: str, state: State) -> None:
     now = state.clock.monotonic()
@@ -137,7 +145,7 @@
     if instance.suspected_number is None or number <= instance.suspected_number:
         return
     instance.suspected_number = None
-    state.events.append(("instance_answers", {"instance": instance.name}))
+    state.events.append(("instance_answers", {"peer": instance.name}))
 
 
 def apply_sample(received: EndpointSample, read_at: timedelta, state: State) -> None:
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -125,7 +125,7 @@
         return
     row.suspected_until = state.clock.monotonic() + SUSPICION
     if row.suspected_number is None:
-        state.events.append(("instance_suspected", {"instance": name}))
+        state.events.append(("instance_suspected", {"peer": name}))
     row.suspected_number = state.number()
     state.counters["membership.suspected"] += 1
 
--- a/tests/test_shell_peers.py
+++ b/tests/test_shell_peers.py
@@ -125,7 +125,7 @@
         a.shell.carry_out()
         a.until(lambda: a.core.of(PeerLost))
         lost = [part for part in a.core.received if isinstance(part, PeerLost)]
-        assert lost[0] == PeerLost("b", frozenset({7}))
+        assert lost[0] == PeerLost("b", frozenset({7}), refused=True)
 
 
 def test_partly_sent_request_is_not_unsent() -> None:
