Accept peer messages up to the limit of size whatever follows them

The unpacker's buffer of 4 MiB also had to hold the beginning of the next message, so a message near the limit could end its stream. A message that is too large to send is now logged as well as counted. Tests of the shell share one way to perform messages.

--- a/pimentodrift/dump.py
+++ b/pimentodrift/dump.py
@@ -15,11 +15,11 @@
 
 from .messages import PeerMessage
 from .peer_codec import PeerCodec, make_unpacker
+from .sockets import READ_BYTES
 from .tables import State
 
 CLIENT_TIMEOUT_S = 10.0
 MAX_REPLY_BYTES = 256 * 1024 * 1024
-READ_BYTES = 64 * 1024
 # Not tables: what the shell has passed in, and what is on its way out.
 OMITTED = frozenset({"clock", "random", "outbox", "events"})
 # Fields that hold keys or their digests; headers carry the caller's key.
--- a/pimentodrift/peer_codec.py
+++ b/pimentodrift/peer_codec.py
@@ -20,6 +20,7 @@
 
 from .errors import Failure
 from .messages import PeerMessage, Ran, Rows, Statement
+from .sockets import READ_BYTES
 
 Values = tuple[Any, ...]
 Encode = Callable[[Any], Any]
@@ -78,8 +79,10 @@
 
 
 def make_unpacker(limit: int = MAX_MESSAGE_BYTES) -> msgpack.Unpacker:
-    """Return an unpacker of a stream of messages."""
-    return msgpack.Unpacker(max_buffer_size=limit, use_list=False, strict_map_key=False)
+    """Return an unpacker of a stream of messages of up to `limit` bytes."""
+    # The last read of a message may bring the beginning of the next.
+    size = limit + READ_BYTES
+    return msgpack.Unpacker(max_buffer_size=size, use_list=False, strict_map_key=False)
 
 
 def make_converter() -> cattrs.Converter:
--- a/pimentodrift/peer_streams.py
+++ b/pimentodrift/peer_streams.py
@@ -132,7 +132,7 @@
         """Encode and send a message within the limit of size."""
         data = self.codec.encode(message)
         if len(data) > MAX_MESSAGE_BYTES:
-            self.state.counters["peers.too_large"] += 1
+            self.note_too_large(peer, message, len(data))
             if not isinstance(message, Reply):
                 return
             detail = f"the result is larger than {MAX_MESSAGE_BYTES} bytes"
@@ -141,6 +141,16 @@
         self.state.counters["peers.sent"] += 1
         peer.send(message, data)
 
+    def note_too_large(self, peer: PeerStream, message: PeerMessage, size: int) -> None:
+        """Count and log a message that cannot be sent."""
+        self.state.counters["peers.too_large"] += 1
+        fields: dict[str, object] = {
+            "instance": peer.instance,
+            "message": type(message).__name__,
+            "bytes": size,
+        }
+        self.state.events.append(("peer_message_too_large", fields))
+
     def dial(self, instance: str, address: str) -> PeerStream | None:
         """Begin to connect; return None if that fails at once."""
         self.state.counters["peers.dialed"] += 1
--- a/tests/shell_support.py
+++ b/tests/shell_support.py
@@ -68,6 +68,11 @@
             self.step()
         raise AssertionError("the condition did not come true")
 
+    def perform(self, *messages: object) -> None:
+        """Carry out messages of the core."""
+        self.state.outbox.extend(messages)
+        self.shell.carry_out()
+
     def step(self) -> None:
         self.poller.run_timers(monotonic())
         self.poller.poll_once(STEP_S)
--- a/tests/test_shell_endpoints.py
+++ b/tests/test_shell_endpoints.py
@@ -12,47 +12,33 @@
 from .shell_support import Rig, running
 
 S = m.Statement
+OIDS = [16, 20, 21, 23, 701, 1700, 25]
+CELLS: list[bytes | None] = [b"t", b"1", b"2", b"-3", b"1.5", b"0.10", b"\xc3\xa9"]
 
 
 def script(text: str, parameters: list[bytes | None]) -> Answer:
-    match text.split():
-        case ["echo", *_]:
-            columns = [(f"c{place}", 25) for place in range(len(parameters))]
-            return columns, [parameters]
-        case ["types"]:
-            oids = [16, 20, 21, 23, 701, 1700, 25]
-            row: list[bytes | None] = [
-                b"t",
-                b"1",
-                b"2",
-                b"-3",
-                b"1.5",
-                b"0.10",
-                b"\xc3\xa9",
-            ]
-            return [(str(oid), oid) for oid in oids], [row, [None] * len(oids)]
-        case ["large"]:
-            return [("a", 25)], [[b"x" * 1000]] * 5000
-        case ["none"]:
-            return [], []
-    return "42601"
+    answers: dict[str, Answer] = {
+        "echo": ([("c", 25)] * len(parameters), [parameters]),
+        "types": ([(str(oid), oid) for oid in OIDS], [CELLS, [None] * len(OIDS)]),
+        "large": ([("a", 25)], [[b"x" * 1000]] * 5000),
+        "none": ([], []),
+    }
+    return answers.get(text, "42601")
 
 
 @contextmanager
-def connected(answers_startup: bool = True) -> Iterator[tuple[Rig, PostgresScript]]:
-    server = PostgresScript(script, answers_startup)
+def connected() -> Iterator[tuple[Rig, PostgresScript]]:
+    server = PostgresScript(script)
     with running() as rig:
-        rig.state.outbox.append(m.OpenEndpoint(1, "e1", server.address))
-        rig.shell.carry_out()
+        rig.perform(m.OpenEndpoint(1, "e1", server.address))
+        rig.until(lambda: rig.core.of(m.EndpointOpened))
         yield rig, server
     server.close()
 
 
 def run(rig: Rig, *segments: tuple[m.Statement, ...]) -> tuple[m.StatementResult, ...]:
-    rig.until(lambda: rig.core.of(m.EndpointOpened))
     rig.core.received.clear()
-    rig.state.outbox.append(m.RunBatch(1, 9, segments))
-    rig.shell.carry_out()
+    rig.perform(m.RunBatch(1, 9, segments))
     rig.until(lambda: rig.core.received)
     (answer,) = rig.core.received
     assert isinstance(answer, m.EndpointAnswered)
@@ -74,19 +60,11 @@
     """Guards against a result that is given to another statement."""
     with connected() as (rig, _):
         parts = [tuple(S(text) for text in segment) for segment in segments]
-        for _repeated in range(2):
-            results = run(rig, *parts) if not _repeated else again(rig, parts)
+        for _repetition in range(2):
+            results = run(rig, *parts)
             assert [result.sqlstate for result in results] == outcomes
 
 
-def again(
-    rig: Rig, parts: list[tuple[m.Statement, ...]]
-) -> tuple[m.StatementResult, ...]:
-    """Run the batch on the connection a second time."""
-    rig.core.received.append(m.EndpointOpened(1))
-    return run(rig, *parts)
-
-
 def test_parameters_and_types() -> None:
     """Guards against values that change on their way."""
     with connected() as (rig, _):
@@ -105,35 +83,30 @@
 def test_lost_connection(in_flight: bool) -> None:
     """Guards against a batch that is neither answered nor reported as lost."""
     with connected() as (rig, server):
-        rig.until(lambda: rig.core.of(m.EndpointOpened))
         server.cut()
         if in_flight:
-            rig.state.outbox.append(m.RunBatch(1, 9, ((S("none"),),)))
-            rig.shell.carry_out()
+            rig.perform(m.RunBatch(1, 9, ((S("none"),),)))
         rig.until(lambda: rig.core.of(m.EndpointClosed))
         assert not rig.core.of(m.EndpointAnswered)
         assert not rig.shell.endpoints.connections
 
 
-def test_refused_and_silent_endpoints(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against connecting for ever."""
+def test_endpoints_that_cannot_be_opened(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against connecting for ever, and against options in an address."""
     monkeypatch.setattr(endpoint_connections, "CONNECT_TIMEOUT_S", 0.0)
-    with connected(answers_startup=False) as (rig, _):
-        rig.until(lambda: rig.core.of(m.EndpointClosed))
-        for address in ["127.0.0.1:1", "name:1", "127.0.0.1:1 user=a", ""]:
-            rig.core.received.clear()
-            rig.state.outbox.append(m.OpenEndpoint(2, "e2", address))
-            rig.shell.carry_out()
+    silent = PostgresScript(script, answers_startup=False)
+    with running() as rig:
+        for address in [silent.address, "127.0.0.1:1", "a:1", "127.0.0.1:1 user=a", ""]:
+            rig.perform(m.OpenEndpoint(2, "e2", address))
             rig.until(lambda: rig.core.of(m.EndpointClosed))
+            rig.core.received.clear()
+    silent.close()
 
 
 def test_closed_connection_is_silent() -> None:
     """Guards against a report about a connection that the core has given up."""
     with connected() as (rig, server):
-        rig.until(lambda: rig.core.of(m.EndpointOpened))
-        rig.state.outbox.append(m.CloseEndpoint(1))
-        rig.state.outbox.append(m.RunBatch(1, 9, ((S("none"),),)))
-        rig.shell.carry_out()
+        rig.perform(m.CloseEndpoint(1), m.RunBatch(1, 9, ((S("none"),),)))
         server.cut()
         rig.step()
         assert not rig.core.of(m.EndpointClosed)
--- a/tests/test_shell_http.py
+++ b/tests/test_shell_http.py
@@ -10,7 +10,7 @@
 from pimentodrift.messages import CallerAnswer, CallerGone, CallerRequest
 from pimentodrift.sockets import HIGH_WATER_BYTES
 
-from .shell_support import answer_to, running
+from .shell_support import Rig, answer_to, running
 
 GET = b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
 
@@ -20,6 +20,12 @@
     return head % (extra, size) + b"x" * size
 
 
+def take_requests(rig: Rig) -> list[CallerRequest]:
+    requests = [part for part in rig.core.received if isinstance(part, CallerRequest)]
+    rig.core.received.clear()
+    return requests
+
+
 @pytest.mark.parametrize(
     ("sent", "status"),
     [
@@ -64,13 +70,11 @@
         taken: list[CallerRequest] = []
         while len(taken) < 40:
             rig.until(lambda: rig.core.received)
-            requests = [m for m in rig.core.received if isinstance(m, CallerRequest)]
-            rig.core.received.clear()
+            requests = take_requests(rig)
             assert len(requests) <= http_server.MAX_PIPELINED
             taken += requests
             for request in reversed(requests):
-                rig.state.outbox.append(answer_to(request))
-            rig.shell.carry_out()
+                rig.perform(answer_to(request))
         received = client.until(b"GET /39 0")
         places = [received.index(b"GET /%d 0" % n) for n in range(40)]
         assert places == sorted(places)
@@ -85,13 +89,9 @@
         answered = 0
         while answered < 40:
             rig.until(lambda: (client.pull(), rig.core.received)[1])
-            for request in rig.core.received:
-                assert isinstance(request, CallerRequest)
-                answer = CallerAnswer(request.request, 200, {}, body)
-                rig.state.outbox.append(answer)
-            answered += len(rig.core.received)
-            rig.core.received.clear()
-            rig.shell.carry_out()
+            requests = take_requests(rig)
+            answered += len(requests)
+            rig.perform(*(CallerAnswer(r.request, 200, {}, body) for r in requests))
         client.until(b"HTTP/1.1 200", 40)
         rig.until(lambda: client.pull().count(b"x") == 40 * len(body))
 
@@ -143,8 +143,7 @@
         rig.state.stopping = True
         for request in rig.core.received:
             assert isinstance(request, CallerRequest)
-            rig.state.outbox.append(answer_to(request))
-        rig.shell.carry_out()
+            rig.perform(answer_to(request))
         received = client.until_closed()
         assert received.count(b"200 OK") == 3
         assert received.count(b"Connection: close") == 1
@@ -156,13 +155,11 @@
         rig.core.answers = False
         client = rig.call(GET)
         rig.until(lambda: rig.core.received)
+        (request,) = take_requests(rig)
         client.connection.close()
-        rig.until(lambda: rig.core.of(CallerGone))
-        request, gone = rig.core.received
-        assert isinstance(request, CallerRequest)
-        assert gone == CallerGone(request.request)
-        rig.state.outbox.append(answer_to(request))
-        rig.shell.carry_out()
+        rig.until(lambda: rig.core.received)
+        assert rig.core.received == [CallerGone(request.request)]
+        rig.perform(answer_to(request))
         assert not rig.shell.http.slots
 
 
@@ -197,8 +194,7 @@
         rig.until(lambda: rig.core.received)
         request = rig.core.received[0]
         assert isinstance(request, CallerRequest)
-        rig.state.outbox.append(CallerAnswer(request.request, 200, {}, b"x" * 2**24))
-        rig.shell.carry_out()
+        rig.perform(CallerAnswer(request.request, 200, {}, b"x" * 2**24))
         assert rig.poller.held_up
         rig.poller.close_unread()
         assert not rig.shell.http.connections
--- a/tests/test_shell_peers.py
+++ b/tests/test_shell_peers.py
@@ -77,8 +77,7 @@
 
 def link(a: Rig, b: Rig, message: PeerMessage) -> None:
     address = f"127.0.0.1:{b.shell.peers.listener.port}"
-    a.state.outbox.append(SendPeer(b.state.settings.name, address, message))
-    a.shell.carry_out()
+    a.perform(SendPeer(b.state.settings.name, address, message))
 
 
 def both(a: Rig, b: Rig, kind: type, count: int = 1) -> list[object]:
@@ -97,8 +96,7 @@
         hello, forward = both(a, b, PeerReceived, 2)
         assert hello == PeerReceived("a", m.Hello("a", "r1", "r1-1"))
         assert forward == PeerReceived("a", FORWARD)
-        b.state.outbox.append(SendPeer("a", "127.0.0.1:1", m.Ping(1)))
-        b.shell.carry_out()
+        b.perform(SendPeer("a", "127.0.0.1:1", m.Ping(1)))
         assert both(b, a, PeerReceived) == [PeerReceived("b", m.Ping(1))]
         a.shell.peers.dialed["b"].stream.close()
         assert both(a, b, PeerLost) == [PeerLost("a")]
@@ -115,14 +113,24 @@
         assert not isinstance(reply.message.result, m.Ran)
 
 
+def test_messages_at_the_limit_of_size() -> None:
+    """Guards against a limit that counts the beginning of the next message."""
+    with running(name="a") as a, running(name="b") as b:
+        overhead = len(PeerCodec().encode(m.Leaving(""))) + 4
+        largest = m.Leaving("x" * (MAX_MESSAGE_BYTES - overhead))
+        for message in [largest, largest, m.Ping(1)]:
+            link(a, b, message)
+        received = both(a, b, PeerReceived, 4)
+        assert received[1:3] == [PeerReceived("a", largest)] * 2
+
+
 def test_unsent_requests_of_a_failed_dial() -> None:
     """Guards against "not run" that is not told, or told of sent requests."""
     with running(name="a") as a, running(name="b") as b:
         port = b.shell.peers.listener.port
         b.shell.peers.listener.close()
         a.state.outbox.append(SendPeer("b", f"127.0.0.1:{port}", FORWARD))
-        a.state.outbox.append(SendPeer("b", f"127.0.0.1:{port}", m.Ping(1)))
-        a.shell.carry_out()
+        a.perform(SendPeer("b", f"127.0.0.1:{port}", m.Ping(1)))
         a.until(lambda: a.core.of(PeerLost))
         lost = [part for part in a.core.received if isinstance(part, PeerLost)]
         assert lost[0] == PeerLost("b", frozenset({7}))
--- a/tests/test_shell_store.py
+++ b/tests/test_shell_store.py
@@ -56,11 +56,6 @@
         connection.sendall(head.encode() + body)
 
 
-def begin(rig: Rig, *messages: object) -> None:
-    rig.state.outbox.extend(messages)
-    rig.shell.carry_out()
-
-
 @pytest.mark.parametrize(
     ("call", "status", "value", "expected"),
     [
@@ -78,7 +73,7 @@
     store = StoreScript()
     with running(platform=store.url) as rig:
         for _ in range(2):  # The second call uses the same connection.
-            begin(rig, call)
+            rig.perform(call)
             connection, _request = store.request(rig)
             store.answer(connection, status, value)
             rig.until(lambda: rig.core.received)
@@ -100,7 +95,7 @@
     """Guards against an unconditional write."""
     store = StoreScript()
     with running(platform=store.url) as rig:
-        begin(rig, call)
+        rig.perform(call)
         assert head in store.request(rig)[1]
 
 
@@ -108,7 +103,7 @@
     """Guards against a response that is taken for another call's."""
     store = StoreScript()
     with running(platform=store.url) as rig:
-        begin(rig, WRITE, m.WriteStore(4, "group", "h", 0, {}))
+        rig.perform(WRITE, m.WriteStore(4, "group", "h", 0, {}))
         connection, _ = store.request(rig)
         connection.close()
         store.connections.clear()
@@ -125,7 +120,7 @@
     monkeypatch.setattr(store_client, "CALL_TIMEOUT_S", 0.0)
     store = StoreScript()
     with running(platform=store.url) as rig:
-        begin(rig, WATCH, WRITE)
+        rig.perform(WATCH, WRITE)
         rig.until(lambda: len(rig.core.received) == 2)
         assert {part.call for part in rig.core.received} == {0, 3}  # type: ignore[attr-defined]
         assert rig.shell.store.watching.stream is None
@@ -134,5 +129,5 @@
 def test_unreachable_store() -> None:
     """Guards against a core that is not told that nobody listens."""
     with running(platform="http://127.0.0.1:1") as rig:
-        begin(rig, WATCH)
+        rig.perform(WATCH)
         rig.until(lambda: rig.core.of(m.StoreFailed))
