Answer as unknown what the core leaves unanswered at the exit

A request that still ran when the core asked for the exit ended in a closed connection after 2 s; the caller is now told after 1 s that the outcome is unknown.

--- a/pimentodrift/http_server.py
+++ b/pimentodrift/http_server.py
@@ -12,7 +12,7 @@
 
 from attrs import define, field
 
-from .errors import Failure, Problem, not_run
+from .errors import Failure, Problem, not_run, unknown
 from .http_answers import date_header, problem_body, render
 from .http_requests import ParsedRequest, RequestParser
 from .listeners import listen
@@ -248,6 +248,13 @@
             if not connection.slots and not connection.backlog:
                 connection.end()
 
+    def answer_rest(self) -> None:
+        """Answer the requests that the core leaves unanswered at the exit."""
+        failure = unknown(Problem.INSTANCE_STOPPING, "the request was still running")
+        status, headers, body = problem_body(failure)
+        for number in list(self.slots):
+            self.answer(CallerAnswer(number, status, headers, body))
+
     def close(self) -> None:
         """Close everything."""
         for connection in list(self.connections):
--- a/pimentodrift/process.py
+++ b/pimentodrift/process.py
@@ -28,8 +28,10 @@
 # The core ends a stop in time by itself; this is the bound if it fails to.
 STOP_MARGIN_S = 5.0
 # After the core's last decision, callers whose request is on its way still get an
-# answer, and then their answers are flushed.
+# answer. What the core has not answered a second later is answered as unknown, and
+# answers are flushed until two seconds have passed.
 EXIT_GRACE_S = 0.2
+EXIT_ANSWER_S = 1.0
 EXIT_FLUSH_S = 2.0
 EXIT_CHECK_S = 0.02
 
@@ -81,6 +83,7 @@
     def end_idle(self) -> None:
         """Close idle connections and wait for the others to be flushed."""
         self.shell.http.end_idle()
+        self.poller.timers.later(EXIT_ANSWER_S, self.shell.http.answer_rest)
         self.finish_exit()
 
     def finish_exit(self) -> None:
--- a/tests/test_shell_http.py
+++ b/tests/test_shell_http.py
@@ -149,6 +149,18 @@
         assert received.count(b"Connection: close") == 1
 
 
+def test_requests_that_the_core_leaves_unanswered() -> None:
+    """Guards against an exit that closes connections without an answer."""
+    with running() as rig:
+        rig.core.answers = False
+        client = rig.call(GET * 2)
+        rig.until(lambda: len(rig.core.received) == 2)
+        rig.shell.http.end_idle()
+        rig.shell.http.answer_rest()
+        received = client.until_closed()
+        assert received.count(b'"outcome":"unknown"') == 2
+
+
 def test_caller_that_disconnects() -> None:
     """Guards against work for callers that have gone."""
     with running() as rig:
