--- a/tests/postgres_script.py
+++ b/tests/postgres_script.py
@@ -4,6 +4,7 @@
 import struct
 import threading
 from collections.abc import Callable
+from contextlib import suppress
 
 from attrs import define, field
 
@@ -45,7 +46,7 @@
             except OSError:
                 return
             self.connections.append(connection)
-            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+            threading.Thread(target=self.run, args=(connection,), daemon=True).start()
 
     def cut(self) -> None:
         for connection in self.connections:
@@ -56,6 +57,10 @@
         for connection in self.connections:
             connection.close()
 
+    def run(self, connection: socket.socket) -> None:
+        with suppress(ConnectionError):  # The client may close at any time.
+            self.serve(connection)
+
     def serve(self, connection: socket.socket) -> None:
         stream = connection.makefile("rb")
         head = stream.read(4)
