Send pieces of a configuration alone in a view update

Cause: 32 pieces of up to 1 MB each exceed the stream's limit of 4 MiB, and such a message is dropped. Change: a piece travels alone, 256 small objects together.

--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -39,7 +39,9 @@
 RELAY_TIMEOUT = timedelta(milliseconds=1500)
 SUBSCRIBER_TIMEOUT = timedelta(seconds=5)
 RELAYS_PER_DATA_CENTRE = 2
-ITEMS_PER_UPDATE = 32  # Pieces of up to 64 KiB stay below the stream's message limit.
+# A piece may have 1 MB and travels alone; other objects have a few hundred bytes. So
+# every message stays below the stream's limit of 4 MiB.
+ITEMS_PER_UPDATE = 256
 # Fleets up to this size are judged by all listed instances, larger ones by contacts.
 SMALL_FLEET = 16
 
@@ -217,10 +219,13 @@
 
 def parts(items: list[StoreObject]) -> Iterator[tuple[list[StoreObject], bool]]:
     """Split items into parts and tell which one is the last."""
-    starts = range(0, max(len(items), 1), ITEMS_PER_UPDATE)
-    for start in starts:
-        end = start + ITEMS_PER_UPDATE
-        yield items[start:end], end >= len(items)
+    pieces = [[item] for item in items if item.kind == "piece"]
+    others = [item for item in items if item.kind != "piece"]
+    starts = range(0, len(others), ITEMS_PER_UPDATE)
+    chunks = [others[start : start + ITEMS_PER_UPDATE] for start in starts]
+    result = pieces + chunks or [[]]
+    for index, part in enumerate(result):
+        yield part, index == len(result) - 1
 
 
 def forget_subscribers(state: State) -> None:
