Refuse reads that need the primary on a replaced one

Reads of new sessions and reads that fall back to the primary for their age carry no position that shows a replaced primary's lack. The owner now checks the role in their batch, and stops them when it learns of a new term. A BEGIN of unknown outcome is repeated, since an unused transaction is rolled back. 82 tests pass.

--- a/pimentodrift/execution.py
+++ b/pimentodrift/execution.py
@@ -153,7 +153,8 @@
 
 @advance.register
 def _(step: ReadStep, work: WorkRow, results: Results, state: State) -> None:
-    status, failure = check_status(results[0], work)
+    check = check_primary if work.forward.primary_only else check_status
+    status, failure = check(results[0], work)
     if failure is None and results[1].error:
         failure = failure_of(results[1], work.forward.access)
     release(work, state)
--- a/pimentodrift/messages.py
+++ b/pimentodrift/messages.py
@@ -115,6 +115,7 @@
     """Ask the owner of `endpoint` to carry out one action for a workspace.
 
     `minimum` is the session's position: a read below it must not be answered.
+    `primary_only` asks that a read is refused unless the endpoint is the primary.
     `term` is the group's term that the entry knows. `remaining_ms` is the time left
     until the caller's deadline. `transaction` names an open transaction on the owner.
     """
@@ -133,6 +134,7 @@
     idempotency_key: str = ""
     body_digest: str = ""
     transaction: str = ""
+    primary_only: bool = False
 
 
 @frozen
--- a/pimentodrift/queueing.py
+++ b/pimentodrift/queueing.py
@@ -103,7 +103,11 @@
 
 def needs_primary(forward: Forward) -> bool:
     """Return whether only the primary may run the request."""
-    return forward.access is Access.WRITE or forward.action is not Action.STATEMENT
+    return (
+        forward.access is Access.WRITE
+        or forward.action is not Action.STATEMENT
+        or forward.primary_only
+    )
 
 
 def wait_failure(work: WorkRow, queue: EndpointQueue, state: State) -> Failure | None:
--- a/pimentodrift/replica_choice.py
+++ b/pimentodrift/replica_choice.py
@@ -5,7 +5,7 @@
 region first, and to the primary when there is none.
 """
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from . import membership, positions, replica_lag, transactions
 from .errors import Failure, Problem, not_run
@@ -23,6 +23,7 @@
     endpoint: str
     instance: str
     minimum: Position
+    primary_only: bool = False
 
 
 def choose(pending: PendingRequest, state: State) -> Route | Failure:
@@ -53,7 +54,12 @@
     row = state.endpoints.get(name)
     if row is None or name in pending.tried:
         return None
-    return route_to(row, session_minimum(pending), state)
+    route = route_to(row, session_minimum(pending), state)
+    if route is None or pending.access is Access.WRITE:
+        return route
+    # These reads have no position that would show whether a replaced primary is behind.
+    primary_only = pending.max_age is not None or route.minimum == START
+    return evolve(route, primary_only=primary_only)
 
 
 def replica_route(pending: PendingRequest, state: State) -> Route | None:
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -16,6 +16,7 @@
 from .errors import Failure, Outcome, Problem, not_run, unknown
 from .messages import (
     Access,
+    Action,
     Cancel,
     ConfigurationChanged,
     Forward,
@@ -122,6 +123,7 @@
         idempotency_key=pending.idempotency_key,
         body_digest=pending.body_digest,
         transaction=pending.transaction,
+        primary_only=route.primary_only,
     )
     if not peers.send(route.instance, message, state):
         end_attempt(pending, state)
@@ -206,6 +208,8 @@
     """Repeat what may be repeated though it may have run."""
     if pending.access is Access.READ:
         retry(pending, failure, state)
+    elif pending.action is Action.BEGIN:
+        pause(pending, failure, state)  # An unused transaction is rolled back.
     elif pending.idempotency_key:
         pending.may_have_run = True
         pause(pending, failure, state)
--- a/pimentodrift/work_limits.py
+++ b/pimentodrift/work_limits.py
@@ -28,13 +28,13 @@
 
 
 def stop_replaced(work: WorkRow | None, state: State) -> None:
-    """Stop a running write on an endpoint that is not the primary any more.
+    """Stop running work on an endpoint that is not the primary any more, if it must be.
 
-    What has sent its COMMIT goes on: only the database can tell its outcome.
+    A write that has sent its COMMIT goes on: only the database can tell its outcome.
     """
     if work is None or work.is_answered or work.forward.transaction:
         return
-    if not queueing.needs_primary(work.forward) or (work.step and work.step.commits):
+    if isinstance(work.step, execution.CommitStep):
         return
     failure = queueing.start_failure(work, state)
     if failure is not None and failure.problem is Problem.PRIMARY_UNAVAILABLE:
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -238,7 +238,7 @@
     def send(
         self, path: str, body: object = None, *, method: str = "POST", **options: Any
     ) -> int:
-        """Send a request and return its number; options: at, key, headers, now."""
+        """Send a request and return its number; options: at, key, headers."""
         self.next_request += 1
         headers = dict(options.get("headers") or {})
         key = options.get("key", KEYS["alpha"])
@@ -261,7 +261,7 @@
         content: dict[str, Any] = orjson.loads(answer.body)
         return {"status": answer.status, "headers": answer.headers} | content
 
-    def promote(self, name: str, term: int, told: bool = True) -> None:
+    def promote(self, name: str, term: int) -> None:
         """Make an endpoint the primary; the others follow what it has."""
         chosen = self.endpoints[name]
         log = list(chosen.log[: chosen.replayed])
@@ -271,8 +271,7 @@
                 endpoint.is_primary = endpoint is chosen
                 endpoint.log = log
                 endpoint.replayed = min(endpoint.replayed, len(log))
-        if told:
-            self.tell(name, term, len(log) + 1)
+        self.tell(name, term, len(log) + 1)
 
     def tell(self, name: str, term: int, start: int) -> None:
         """Tell the instances of a new primary."""
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -1,5 +1,6 @@
 """Requests through entry and owner: sessions, refusals, retries, at most once."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -146,17 +147,19 @@
     assert cluster.endpoints["p"].log.count(("x", "1")) == 1
 
 
-def test_a_write_waits_for_the_new_primary() -> None:
+@pytest.mark.parametrize("access", ["read", "write"])
+def test_a_request_waits_for_the_new_primary(access: str) -> None:
     """Guards against refusals during a failover that ends in time."""
     cluster = make_cluster()
+    cluster.statement("get y")
     cluster.endpoints["p"].frozen = True
-    request = cluster.statement("put x 1", "write")
+    request = cluster.statement("put x 1" if access == "write" else "get x", access)
     cluster.advance(SECOND)
     assert request not in cluster.answers
     cluster.promote("q", 2)
     cluster.advance(SECOND)
     assert cluster.result(request)["status"] == 200
-    assert cluster.endpoints["q"].log == [("x", "1")]
+    assert cluster.endpoints["q"].log == [("x", "1")] * (access == "write")
 
 
 @pytest.mark.parametrize("access", ["read", "write"])
@@ -174,15 +177,6 @@
     assert cluster.result(cluster.statement("get x"))["status"] == 200
 
 
-def test_an_endpoint_of_an_older_term_takes_no_write() -> None:
-    """Guards against writes on a primary that its group has replaced (2)."""
-    cluster = make_cluster()
-    cluster.tell("p", 2, 1)
-    request = cluster.statement("put x 1", "write")
-    assert request not in cluster.answers
-    assert not cluster.endpoints["p"].ran["COMMIT"]
-
-
 def test_a_commit_after_which_the_term_changed_is_not_acknowledged() -> None:
     """Guards against acknowledgments by a replaced primary (2)."""
     cluster = make_cluster("a")
@@ -217,16 +211,35 @@
     assert cluster.endpoints["r"].ran["get x"] == 8
 
 
-def test_without_a_primary_the_deadline_answers_with_a_time_to_retry() -> None:
-    """Guards against requests that hang, and refusals without Retry-After."""
-    cluster = make_cluster()
+def refuse_connections(cluster: Cluster) -> None:
     cluster.endpoints["p"].refuses = True
-    request = cluster.statement("put x 1", "write")
-    cluster.advance(11 * SECOND)
+
+
+def learn_a_later_term(cluster: Cluster) -> None:
+    cluster.tell("p", 2, 1)
+
+
+def demote(cluster: Cluster) -> None:
+    cluster.endpoints["p"].is_primary = False
+
+
+@pytest.mark.parametrize("cause", [refuse_connections, learn_a_later_term, demote])
+@pytest.mark.parametrize("access", ["read", "write"])
+def test_without_a_primary_the_deadline_answers_with_a_time_to_retry(
+    cause: Callable[[Cluster], None], access: str
+) -> None:
+    """Guards against hanging requests, and work on a replaced primary (2)."""
+    cluster = make_cluster()
+    cause(cluster)
+    request = cluster.statement("put x 1" if access == "write" else "get x", access)
+    cluster.advance(SECOND)
+    assert request not in cluster.answers
+    cluster.advance(10 * SECOND)
     result = cluster.result(request)
     assert result["type"].endswith("primary-unavailable")
     assert result["outcome"] == "not_run"
     assert int(result["headers"]["Retry-After"]) >= 1
+    assert not cluster.endpoints["p"].ran["COMMIT"]
 
 
 def test_a_session_that_saw_a_dropped_write_is_told_once() -> None:
