Refuse the end of a transaction without an id

The path .../transactions//commit was taken for work outside a transaction and ran an empty statement. A trial with random requests found it.

--- a/pimentodrift/caller_requests.py
+++ b/pimentodrift/caller_requests.py
@@ -70,9 +70,9 @@
             return Target(group=group)
         case ["v1", "groups", group, "transactions"] if group:
             return Target(Action.BEGIN, group)
-        case ["v1", "groups", group, "transactions", number, "commit"] if group:
+        case ["v1", "groups", group, "transactions", number, "commit"] if number:
             return Target(Action.COMMIT, group, number)
-        case ["v1", "groups", group, "transactions", number, "rollback"] if group:
+        case ["v1", "groups", group, "transactions", number, "rollback"] if number:
             return Target(Action.ROLLBACK, group, number)
     return None
 
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -60,6 +60,7 @@
 
 REFUSALS: list[tuple[str, object, dict[str, Any], int, str]] = [
     ("/v1/nothing", READ, {}, 404, "not-found"),
+    ("/v1/groups/g/transactions//commit", None, {}, 404, "not-found"),
     (STATEMENTS, READ, {"method": "PUT"}, 405, "method-not-allowed"),
     (STATEMENTS, b"{", {}, 400, "bad-request"),
     (STATEMENTS, READ | {"access": "all"}, {}, 400, "bad-request"),
