--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -49,6 +49,7 @@
     frozen: bool = False
     refuses: bool = False
     fault: str = ""  # A statement word at which connections are lost.
+    refused: str = ""  # A statement word that gives an error.
     after_fault: bool = False  # Lose the connection only after running it.
     open: dict[tuple[str, int], list[tuple[str, m.Scalar]] | None] = field(factory=dict)
     ran: Counter[str] = field(factory=Counter)
@@ -80,6 +81,8 @@
         pending = self.open[caller]
         row: tuple[m.Scalar, ...] | None = None
         match word:
+            case _ if word in ("fail", self.refused):
+                return m.StatementResult(error="refused", sqlstate="42P01")
             case "BEGIN":
                 self.open[caller] = []
             case "COMMIT":
@@ -97,8 +100,6 @@
                 pending.append((rest[0], rest[1]))
             case "get":
                 row = (self.visible().get(rest[0]),)
-            case "fail":
-                return m.StatementResult(error="no such table", sqlstate="42P01")
             case "SELECT" if "group_status" in statement.text:
                 role = "primary" if self.is_primary else "replica"
                 row = (role, self.term, len(self.log), self.replayed)
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -178,6 +178,15 @@
     assert cluster.result(cluster.statement("get x"))["status"] == 200
 
 
+def test_a_connection_without_a_confirmed_rollback_is_not_used_again() -> None:
+    """Guards against work inside the rest of another's transaction (3)."""
+    cluster = make_cluster("a")
+    cluster.endpoints["p"].refused = "ROLLBACK"
+    assert cluster.result(cluster.statement("fail", "write"))["status"] == 422
+    assert not cluster.states["a"].queues["p"].connections
+    assert not cluster.endpoints["p"].open
+
+
 def test_a_commit_after_which_the_term_changed_is_not_acknowledged() -> None:
     """Guards against acknowledgments by a replaced primary (2)."""
     cluster = make_cluster("a")
@@ -197,17 +206,21 @@
     assert cluster.result(request)["outcome"] == "unknown"
 
 
-def test_a_leaving_replica_gets_no_reads() -> None:
+@pytest.mark.parametrize("known_to", ["owner", "entry"])
+def test_a_leaving_replica_gets_no_reads(known_to: str) -> None:
     """Guards against new work for endpoints that leave (11)."""
     cluster = make_cluster()
     written = cluster.result(cluster.statement("put x 1", "write"))
     for name in "qr":
         cluster.endpoints[name].replayed = 1
     sample_all(cluster)
-    for state in cluster.states.values():
-        state.endpoints["q"].presence = Presence.LEAVING
+    state = cluster.states["a"]
+    owner = membership.owner(state.endpoints["q"], state)
+    entry = "b" if owner == "a" else "a"
+    informed = cluster.states["ab".replace(entry, "") if known_to == "owner" else entry]
+    informed.endpoints["q"].presence = Presence.LEAVING
     for _ in range(8):
-        cluster.statement("get x", headers=token_of(written))
+        cluster.statement("get x", headers=token_of(written), at=entry)
     assert cluster.endpoints["q"].ran["get x"] == 0
     assert cluster.endpoints["r"].ran["get x"] == 8
 
@@ -309,11 +322,12 @@
         sample_all(cluster)
     cluster.statement("get x", **options)
     assert cluster.counters()["routing.reads_replica"] == 0
-    cluster.advance(SECOND / 5)
-    cluster.statement("get x", body={"max_age_ms": 100}, **options)
-    assert cluster.counters()["routing.reads_replica"] == 0
     cluster.endpoints["r"].replayed = 1
     sample_all(cluster)
     read = cluster.result(cluster.statement("get x", **options))
     assert read["rows"] == [["1"]]
     assert cluster.counters()["routing.reads_replica"] == 1
+    cluster.advance(SECOND / 5)
+    for age, served in ((500, 2), (100, 2), (None, 3)):
+        cluster.statement("get x", body={"max_age_ms": age}, **options)
+        assert cluster.counters()["routing.reads_replica"] == served
