--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -1,5 +1,6 @@
 """Requests through entry and owner: sessions, refusals, retries, at most once."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -59,6 +60,7 @@
 
 REFUSALS: list[tuple[str, object, dict[str, Any], int, str]] = [
     ("/v1/nothing", READ, {}, 404, "not-found"),
+    ("/v1/groups/g/transactions//commit", None, {}, 404, "not-found"),
     (STATEMENTS, READ, {"method": "PUT"}, 405, "method-not-allowed"),
     (STATEMENTS, b"{", {}, 400, "bad-request"),
     (STATEMENTS, READ | {"access": "all"}, {}, 400, "bad-request"),
@@ -146,17 +148,19 @@
     assert cluster.endpoints["p"].log.count(("x", "1")) == 1
 
 
-def test_a_write_waits_for_the_new_primary() -> None:
+@pytest.mark.parametrize("access", ["read", "write"])
+def test_a_request_waits_for_the_new_primary(access: str) -> None:
     """Guards against refusals during a failover that ends in time."""
     cluster = make_cluster()
+    cluster.statement("get y")
     cluster.endpoints["p"].frozen = True
-    request = cluster.statement("put x 1", "write")
+    request = cluster.statement("put x 1" if access == "write" else "get x", access)
     cluster.advance(SECOND)
     assert request not in cluster.answers
     cluster.promote("q", 2)
     cluster.advance(SECOND)
     assert cluster.result(request)["status"] == 200
-    assert cluster.endpoints["q"].log == [("x", "1")]
+    assert cluster.endpoints["q"].log == [("x", "1")] * (access == "write")
 
 
 @pytest.mark.parametrize("access", ["read", "write"])
@@ -174,13 +178,13 @@
     assert cluster.result(cluster.statement("get x"))["status"] == 200
 
 
-def test_an_endpoint_of_an_older_term_takes_no_write() -> None:
-    """Guards against writes on a primary that its group has replaced (2)."""
-    cluster = make_cluster()
-    cluster.tell("p", 2, 1)
-    request = cluster.statement("put x 1", "write")
-    assert request not in cluster.answers
-    assert not cluster.endpoints["p"].ran["COMMIT"]
+def test_a_connection_without_a_confirmed_rollback_is_not_used_again() -> None:
+    """Guards against work inside the rest of another's transaction (3)."""
+    cluster = make_cluster("a")
+    cluster.endpoints["p"].refused = "ROLLBACK"
+    assert cluster.result(cluster.statement("fail", "write"))["status"] == 422
+    assert not cluster.states["a"].queues["p"].connections
+    assert not cluster.endpoints["p"].open
 
 
 def test_a_commit_after_which_the_term_changed_is_not_acknowledged() -> None:
@@ -202,31 +206,54 @@
     assert cluster.result(request)["outcome"] == "unknown"
 
 
-def test_a_leaving_replica_gets_no_reads() -> None:
+@pytest.mark.parametrize("known_to", ["owner", "entry"])
+def test_a_leaving_replica_gets_no_reads(known_to: str) -> None:
     """Guards against new work for endpoints that leave (11)."""
     cluster = make_cluster()
     written = cluster.result(cluster.statement("put x 1", "write"))
     for name in "qr":
         cluster.endpoints[name].replayed = 1
     sample_all(cluster)
-    for state in cluster.states.values():
-        state.endpoints["q"].presence = Presence.LEAVING
+    state = cluster.states["a"]
+    owner = membership.owner(state.endpoints["q"], state)
+    entry = "b" if owner == "a" else "a"
+    informed = cluster.states["ab".replace(entry, "") if known_to == "owner" else entry]
+    informed.endpoints["q"].presence = Presence.LEAVING
     for _ in range(8):
-        cluster.statement("get x", headers=token_of(written))
+        cluster.statement("get x", headers=token_of(written), at=entry)
     assert cluster.endpoints["q"].ran["get x"] == 0
     assert cluster.endpoints["r"].ran["get x"] == 8
 
 
-def test_without_a_primary_the_deadline_answers_with_a_time_to_retry() -> None:
-    """Guards against requests that hang, and refusals without Retry-After."""
-    cluster = make_cluster()
+def refuse_connections(cluster: Cluster) -> None:
     cluster.endpoints["p"].refuses = True
-    request = cluster.statement("put x 1", "write")
-    cluster.advance(11 * SECOND)
+
+
+def learn_a_later_term(cluster: Cluster) -> None:
+    cluster.tell("p", 2, 1)
+
+
+def demote(cluster: Cluster) -> None:
+    cluster.endpoints["p"].is_primary = False
+
+
+@pytest.mark.parametrize("cause", [refuse_connections, learn_a_later_term, demote])
+@pytest.mark.parametrize("access", ["read", "write"])
+def test_without_a_primary_the_deadline_answers_with_a_time_to_retry(
+    cause: Callable[[Cluster], None], access: str
+) -> None:
+    """Guards against hanging requests, and work on a replaced primary (2)."""
+    cluster = make_cluster()
+    cause(cluster)
+    request = cluster.statement("put x 1" if access == "write" else "get x", access)
+    cluster.advance(SECOND)
+    assert request not in cluster.answers
+    cluster.advance(10 * SECOND)
     result = cluster.result(request)
     assert result["type"].endswith("primary-unavailable")
     assert result["outcome"] == "not_run"
     assert int(result["headers"]["Retry-After"]) >= 1
+    assert not cluster.endpoints["p"].ran["COMMIT"]
 
 
 def test_a_session_that_saw_a_dropped_write_is_told_once() -> None:
@@ -295,11 +322,12 @@
         sample_all(cluster)
     cluster.statement("get x", **options)
     assert cluster.counters()["routing.reads_replica"] == 0
-    cluster.advance(SECOND / 5)
-    cluster.statement("get x", body={"max_age_ms": 100}, **options)
-    assert cluster.counters()["routing.reads_replica"] == 0
     cluster.endpoints["r"].replayed = 1
     sample_all(cluster)
     read = cluster.result(cluster.statement("get x", **options))
     assert read["rows"] == [["1"]]
     assert cluster.counters()["routing.reads_replica"] == 1
+    cluster.advance(SECOND / 5)
+    for age, served in ((500, 2), (100, 2), (None, 3)):
+        cluster.statement("get x", body={"max_age_ms": age}, **options)
+        assert cluster.counters()["routing.reads_replica"] == served
