Take test ports outside the range of outgoing connections

One of 18 runs of the suite (two at once) failed for a reason that was not recorded; a port taken between its choice and its use is likely.

--- a/tests/standin_processes.py
+++ b/tests/standin_processes.py
@@ -1,11 +1,13 @@
 """Starts the stand-ins as processes for tests."""
 
+import itertools
+import os
 import socket
 import subprocess
 import sys
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import psycopg
@@ -14,14 +16,23 @@
 PATIENCE_S = 20  # Ends a test that would wait forever; no result depends on it.
 
 
+# Below the range from which the system takes the ports of outgoing connections, one
+# of which could otherwise occupy a port before the server listens on it.
+FIRST_PORT = 12_000
+PORT_COUNT = 20_000
+candidates = itertools.count(os.getpid() * 97)
+
+
 def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [int(item.getsockname()[1]) for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    return [free_port() for _ in range(count)]
+
+
+def free_port() -> int:
+    while True:
+        port = FIRST_PORT + next(candidates) % PORT_COUNT
+        with socket.socket() as item, suppress(OSError):
+            item.bind(("127.0.0.1", port))
+            return port
 
 
 def wait_for(condition: Callable[[], bool]) -> None:
