Wait for both replicas in the replication test

pytest's cache shows that this test was the one that had failed in 1 of 18 runs: it read from a replica that need not have replayed the table's creation.

--- a/tests/test_standin_groups.py
+++ b/tests/test_standin_groups.py
@@ -25,7 +25,8 @@
     """Guards against positions that claim more than a replica shows."""
     primary, replica, other = processes.group()
     primary.run("CREATE TABLE t (k bigint)")
-    wait_for(lambda: replica.status() == ("replica", 1, 1, 1))
+    for endpoint in (replica, other):
+        wait_for(lambda endpoint=endpoint: endpoint.status() == ("replica", 1, 1, 1))
     replica.control("frozen", 1)
     primary.run("INSERT INTO t VALUES (%s)", 5)
     wait_for(lambda: primary.acknowledged()["b"] == (1, 2))
