Support savepoints and row locks in the database stand-in

Callers' transactions may use both; psycopg nests transactions with savepoints. All writers exclude each other, so FOR UPDATE takes the write lock.

--- a/bench/load_sessions.py
+++ b/bench/load_sessions.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+import re
 from enum import StrEnum
 from time import monotonic
 from typing import Any
@@ -24,6 +25,7 @@
 SELECT_ALL = (
     f"SELECT sequence, count(*) FROM {TABLE} WHERE session = $1 GROUP BY sequence"
 )
+PROBLEM_TYPE = re.compile(r"[\w-]+")  # The last part of a problem's URI.
 MAX_VIOLATIONS = 20  # Kept with their details; the others are only counted.
 
 
@@ -118,7 +120,7 @@
     return Answer(
         Outcome(body.get("outcome", Outcome.UNKNOWN)),
         response.status,
-        str(body.get("type", "unknown")).rsplit("/", 1)[-1],
+        PROBLEM_TYPE.findall(str(body.get("type", "unknown")))[-1],
         retry_after_s=float(response.headers.get("Retry-After", 0)),
     )
 
--- a/standins/sql_session.py
+++ b/standins/sql_session.py
@@ -19,7 +19,7 @@
 from .group_log import Write
 from .results import Result
 from .sql_errors import SqlError, from_sqlite
-from .statements import Kind, Parsed, Value
+from .statements import ROLLBACK_TO, Kind, Parsed, Value
 
 IDLE = "I"
 IN_TRANSACTION = "T"
@@ -69,6 +69,7 @@
     state: str = IDLE
     is_writing: bool = False
     writes: list[Write] = field(factory=list)
+    has_savepoint: bool = False
     interruption: SqlError | None = None
     # The storage's generation when the transaction began.
     began_in: int | None = None
@@ -106,7 +107,7 @@
             case Kind.COMMIT:
                 return self.commit()
         self.raise_interruption()
-        if self.state == FAILED:
+        if self.state == FAILED and not self.can_return(parsed):
             raise SqlError(
                 IN_FAILED_TRANSACTION,
                 "current transaction is aborted, commands ignored until end of block",
@@ -125,6 +126,10 @@
                 return await self.write(parsed, parameters)
         return await self.read(parsed, parameters)
 
+    def can_return(self, parsed: Parsed) -> bool:
+        """Return whether a statement takes a failed transaction to a savepoint."""
+        return parsed.tag == ROLLBACK_TO and self.is_writing
+
     async def read(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
         """Run a statement that changes nothing."""
         self.database.counts["reads"] += 1
@@ -143,7 +148,12 @@
             await self.serve()
             self.raise_interruption()
             result = self.run_in_sqlite(parsed, parameters)
-        self.writes.append((parsed.text, parameters))
+        if parsed.tag == "SAVEPOINT":
+            self.has_savepoint = True
+        if parsed.tag == ROLLBACK_TO:
+            self.state = IN_TRANSACTION
+        if parsed.tag != "SELECT":  # SELECT ... FOR UPDATE only takes the lock.
+            self.writes.append((parsed.text, parameters))
         return result
 
     async def serve(self) -> None:
@@ -206,7 +216,7 @@
 
     def end_write(self) -> None:
         """Release the write lock."""
-        self.is_writing = False
+        self.is_writing = self.has_savepoint = False
         self.writes = []
         self.database.interrupt_writer = None
         self.database.write_lock.release()
@@ -227,7 +237,8 @@
             return
         self.database.check_writable()
         self.connection.execute("COMMIT")
-        self.database.committed(tuple(self.writes))
+        if self.writes:
+            self.database.committed(tuple(self.writes))
         self.end_write()
 
     def commit(self) -> Result:
@@ -247,10 +258,14 @@
         self.state = IDLE
 
     def fail(self) -> None:
-        """Undo the writes after an error; an explicit transaction stays failed."""
-        self.undo_writes()
+        """Undo the writes after an error; an explicit transaction stays failed.
+
+        With a savepoint the writes are kept, since the client may return to it.
+        """
         if self.state == IN_TRANSACTION:
             self.state = FAILED
+        if self.state == IDLE or not self.has_savepoint:
+            self.undo_writes()
 
     def end_segment(self) -> None:
         """Commit the implicit transaction at Sync; raise `SqlError` if it can't."""
--- a/standins/statements.py
+++ b/standins/statements.py
@@ -26,6 +26,13 @@
     re.IGNORECASE,
 )
 
+# All writers exclude each other, so the lock of a row is the lock of the database.
+ROW_LOCK = re.compile(
+    r"\s+FOR\s+(?:NO\s+KEY\s+)?(?:UPDATE|SHARE)(?:\s+(?:NOWAIT|SKIP\s+LOCKED))?\s*$",
+    re.IGNORECASE,
+)
+ROLLBACK_TO = "ROLLBACK TO"  # The tag of a return to a savepoint.
+
 CAST_OIDS = {
     "int": 23,
     "integer": 23,
@@ -115,6 +122,8 @@
 
     translated = TOKEN.sub(translate, text).strip()
     kind, tag = classify(translated)
+    if kind is Kind.READ and ROW_LOCK.search(translated):
+        kind, translated = Kind.WRITE, ROW_LOCK.sub("", translated)
     return Parsed(translated, kind, tag, highest, oids)
 
 
@@ -130,7 +139,7 @@
         change = CHANGE.search(text)
         return (Kind.WRITE, change[1].upper()) if change else (Kind.READ, "SELECT")
     if first == "ROLLBACK" and words[1:] == ["TO"]:
-        return Kind.WRITE, "ROLLBACK"
+        return Kind.WRITE, ROLLBACK_TO
     kind = KINDS.get(first, Kind.WRITE)
     if kind is Kind.READ:
         return kind, "SELECT"
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -38,12 +38,19 @@
         with connection.transaction():
             text = "INSERT INTO t VALUES (%s, %s, %s) RETURNING k"
             assert connection.execute(text, (1, "one", 1.5)).fetchall() == [(1,)]
-        with pytest.raises(psycopg.errors.UniqueViolation), connection.transaction():
+        duplicate = pytest.raises(psycopg.errors.UniqueViolation)
+        with duplicate, connection.transaction():
             connection.execute("INSERT INTO t VALUES (2, 'two', 0)")
             connection.execute("INSERT INTO t VALUES (1, 'again', 0)")
+        with connection.transaction():
+            connection.execute("SELECT v FROM t WHERE k = %s FOR UPDATE", (1,))
+            with duplicate, connection.transaction():
+                connection.execute("INSERT INTO t VALUES (3, 'three', 0)")
+                connection.execute("INSERT INTO t VALUES (1, 'again', 0)")
+            connection.execute("UPDATE t SET v = 'uno' WHERE k = %s", (1,))
         text = "INSERT INTO t VALUES (%s, 'x', 0) ON CONFLICT DO NOTHING"
         assert connection.execute(text, (1,)).rowcount == 0
-        assert connection.execute("SELECT * FROM t").fetchall() == [(1, "one", 1.5)]
+        assert connection.execute("SELECT * FROM t").fetchall() == [(1, "uno", 1.5)]
 
 
 ERRORS = {
