Run reads in read-only transactions and let them wait for a replica

Cause: a caller may call a write a read. Reads are repeated and were run outside any transaction, so such a write could run twice and without acknowledgment. Settings of a session stayed on pooled connections. Ruled out: a check of the statement's text, which misses functions that write. Tests: one of them expected that no COMMIT runs for a refused read; reads now end with COMMIT, so this holds for writes only. A new test of the wait failed before (0 waits).

--- a/pimentodrift/caller_requests.py
+++ b/pimentodrift/caller_requests.py
@@ -21,18 +21,28 @@
 BLOCK_MARK = re.compile(r"/\*|\*/")
 WORD = re.compile(r"[A-Za-z_]+")
 # Transaction control belongs to the proxy, which has to know the state of each
-# connection and to confirm each commit.
+# connection and to confirm each commit. Settings, prepared statements and listening
+# would stay on a pooled connection and reach other callers; COPY needs a stream.
 CONTROL_WORDS = frozenset(
     {
         "abort",
         "begin",
         "commit",
+        "copy",
+        "deallocate",
+        "discard",
         "end",
+        "execute",
+        "listen",
+        "load",
         "prepare",
         "release",
+        "reset",
         "rollback",
         "savepoint",
+        "set",
         "start",
+        "unlisten",
     }
 )
 
--- a/pimentodrift/execution.py
+++ b/pimentodrift/execution.py
@@ -34,6 +34,8 @@
 from .tables import State, Step, WorkRow
 
 BEGIN = Statement("BEGIN")
+# A caller may call a write a read; reads are repeated, and run on replicas too.
+BEGIN_READ_ONLY = Statement("BEGIN READ ONLY")
 COMMIT = Statement("COMMIT")
 ROLLBACK = Statement("ROLLBACK")
 
@@ -43,9 +45,9 @@
 
 @frozen
 class ReadStep(Step):
-    """Status and read; a function called by the read may have effects."""
+    """Status and read, in a transaction that the database keeps from writing."""
 
-    commits = True
+    commits = True  # A lost read may have run, though without effects.
 
 
 @frozen
@@ -86,7 +88,9 @@
     bind(work, connection, state)
     statement = work.forward.statement
     if work.forward.access is Access.READ:
-        run(work, ReadStep(), ((status_statement(), statement),), state)
+        segment = (BEGIN_READ_ONLY, status_statement(), statement)
+        # COMMIT has its own segment: it also ends a transaction that has failed.
+        run(work, ReadStep(), (segment, (COMMIT,)), state)
     elif not work.forward.idempotency_key:
         run(work, WriteStep(), ((BEGIN, status_statement(), statement),), state)
     elif has_outcomes_table(work, state):
@@ -154,11 +158,14 @@
 @advance.register
 def _(step: ReadStep, work: WorkRow, results: Results, state: State) -> None:
     check = check_primary if work.forward.primary_only else check_status
-    status, failure = check(results[0], work)
-    if failure is None and results[1].error:
-        failure = failure_of(results[1], work.forward.access)
-    release(work, state)
-    finish(work, failure or Ran(results[1].rows, status.position), state)
+    status, failure = check(results[1], work)
+    if failure is None and results[2].error:
+        failure = failure_of(results[2], work.forward.access)
+    if results[3].error:
+        discard(work, state)
+    else:
+        release(work, state)
+    finish(work, failure or Ran(results[2].rows, status.position), state)
     handle(SlotReleased(work.forward.endpoint), state)
 
 
--- a/pimentodrift/replica_choice.py
+++ b/pimentodrift/replica_choice.py
@@ -5,6 +5,8 @@
 region first, and to the primary when there is none.
 """
 
+from datetime import timedelta
+
 from attrs import evolve, frozen
 
 from . import membership, positions, replica_lag, transactions
@@ -71,11 +73,50 @@
         row
         for row in untried_replicas(pending, state)
         if row.failing_until <= state.clock.monotonic()
-        and replica_lag.has_reached(row, minimum, state)
+        and is_expected(row, minimum, pending, state)
     ]
     return pick(rows, minimum, state)
 
 
+def is_expected(
+    row: EndpointRow, minimum: Position, pending: PendingRequest, state: State
+) -> bool:
+    """Return whether a replica should have reached a position by now.
+
+    After the wait for a replica that holds for all whose lag is short, even if the
+    history has no sample of the position; the owner checks it in any case.
+    """
+    if replica_lag.has_reached(row, minimum, state):
+        return True
+    if not pending.waited_for_replica:
+        return False
+    lag = replica_lag.catch_up(row, minimum, state)
+    return lag is not None and lag <= state.settings.replica_wait
+
+
+def replica_wait(pending: PendingRequest, state: State) -> timedelta | None:
+    """Return how long a read should wait for a replica instead of the primary.
+
+    The primary serves all writes of the group, so a read that can wait a little must
+    not load it. None means that no replica will be new enough in time.
+    """
+    if pending.access is not Access.READ or pending.waited_for_replica:
+        return None
+    minimum = replica_minimum(pending, state)
+    if minimum is None:
+        return None
+    waits = [
+        wait
+        for row in untried_replicas(pending, state)
+        if row.failing_until <= state.clock.monotonic()
+        and (wait := replica_lag.catch_up(row, minimum, state)) is not None
+    ]
+    shortest = min(waits, default=None)
+    if shortest is None or shortest > state.settings.replica_wait:
+        return None
+    return shortest
+
+
 def other_replica_route(pending: PendingRequest, state: State) -> Route | None:
     """Return the route to a replica that may have caught up, without a primary."""
     minimum = replica_minimum(pending, state)
--- a/pimentodrift/replica_lag.py
+++ b/pimentodrift/replica_lag.py
@@ -65,6 +65,21 @@
     return now - history[index][0] >= lag.lag + MARGIN
 
 
+def catch_up(row: EndpointRow, minimum: Position, state: State) -> timedelta | None:
+    """Return how long a replica will take to reach a position, if that can be told."""
+    lag = state.lags.get(row.name)
+    now = state.clock.monotonic()
+    if lag is None or lag.lag is None or now - row.sampled_at > SAMPLE_LIMIT:
+        return None
+    if row.position.term < minimum.term:
+        return None
+    history = state.histories.get(row.group) or deque()
+    index = bisect_left(history, minimum.offset, key=offset_of)
+    # A position past the history was reached by the primary just now.
+    reached_at = history[index][0] if index < len(history) else now
+    return max(timedelta(0), reached_at + lag.lag + MARGIN - now)
+
+
 def missed(endpoint: str, state: State) -> None:
     """Raise the estimate of a replica that was behind what it was asked for."""
     lag = state.lags.get(endpoint)
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -77,13 +77,28 @@
         return
     route = replica_choice.choose(pending, state)
     if isinstance(route, Route):
-        forward(pending, route, state)
+        if not wait_for_replica(pending, route, state):
+            forward(pending, route, state)
     elif pending.transaction:
         finish_failure(pending, route, state)
     else:
         pause(pending, pending.failure or route, state)
 
 
+def wait_for_replica(pending: PendingRequest, route: Route, state: State) -> bool:
+    """Postpone a read that would go to the primary if a replica will do soon."""
+    if route.endpoint != state.groups[pending.group].primary:
+        return False
+    wait = replica_choice.replica_wait(pending, state)
+    now = state.clock.monotonic()
+    if wait is None or now + wait >= pending.deadline:
+        return False
+    pending.waited_for_replica = True
+    pending.retry_at = now + wait
+    state.counters["routing.replica_waits"] += 1
+    return True
+
+
 def without_dropped_write(pending: PendingRequest, state: State) -> Session | None:
     """Return a new session if this one has seen a write that a failover dropped."""
     seen = pending.session.get(pending.group)
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -167,6 +167,11 @@
         validator=Between(timedelta(milliseconds=100), timedelta(minutes=5)),
         metadata=described("Deadline of a request."),
     )
+    replica_wait: timedelta = field(
+        default=timedelta(milliseconds=150),
+        validator=Between(timedelta(0), timedelta(seconds=5)),
+        metadata=described("Longest wait of a read for a replica to catch up."),
+    )
     transaction_timeout: timedelta = field(
         default=timedelta(seconds=10),
         validator=Between(timedelta(milliseconds=100), timedelta(minutes=5)),
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -199,6 +199,7 @@
     tried: set[str] = field(factory=set)  # Endpoints, since the last pause.
     pauses: int = 0
     retry_at: timedelta | None = None
+    waited_for_replica: bool = False
     may_have_run: bool = False  # The outcome of an earlier attempt is unknown.
     failure: Failure | None = None  # Of the last attempt.
 
--- a/standins/sql_session.py
+++ b/standins/sql_session.py
@@ -15,7 +15,7 @@
 from attrs import define, field
 
 from . import group_functions
-from .database import Database
+from .database import READ_ONLY, Database
 from .group_log import Write
 from .results import Result
 from .sql_errors import SqlError, from_sqlite
@@ -70,6 +70,7 @@
     is_writing: bool = False
     writes: list[Write] = field(factory=list)
     has_savepoint: bool = False
+    is_read_only: bool = False  # Of the explicit transaction.
     interruption: SqlError | None = None
     # The storage's generation when the transaction began.
     began_in: int | None = None
@@ -117,6 +118,7 @@
         match parsed.kind:
             case Kind.BEGIN:
                 self.state = IN_TRANSACTION
+                self.is_read_only = parsed.text.upper().endswith("READ ONLY")
                 return Result("BEGIN")
             case Kind.SETTING | Kind.EMPTY:
                 return Result(parsed.tag)
@@ -141,6 +143,9 @@
     async def write(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
         """Run a statement that changes data, in sqlite's transaction."""
         self.database.counts["writes"] += 1
+        if self.is_read_only:
+            detail = f"cannot execute {parsed.tag} in a read-only transaction"
+            raise SqlError(READ_ONLY, detail)
         self.database.check_writable()
         # The lock comes before the slot: its holder needs slots to finish.
         await self.begin_write()
@@ -284,6 +289,7 @@
         """Return the state for ReadyForQuery; the next segment may begin."""
         if self.state == IDLE:
             self.began_in = None
+            self.is_read_only = False
         return self.state
 
     def close(self) -> None:
