Replace the term of a group whose endpoints an abandoned attempt left fenced

The state machine found groups that never took writes again: attempts that reached no majority left endpoints fenced above the group's term, where they can follow nobody. The owner of such an endpoint now asks the other watchers for news and after 2 s has a new term started.

--- a/pimentodrift/detection.py
+++ b/pimentodrift/detection.py
@@ -9,7 +9,7 @@
 
 from . import peers
 from .dispatch import handle_peer
-from .membership import contact, group_endpoints, usable
+from .membership import contact, group_endpoints, owns, usable
 from .messages import GroupChanged, ProbeQuery, ProbeReport
 from .reservations import own_term
 from .tables import GroupRow, Presence, ProbeRow, State
@@ -21,6 +21,8 @@
 QUERY_INTERVAL = timedelta(milliseconds=100)
 # Two intervals and a round trip between regions.
 REPORT_LIFETIME = timedelta(milliseconds=300)
+# An attempt lasts at most 100 ms of fencing and 1.5 s of promoting.
+MAX_ATTEMPT_TIME = timedelta(seconds=2)
 TAKEOVER_INTERVAL = timedelta(milliseconds=1500)
 
 
@@ -31,9 +33,14 @@
         if probe is None or probe.term != state.groups[name].term:
             state.probes.pop(name, None)  # The next reading begins anew.
             continue
-        if failing_for(probe, state) >= QUERY_AFTER:
+        ahead = endpoint_ahead_for(name, state)
+        if max(failing_for(probe, state), ahead) >= QUERY_AFTER:
             query(probe, state)
-        if is_leaving(name, state) or is_failure_established(probe, state):
+        if (
+            is_leaving(name, state)
+            or ahead >= MAX_ATTEMPT_TIME
+            or is_failure_established(probe, state)
+        ):
             if probe.established_at is None:
                 probe.established_at = state.clock.monotonic()
         else:
@@ -47,6 +54,21 @@
     return state.clock.monotonic() - probe.failing_since
 
 
+def endpoint_ahead_for(group: str, state: State) -> timedelta:
+    """Return how long an owned endpoint has had a higher term than the group.
+
+    An attempt that was given up leaves endpoints fenced; they cannot return to the
+    group's term, and without them a majority may be missing.
+    """
+    now = state.clock.monotonic()
+    times = [timedelta(0)]
+    for endpoint in group_endpoints(group, state):
+        row = state.rejoins.get(endpoint.name)
+        if row is not None and row.ahead_since is not None and owns(endpoint, state):
+            times.append(now - row.ahead_since)
+    return max(times)
+
+
 def query(probe: ProbeRow, state: State) -> None:
     """Ask the other watchers whether the primary fails for them too."""
     now = state.clock.monotonic()
--- a/pimentodrift/probes.py
+++ b/pimentodrift/probes.py
@@ -20,7 +20,7 @@
 from .membership import owns, watchers
 from .messages import Position, Rows, Statement
 from .monitoring import Batch, Results, job_ended, rows_of
-from .rejoining import examine
+from .rejoining import examine, rejoin_row
 from .tables import Channel, EndpointRow, GroupRow, ProbeRow, State
 
 PROBE_INTERVAL = timedelta(milliseconds=100)
@@ -83,6 +83,7 @@
         judge(group, job, status, state)
     if status is None:
         state.counters["probes.failed"] += 1
+        rejoin_row(row.name, state).ahead_since = None
         return
     sample(row, status, job.begun_at)
     sample_replicas(rows_of(results, 1), state)
--- a/pimentodrift/rejoining.py
+++ b/pimentodrift/rejoining.py
@@ -65,15 +65,22 @@
 def examine(endpoint: EndpointRow, status: EndpointStatus, state: State) -> None:
     """Take the next step that an owned endpoint's status asks for."""
     group = state.groups[endpoint.group]
-    if group.term == 0 or endpoint.name == group.primary:
+    if group.term == 0:
         return
     row = rejoin_row(endpoint.name, state)
     if status.role != Role.FENCED:
         row.lineage_term = status.term
+    if status.term <= group.term:
+        row.ahead_since = None
+    if endpoint.name == group.primary:
+        return
     if row.checked_term < group.term:
         endpoint.failing_until = state.clock.monotonic() + EXCLUSION
     if status.term > group.term:
-        return  # A change of primary is in progress.
+        # A change of primary is in progress or was given up; `detection` decides.
+        if row.ahead_since is None:
+            row.ahead_since = state.clock.monotonic()
+        return
     if status.role != Role.REPLICA or status.term < group.term:
         begin_follow(row, group, state)
     elif row.checked_term < group.term and not row.writes:
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -272,6 +272,7 @@
     lineage_term: int | None = None
     checked_term: int = 0  # Its dropped entries are stored up to this term.
     writes: set[str] = field(factory=set)  # Names of objects to be stored.
+    ahead_since: timedelta | None = None  # Since when its term is above the group's.
 
 
 @define
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -109,7 +109,6 @@
     acknowledged: list[Written] = field(factory=list)
     unconfirmed: list[Written] = field(factory=list)
     promotions: dict[int, tuple[str, list[tuple[int, int]]]] = field(factory=dict)
-    sent: list[tuple[str, object]] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         patch.object(replication, "handle", self.ended).start()
@@ -199,7 +198,6 @@
 
     def carry(self, name: str) -> None:
         for message in core.take_outbox(self.states[name]):
-            self.sent.append((name, message))
             match message:
                 case m.SendPeer():
                     self.send(name, message)
@@ -264,6 +262,8 @@
     def write(self, name: str, value: int) -> None:
         """Commit a write through an instance on the primary that it knows."""
         state = self.states[name]
+        if "g" not in state.groups:
+            return  # A new process that has not read the store yet.
         database = self.databases[state.groups["g"].primary]
         usable = database.up and self.reachable(name, database.name)
         if not usable or database.role != "primary" or name in self.dead | self.paused:
