--- a/pimentodrift/failover.py
+++ b/pimentodrift/failover.py
@@ -329,8 +329,8 @@
     item = state.view.objects.get(("group", row.group))
     if item is None or item.value is None or item.value["term"] < row.term:
         return
-    del state.failovers[row.group]
-    now = state.clock.monotonic()
+    state.past_failovers[row.group] = state.failovers.pop(row.group)
+    row.completed_at = state.clock.monotonic()
     state.counters["failover.completed"] += 1
     state.events.append(
         (
@@ -339,15 +339,15 @@
                 "group": row.group,
                 "term": row.term,
                 "primary": row.chosen,
-                **durations(row, now),
+                **durations(row),
             },
         )
     )
 
 
-def durations(row: FailoverRow, now: timedelta) -> dict[str, int]:
+def durations(row: FailoverRow) -> dict[str, int]:
     """Return the time spent in each stage, in milliseconds."""
-    times = [*row.stage_started.values(), now]
+    times = [*row.stage_started.values(), row.completed_at]
     return {
         f"{stage.value}_ms": (times[index + 1] - times[index]) // MILLISECOND
         for index, stage in enumerate(row.stage_started)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -261,6 +261,7 @@
     outstanding: set[str] = field(factory=set)  # Endpoints that have yet to answer.
     chosen: str = ""
     following: set[str] = field(factory=set)
+    completed_at: timedelta = NEVER
 
 
 @define
@@ -331,6 +332,7 @@
     watched_at: timedelta = NEVER
     probes: dict[str, ProbeRow] = field(factory=dict)
     failovers: dict[str, FailoverRow] = field(factory=dict)
+    past_failovers: dict[str, FailoverRow] = field(factory=dict)  # The last completed.
     rejoins: dict[str, RejoinRow] = field(factory=dict)
     used_terms: dict[str, int] = field(factory=dict)  # Highest that it fenced with.
     store_writes: dict[int, StoreWrite] = field(factory=dict)
--- a/tests/test_failover_basic.py
+++ b/tests/test_failover_basic.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pimentodrift.messages import StopRequested
-from pimentodrift.tables import Presence
+from pimentodrift.tables import Presence, Stage
 
 from .fakes import Fleet
 
@@ -203,3 +203,29 @@
     assert not fleet.states["a"].exit_sent
     fleet.run(200)
     assert fleet.states["a"].exit_sent
+
+
+def test_fleet_of_one_instance() -> None:
+    """Guards against a lone instance that waits for another witness."""
+    fleet = Fleet(names=("a",))
+    fleet.run(1000)
+    fleet.crash("d1")
+    fleet.run(2000)
+    assert_settled(fleet)
+    fleet.check()
+    fleet.close()
+
+
+def test_stages_are_reported(fleet: Fleet) -> None:
+    """Guards against a write gap that cannot be divided into its parts."""
+    fleet.crash("d1")
+    fleet.run(2000)
+    rows = [row for s in fleet.states.values() for row in s.past_failovers.values()]
+    assert [list(row.stage_started) for row in rows] == [list(Stage)]
+    completed = [
+        fields
+        for state in fleet.states.values()
+        for name, fields in state.events
+        if name == "failover_completed"
+    ]
+    assert [f"{stage.value}_ms" in completed[0] for stage in Stage] == [True] * 6
