--- a/pimentodrift/failover.py
+++ b/pimentodrift/failover.py
@@ -20,7 +20,7 @@
     promote_statement,
     status_statement,
 )
-from .detection import is_leaving, is_own_turn
+from .detection import TAKEOVER_INTERVAL, is_own_turn
 from .dispatch import handle, handle_peer
 from .heartbeats import audience
 from .membership import group_endpoints, learn_primary
@@ -88,7 +88,7 @@
     probe = state.probes[group.name]
     now = state.clock.monotonic()
     row = FailoverRow(
-        group.name, group.term, group.primary, is_leaving(group.name, state)
+        group.name, group.term, group.primary, planned=probe.failing_since is None
     )
     row.stage_started[Stage.NOTICING] = probe.failing_since or now
     row.started_at = now
@@ -142,6 +142,8 @@
     probe = state.probes.get(row.group)
     if probe is not None:
         probe.established_at = None  # The wait for this instance's turn begins anew.
+        # Each attempt takes a term, and with it a write of the store.
+        probe.retry_at = state.clock.monotonic() + TAKEOVER_INTERVAL
     state.counters["failover.abandoned"] += 1
     state.events.append(
         (
@@ -201,8 +203,9 @@
     """Choose once a majority is fenced and the others answered or took too long."""
     members = len(group_endpoints(row.group, state))
     waited = state.clock.monotonic() - row.stage_started[Stage.FENCING]
+    awaited = row.outstanding if row.planned else row.outstanding - {row.old_primary}
     if len(row.fences) >= required(Durability.MAJORITY, members):
-        if not row.outstanding or waited >= FENCE_GRACE:
+        if not awaited or waited >= FENCE_GRACE:
             choose(row, members, state)
     elif not row.outstanding:
         abandon(row, "no majority could be fenced", state)
@@ -327,8 +330,8 @@
     item = state.view.objects.get(("group", row.group))
     if item is None or item.value is None or item.value["term"] < row.term:
         return
-    del state.failovers[row.group]
-    now = state.clock.monotonic()
+    state.past_failovers[row.group] = state.failovers.pop(row.group)
+    row.completed_at = state.clock.monotonic()
     state.counters["failover.completed"] += 1
     state.events.append(
         (
@@ -337,15 +340,15 @@
                 "group": row.group,
                 "term": row.term,
                 "primary": row.chosen,
-                **durations(row, now),
+                **durations(row),
             },
         )
     )
 
 
-def durations(row: FailoverRow, now: timedelta) -> dict[str, int]:
+def durations(row: FailoverRow) -> dict[str, int]:
     """Return the time spent in each stage, in milliseconds."""
-    times = [*row.stage_started.values(), now]
+    times = [*row.stage_started.values(), row.completed_at]
     return {
         f"{stage.value}_ms": (times[index + 1] - times[index]) // MILLISECOND
         for index, stage in enumerate(row.stage_started)
--- a/pimentodrift/probes.py
+++ b/pimentodrift/probes.py
@@ -20,7 +20,7 @@
 from .membership import owns, watchers
 from .messages import Position, Rows, Statement
 from .monitoring import Batch, Results, job_ended, rows_of
-from .rejoining import examine
+from .rejoining import examine, rejoin_row
 from .tables import Channel, EndpointRow, GroupRow, ProbeRow, State
 
 PROBE_INTERVAL = timedelta(milliseconds=100)
@@ -83,6 +83,7 @@
         judge(group, job, status, state)
     if status is None:
         state.counters["probes.failed"] += 1
+        rejoin_row(row.name, state).ahead_since = None
         return
     sample(row, status, job.begun_at)
     sample_replicas(rows_of(results, 1), state)
@@ -99,7 +100,7 @@
         probe = ProbeRow(group.name, group.term)
         state.probes[group.name] = probe
     if status is not None and status.role == Role.PRIMARY and status.term == group.term:
-        probe.failing_since = probe.established_at = None
+        probe.failing_since = None
         probe.reports.clear()
     elif probe.failing_since is None and job.begun_at >= state.resumed_at:
         probe.failing_since = job.begun_at
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -442,6 +442,7 @@
     # Of other instances: when the report came and how long the failure lasted then.
     reports: dict[str, tuple[timedelta, timedelta]] = field(factory=dict)
     established_at: timedelta | None = None
+    retry_at: timedelta = NEVER  # After a failed attempt of this instance.
 
 
 class Stage(StrEnum):
@@ -471,6 +472,7 @@
     outstanding: set[str] = field(factory=set)  # Endpoints that have yet to answer.
     chosen: str = ""
     following: set[str] = field(factory=set)
+    completed_at: timedelta = NEVER
 
 
 @define
@@ -483,6 +485,7 @@
     lineage_term: int | None = None
     checked_term: int = 0  # Its dropped entries are stored up to this term.
     writes: set[str] = field(factory=set)  # Names of objects to be stored.
+    ahead_since: timedelta | None = None  # Since when its term is above the group's.
 
 
 @define
@@ -545,6 +548,7 @@
     watched_at: timedelta = NEVER
     probes: dict[str, ProbeRow] = field(factory=dict)
     failovers: dict[str, FailoverRow] = field(factory=dict)
+    past_failovers: dict[str, FailoverRow] = field(factory=dict)  # The last completed.
     rejoins: dict[str, RejoinRow] = field(factory=dict)
     used_terms: dict[str, int] = field(factory=dict)  # Highest that it fenced with.
     store_writes: dict[int, StoreWrite] = field(factory=dict)
