Measure the replica share and the write gap against the targets

make bench had no module. bench.run starts each deployment with delayed links between regions and lag of 100 ms, and prints measure, bound, figure and verdict. The rate, fairness, publication and hop measures are still missing.

--- /dev/null
+++ b/bench/measures_failover.py
@@ -0,0 +1,273 @@
+"""Measures the write gap after the kill of a primary, as callers see it.
+
+One writer for each group writes one row after another through changing instances and
+repeats a refused write. The gap is the time from the kill to the end of the longest
+interval without an acknowledged write around it. The stages come from the events of
+the instance that coordinated the change.
+"""
+
+import asyncio
+import random
+from statistics import median
+from time import monotonic, time, time_ns
+from typing import Any
+
+import aiohttp
+from attrs import define, field
+
+from pimentodrift.children import wait_ready
+
+from . import bounds, load
+from .bounds import Figure
+from .load_sessions import INSERT, Client, Outcome, Session, Violations, Workspace
+from .measures_system import MeasureFailed, System
+
+KILLS = 20
+QUICK_KILLS = 3
+PAUSE_S = 0.01  # Between the writes of a group.
+RETRY_S = 0.02  # After a refusal, also where it names a longer time.
+TIMEOUT_S = 15.0
+NEW_PRIMARY_S = 15.0
+CAUGHT_UP_S = 10.0
+POLL_S = 0.05
+SETTLE_S = 0.5  # Probes and reservations cover the restarted database by then.
+BEFORE_S = 2.0  # Acknowledgments before the kill that the gap may begin at.
+WRITES_AFTER = 5  # Acknowledged writes that show that the gap is over.
+VERIFY_S = 30.0
+SEED = 1
+STAGES = ("noticing", "fencing", "choosing", "promoting", "following", "first write")
+FIRST_STAGE, LAST_STAGE = "fencing", "recording"
+
+
+@define(eq=False)
+class Writer:
+    """Writes to one group until it is stopped; times are of the wall clock."""
+
+    session: Session
+    client: Client
+    acknowledged: list[float] = field(factory=list)
+    refusals: list[tuple[float, str]] = field(factory=list)
+    stopped: bool = False
+
+    async def run(self) -> None:
+        """Write rows one after another, each until it is acknowledged."""
+        while not self.stopped:
+            self.session.last_sequence += 1
+            await self.write(self.session.last_sequence)
+            await asyncio.sleep(PAUSE_S)
+
+    async def write(self, sequence: int) -> None:
+        """Repeat one write until it is acknowledged."""
+        session = self.session
+        session.writes[sequence] = Outcome.UNKNOWN
+        key = f"{session.name}-{sequence}"
+        row: list[str | int] = [session.name, sequence]
+        while not self.stopped:
+            answer = await self.client.send(session, INSERT, row, "write", key)
+            if answer.outcome is Outcome.RAN:
+                session.writes[sequence] = Outcome.RAN
+                self.acknowledged.append(time())
+                return
+            self.refusals.append((time(), f"{answer.status} {answer.label}"))
+            await asyncio.sleep(RETRY_S)
+
+    def gap_end(self, killed: float) -> float | None:
+        """Return when the longest pause around a kill ended."""
+        times = [at for at in self.acknowledged if at > killed - BEFORE_S]
+        pairs = [pair for pair in zip(times, times[1:], strict=False)]
+        pairs = [pair for pair in pairs if pair[1] > killed]
+        return max(pairs, key=lambda pair: pair[1] - pair[0])[1] if pairs else None
+
+
+@define
+class Kill:
+    """One kill and what followed; durations are in milliseconds."""
+
+    group: str
+    primary: str
+    killed: float
+    gap: float
+    refusals: list[str]
+    stages: dict[str, float]
+
+
+def measure(system: System, quick: bool) -> list[Figure]:
+    """Return the write gaps over several kills."""
+    system.publish_and_wait(lambda name, value: None)
+    return asyncio.run(run(system, QUICK_KILLS if quick else KILLS))
+
+
+async def run(system: System, number: int) -> list[Figure]:
+    """Kill primaries while writers run, then verify the writes."""
+    name, key = next(iter(system.keys.items()))
+    violations = Violations()
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as http:
+        client = Client(http, system.proxies, random.Random(SEED))
+        workspace = Workspace(name, key, 0)
+        await create_tables(system, client, workspace)
+        writers = {
+            group: Writer(
+                Session(f"{group}-{time_ns()}", workspace, group, violations), client
+            )
+            for group in system.groups
+        }
+        tasks = [asyncio.create_task(writer.run()) for writer in writers.values()]
+        await asyncio.sleep(SETTLE_S)
+        kills = []
+        for index in range(number):
+            group = system.groups[index % len(system.groups)]
+            kills.append(await kill_primary(system, group, writers[group]))
+        for writer in writers.values():
+            writer.stopped = True
+        await asyncio.gather(*tasks)
+        deadline = monotonic() + VERIFY_S
+        for writer in writers.values():
+            if not await writer.session.verify(client, deadline):
+                raise MeasureFailed("the writes could not be read back")
+    return figures(kills, writers, violations)
+
+
+async def create_tables(system: System, client: Client, workspace: Workspace) -> None:
+    """Create the table in each group."""
+    for group in system.groups:
+        session = Session("set-up", workspace, group, Violations())
+        for statement in (load.CREATE_TABLE, load.CREATE_INDEX):
+            await load.run_until_done(client, session, statement)
+
+
+async def kill_primary(system: System, group: str, writer: Writer) -> Kill:
+    """Kill a primary, wait for the writes to go on, and restart it as a replica."""
+    old = await asyncio.to_thread(system.primary, group)
+    killed = time()
+    system.kill_database(old)
+    new = await new_primary(system, group, old)
+    acknowledged = len(writer.acknowledged)
+    await until(
+        lambda: len(writer.acknowledged) >= acknowledged + WRITES_AFTER,
+        NEW_PRIMARY_S,
+        f"{group}: no write after the change of primary",
+    )
+    end = writer.gap_end(killed)
+    if end is None:
+        raise MeasureFailed(f"{group}: no pause in the writes after the kill")
+    refusals = [label for at, label in writer.refusals if killed <= at <= end]
+    events = await asyncio.to_thread(system.events, "failover_stage")
+    stages = stage_times(events, group, killed, end)
+    await restart(system, old, new)
+    return Kill(group, old, killed, (end - killed) * 1000, refusals, stages)
+
+
+async def new_primary(system: System, group: str, old: str) -> str:
+    """Wait until the store names another primary."""
+    deadline = monotonic() + NEW_PRIMARY_S
+    while monotonic() < deadline:
+        primary = await asyncio.to_thread(system.primary, group)
+        if primary != old:
+            return primary
+        await asyncio.sleep(POLL_S)
+    raise MeasureFailed(f"{group}: no new primary in {NEW_PRIMARY_S} s")
+
+
+async def restart(system: System, name: str, primary: str) -> None:
+    """Restart a killed database and wait until it has the group's log."""
+    child = system.restart_database(name, primary)
+    await asyncio.to_thread(wait_ready, [child])
+    group = system.database(name).group
+    term = (await asyncio.to_thread(system.read_object, "group", group))["term"]
+
+    def received(database: str) -> tuple[Any, ...]:
+        return system.query(
+            database, "SELECT role, term, received FROM group_status()"
+        )[0]
+
+    deadline = monotonic() + CAUGHT_UP_S
+    while monotonic() < deadline:
+        goal = await asyncio.to_thread(received, primary)
+        own = await asyncio.to_thread(received, name)
+        # The log grows while the two are asked.
+        if own[1] == term and own[0] == "replica" and goal[2] - own[2] < 50:
+            await asyncio.sleep(SETTLE_S)
+            return
+        await asyncio.sleep(POLL_S)
+    raise MeasureFailed(f"{name} does not follow {primary}: {own}, {goal}")
+
+
+async def until(condition: Any, seconds: float, failure: str) -> None:
+    """Wait for a condition; raise MeasureFailed when it takes too long."""
+    deadline = monotonic() + seconds
+    while not condition():
+        if monotonic() > deadline:
+            raise MeasureFailed(failure)
+        await asyncio.sleep(POLL_S)
+
+
+def stage_times(
+    events: list[dict[str, Any]], group: str, killed: float, end: float
+) -> dict[str, float]:
+    """Return how long each stage took; noticing begins at the kill."""
+    own = [row for row in events if row["group"] == group and row["timestamp"] > killed]
+    following = [row for row in own if row["stage"] == LAST_STAGE]
+    if not following:
+        return {}
+    term = following[-1]["term"]
+    entered = {row["stage"]: row["timestamp"] for row in own if row["term"] == term}
+    order = [FIRST_STAGE, "choosing", "promoting", "following", LAST_STAGE]
+    if not entered.keys() >= set(order):
+        return {}
+    times = [killed, *(entered[stage] for stage in order), end]
+    pairs = zip(times, times[1:], strict=False)
+    return {
+        stage: (after - before) * 1000
+        for stage, (before, after) in zip(STAGES, pairs, strict=True)
+    }
+
+
+def figures(
+    kills: list[Kill], writers: dict[str, Writer], violations: Violations
+) -> list[Figure]:
+    """Return the gaps, their stages and what became of the writes."""
+    gaps = [kill.gap for kill in kills]
+    refusals = [label for kill in kills for label in kill.refusals]
+    written = sum(len(writer.acknowledged) for writer in writers.values())
+    details: dict[str, object] = {
+        "kills": [
+            {
+                "group": kill.group,
+                "primary": kill.primary,
+                "gap_ms": round(kill.gap, 1),
+                "stages_ms": {
+                    stage: round(value, 1) for stage, value in kill.stages.items()
+                },
+                "refusals": kill.refusals,
+            }
+            for kill in kills
+        ]
+    }
+    note = f"{len(kills)} kills, {len(refusals)} refusals to the writers meanwhile"
+    result = [
+        Figure(
+            "write gap, median",
+            median(gaps),
+            "ms",
+            bounds.WRITE_GAP_MEDIAN,
+            note,
+            details,
+        ),
+        Figure("write gap, worst", max(gaps), "ms", bounds.WRITE_GAP_WORST),
+    ]
+    for stage in STAGES:
+        values = [kill.stages[stage] for kill in kills if kill.stages]
+        if values:
+            note = f"worst {max(values):.0f}, {len(values)} kills"
+            result.append(
+                Figure(f"stage {stage}, median", median(values), "ms", note=note)
+            )
+    wrong = sum(violations.counts.values())
+    note = (
+        f"{written} acknowledged; {violations.details[:3]}" if wrong else str(written)
+    )
+    result.append(
+        Figure("writes lost or doubled", wrong, "", bounds.LOST_WRITES, f"of {note}")
+    )
+    return result
--- /dev/null
+++ b/bench/measures_system.py
@@ -0,0 +1,432 @@
+"""The system under measurement: `local` with delayed links between its regions.
+
+Each region's instances read the store through a port of their own, which hands out
+link addresses for the instances and endpoints of other regions. Replication always
+crosses regions, so the store lists link addresses for it. The processes write to one
+log file, from which the measurements take the events.
+"""
+
+import os
+import signal
+import subprocess
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from copy import deepcopy
+from datetime import timedelta
+from hashlib import sha256
+from http.client import HTTPConnection
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+from typing import IO, Any
+
+import orjson
+import psycopg
+from attrs import define, evolve, field
+
+from pimentodrift.children import (
+    Child,
+    Children,
+    drain,
+    end_with_parent,
+    environment,
+    module_command,
+    own_command,
+    wait_ready,
+)
+from pimentodrift.dump import fetch_dump
+from pimentodrift.local import LocalRun, is_ready
+from pimentodrift.local_layout import (
+    DEPLOYMENTS,
+    Database,
+    Instance,
+    free_addresses,
+    make_layout,
+)
+from pimentodrift.operator_files import Piece, Service, canonical, make_piece
+from pimentodrift.publishing import Publisher
+from pimentodrift.store_api import StoreApi
+
+# One way between regions, from docs/design.md, section 2.
+LINK_DELAYS = {
+    "kanitli": timedelta(milliseconds=20),
+    "heredia": timedelta(milliseconds=8),
+}
+REPLICA_LAG = timedelta(milliseconds=100)
+LISTED_AFTER_S = 1.0  # The platform's list of instances lags.
+RESTART_S = 15.0
+EVENT_PREFIX = "pimentodrift:"
+OK = 200
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+# Fields of /proc/PID/stat after the command, which ends with ")".
+USER_TIME, SYSTEM_TIME = 11, 12
+
+Edit = Callable[[str, dict[str, Any]], None]
+
+
+class MeasureFailed(Exception):
+    """The system did not get as far as the measurement needs."""
+
+
+@define
+class LoggedChildren(Children):
+    """Starts children whose output goes to one file."""
+
+    log: IO[bytes]
+    directory: str
+    running: list[Child] = field(factory=list)
+
+    def start(self, name: str, command: list[str], prints_ready: bool) -> Child:
+        """Start a process; databases keep their files in the run's directory."""
+        process = subprocess.Popen(
+            command,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE if prints_ready else self.log,
+            stderr=self.log,
+            env={**environment(), "TMPDIR": self.directory},
+            bufsize=0,
+            preexec_fn=end_with_parent(os.getpid()),  # noqa: PLW1509
+        )
+        child = Child(name, process)
+        self.running.append(child)
+        return child
+
+
+@define
+class System(LocalRun):
+    """A local run with links, and what the measurements do to it."""
+
+    log_path: Path = Path()
+    store_ports: dict[str, str] = field(factory=dict)
+    # Where a database listens for replicas, behind the link that the store lists.
+    replication_ports: dict[str, str] = field(factory=dict)
+    pieces: list[Piece] = field(factory=list)
+
+    @property
+    def delay_ms(self) -> float:
+        """Return the one-way delay between regions."""
+        delay = LINK_DELAYS[self.layout.deployment.name]
+        return delay / timedelta(milliseconds=1)
+
+    # --- Start
+
+    def start(self) -> None:
+        """Start everything and wait until the instances are ready."""
+        self.platform = self.start_store()
+        wait_ready([self.platform])
+        links = self.start_links()
+        wait_ready(links)
+        primaries = [row for row in self.layout.databases if row.is_primary]
+        replicas = [row for row in self.layout.databases if not row.is_primary]
+        first = [self.start_database(row) for row in primaries]
+        wait_ready(first)
+        following = [self.start_database(row) for row in replicas]
+        wait_ready(following)
+        self.fill_store()
+        for instance in self.layout.instances:
+            self.instances[instance.name] = self.start_instance(instance)
+        drain([self.platform, *links, *first, *following])
+        self.wait_instances()
+
+    def start_store(self) -> Child:
+        """Start the store with one port for operators and one for each region."""
+        arguments = ["--listen", self.layout.platform]
+        for region, address in self.store_ports.items():
+            arguments += ["--listen", f"{region}={address}"]
+        command = module_command("standins.platform_server", arguments)
+        return self.children.start("platform", command, prints_ready=True)
+
+    def start_links(self) -> list[Child]:
+        """Start one link process for each region and one for replication."""
+        rewrites = {region: self.far_addresses(region) for region in self.store_ports}
+        numbers = sum(len(addresses) for addresses in rewrites.values())
+        free = iter(unused_addresses(numbers, self))
+        links = []
+        for region, addresses in rewrites.items():
+            rewrites[region] = {address: next(free) for address in addresses}
+            links.append(self.start_link(region, rewrites[region]))
+        ports = {
+            self.replication_ports[row.name]: row.replication
+            for row in self.layout.databases
+        }
+        links.append(self.start_link("replication", ports))
+        post_json(self.layout.platform, "/standin/rewrites", rewrites)
+        return links
+
+    def far_addresses(self, region: str) -> dict[str, str]:
+        """Return the addresses of other regions, without links yet."""
+        rows = [row for row in self.layout.databases if row.region != region]
+        instances = [row for row in self.layout.instances if row.region != region]
+        addresses = [row.address for row in rows]
+        addresses += [row.peer_address for row in instances]
+        return dict.fromkeys(addresses, "")
+
+    def start_link(self, name: str, pairs: dict[str, str]) -> Child:
+        """Start a link process; `pairs` has the link address of each address."""
+        arguments = ["--delay-ms", str(self.delay_ms)]
+        for address, link in pairs.items():
+            arguments += ["--pair", f"{link}={address}"]
+        command = module_command("standins.link", arguments)
+        return self.children.start(f"link-{name}", command, prints_ready=True)
+
+    def start_database(self, row: Database) -> Child:
+        """Start a database that follows the group's primary through a link."""
+        own = evolve(row, replication=self.replication_ports[row.name])
+        return LocalRun.start_database(self, own)
+
+    def start_instance(self, instance: Instance) -> Child:
+        """Start an instance that reads the store through its region's port."""
+        options = {
+            "--name": instance.name,
+            "--region": instance.region,
+            "--data-centre": instance.data_centre,
+            "--listen": instance.address,
+            "--peer-listen": instance.peer_address,
+            "--platform": f"http://{self.store_ports[instance.region]}",
+        }
+        arguments = [part for option in options.items() for part in option]
+        command = own_command(["proxy", *arguments])
+        return self.children.start(instance.name, command, prints_ready=False)
+
+    def with_keys(self, service: Service) -> Service:
+        """Give a service fresh keys and keep it for later publications."""
+        keyed = LocalRun.with_keys(self, service)
+        self.pieces.append(make_piece(keyed))
+        return keyed
+
+    # --- Configuration
+
+    @property
+    def store(self) -> StoreApi:
+        """Return the operators' client of the store."""
+        return StoreApi(self.platform_url)
+
+    @property
+    def proxies(self) -> list[str]:
+        """Return the instances' base URLs."""
+        return [row.url for row in self.layout.instances]
+
+    @property
+    def groups(self) -> list[str]:
+        """Return the names of the groups."""
+        return list(self.layout.deployment.groups)
+
+    def workspaces(self) -> dict[str, dict[str, Any]]:
+        """Return what the example files declare for each workspace."""
+        return {
+            name: value
+            for piece in self.pieces
+            for name, value in piece.value["workspaces"].items()
+        }
+
+    def publish(self, edit: Edit) -> str:
+        """Publish the workspaces with changes; return the publication's id."""
+        publisher = Publisher(self.store)
+        published = publisher.publish(tuple(map(edited(edit), self.pieces)))
+        if published.is_error():
+            raise MeasureFailed(str(published.error))
+        return publisher.publication
+
+    def publish_and_wait(self, edit: Edit) -> None:
+        """Publish workspaces for all groups and wait until all instances have them.
+
+        No read accepts an age: reads are fresh, and checks of the data are exact.
+        """
+
+        def for_all_groups(name: str, value: dict[str, Any]) -> None:
+            value["groups"] = sorted(self.groups)
+            value["stale_reads"] = {}
+            edit(name, value)
+
+        publication = self.publish(for_all_groups)
+        self.applied(publication)
+
+    def applied(self, publication: str, within_s: float = 20) -> list[float]:
+        """Return when each instance applied a publication, waiting for all."""
+        deadline = monotonic() + within_s
+        while monotonic() < deadline:
+            found = {
+                event["instance"]: event["timestamp"]
+                for event in self.events("configuration_applied")
+                if event["publication"] == publication
+            }
+            if len(found) >= len(self.layout.instances):
+                return list(found.values())
+            sleep(0.02)
+        raise MeasureFailed(f"{publication} not applied everywhere in {within_s} s")
+
+    # --- Observation
+
+    def events(self, *names: str) -> list[dict[str, Any]]:
+        """Return the logged events of some kinds, oldest first."""
+        wanted = {EVENT_PREFIX + name for name in names}
+        return [event for event in self.logged() if event["message_type"] in wanted]
+
+    def logged(self) -> Iterator[dict[str, Any]]:
+        """Yield the log's lines that are events; a last line may be incomplete."""
+        for line in self.log_path.read_bytes().splitlines():
+            if line.startswith(b"{") and line.endswith(b"}"):
+                event = orjson.loads(line)
+                if "message_type" in event:
+                    yield event
+
+    def instance(self, name: str) -> Instance:
+        """Return the row of an instance."""
+        return next(row for row in self.layout.instances if row.name == name)
+
+    def database(self, name: str) -> Database:
+        """Return the row of a database."""
+        return next(row for row in self.layout.databases if row.name == name)
+
+    def counters(self, name: str) -> dict[str, int]:
+        """Return the counters of an instance."""
+        counters: dict[str, int] = fetch_dump(self.instance(name).peer_address)[
+            "counters"
+        ]
+        return counters
+
+    def counter_sums(self, *names: str) -> dict[str, int]:
+        """Return counters summed over the instances."""
+        found = [self.counters(row.name) for row in self.layout.instances]
+        return {name: sum(row.get(name, 0) for row in found) for name in names}
+
+    def cpu_seconds(self) -> dict[str, float]:
+        """Return the CPU time of each instance."""
+        return {name: cpu_time(child.pid) for name, child in self.instances.items()}
+
+    def read_object(self, kind: str, name: str) -> dict[str, Any]:
+        """Return the value of an object of the store."""
+        answer = self.store.get(kind, name)
+        item = answer.default_value(None)
+        if item is None or item.value is None:
+            raise MeasureFailed(f"the store has no {kind} {name}")
+        return dict(item.value)
+
+    def primary(self, group: str) -> str:
+        """Return the name of a group's primary."""
+        return str(self.read_object("group", group)["primary"])
+
+    # --- Faults
+
+    def query(self, database: str, statement: str) -> list[tuple[Any, ...]]:
+        """Run a statement on a database, without an instance between."""
+        host, _, port = self.database(database).address.rpartition(":")
+        with psycopg.connect(
+            host=host, port=int(port), user="bench", dbname="bench", autocommit=True
+        ) as connection:
+            return connection.execute(statement).fetchall()
+
+    def set_service_time(self, milliseconds: float) -> None:
+        """Change how long a statement keeps a slot, at all databases."""
+        for row in self.layout.databases:
+            self.query(row.name, f"SELECT standin_set('service_ms', {milliseconds})")
+
+    def kill_database(self, name: str) -> None:
+        """Kill a database."""
+        self.kill_child(self.databases[name])
+
+    def kill_instance(self, name: str) -> None:
+        """Kill an instance; `list_leaving` changes the platform's list later."""
+        self.kill_child(self.instances[name])
+
+    def kill_child(self, child: Child) -> None:
+        """Kill a child that this run started."""
+        os.kill(child.pid, signal.SIGKILL)
+        child.process.wait()
+        self.children.running.remove(child)
+
+    def restart_database(self, name: str, primary: str) -> Child:
+        """Start a killed database, empty, as a replica of the present primary."""
+        group = self.database(name).group
+        rows = tuple(
+            evolve(row, is_primary=row.name == primary) if row.group == group else row
+            for row in self.layout.databases
+        )
+        self.layout = evolve(self.layout, databases=rows)
+        return self.start_database(self.database(name))
+
+
+def edited(edit: Edit) -> Callable[[Piece], Piece]:
+    """Return a function that applies an edit to a copy of a piece."""
+
+    def apply(piece: Piece) -> Piece:
+        value = deepcopy(piece.value)
+        for name, workspace in value["workspaces"].items():
+            edit(name, workspace)
+        content = canonical(value)
+        return Piece(piece.service, sha256(content).hexdigest(), value, len(content))
+
+    return apply
+
+
+def cpu_time(pid: int) -> float:
+    """Return the CPU seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[USER_TIME]) + int(fields[SYSTEM_TIME])
+    return ticks / TICKS_PER_SECOND
+
+
+def post_json(address: str, path: str, value: object) -> None:
+    """Send JSON to a stand-in; raise MeasureFailed if it refuses."""
+    connection = HTTPConnection(address, timeout=5)
+    try:
+        connection.request("POST", path, orjson.dumps(value))
+        answer = connection.getresponse()
+        answer.read()
+    finally:
+        connection.close()
+    if answer.status != OK:
+        raise MeasureFailed(f"{address}{path}: {answer.status}")
+
+
+def unused_addresses(number: int, system: System) -> list[str]:
+    """Find free ports that the layout does not use either."""
+    used = {system.layout.platform, *system.store_ports.values()}
+    used.update(system.replication_ports.values())
+    for row in system.layout.databases:
+        used.update((row.address, row.replication))
+    for instance in system.layout.instances:
+        used.update((instance.address, instance.peer_address))
+    while True:
+        found = free_addresses(number)
+        if not used.intersection(found):
+            return found
+
+
+def make_system(deployment: str, children: Children, log_path: Path) -> System:
+    """Lay out a deployment with links."""
+    layout = make_layout(evolve(DEPLOYMENTS[deployment], replication_lag=REPLICA_LAG))
+    system = System(layout, children, log_path=log_path)
+    regions = layout.deployment.regions
+    numbers = len(regions) + len(layout.databases)
+    free = iter(unused_addresses(numbers, system))
+    system.store_ports = {region: next(free) for region in regions}
+    system.replication_ports = {row.name: row.replication for row in layout.databases}
+    rows = tuple(evolve(row, replication=next(free)) for row in layout.databases)
+    system.layout = evolve(layout, databases=rows)
+    return system
+
+
+@contextmanager
+def running(deployment: str) -> Iterator[System]:
+    """Run a deployment with links, and end its processes."""
+    with (
+        TemporaryDirectory(prefix="pimentodrift-bench-") as directory,
+        (Path(directory) / "log").open("ab") as log,
+    ):
+        children = LoggedChildren(log=log, directory=directory)
+        system = make_system(deployment, children, Path(directory) / "log")
+        try:
+            system.start()
+            yield system
+        finally:
+            system.children.kill()
+
+
+def wait_ready_again(system: System, name: str) -> None:
+    """Wait until a restarted instance is ready."""
+    deadline = monotonic() + RESTART_S
+    while not is_ready(system.instance(name).address):
+        if monotonic() > deadline:
+            raise MeasureFailed(f"{name} is not ready after its restart")
+        sleep(0.05)
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,142 @@
+"""Measures both deployments against the stated targets (`make bench`).
+
+Each measure runs on a system of its own, started with delayed links. The table tells
+measure, bound, figure and verdict; the exit status is 1 if a bound is missed or a
+measure could not be carried out.
+"""
+
+import argparse
+import signal
+import sys
+import traceback
+from collections.abc import Callable
+from pathlib import Path
+from time import monotonic
+from types import FrameType
+from typing import Any, NoReturn
+
+import orjson
+from attrs import frozen
+
+from . import measures_failover, measures_share
+from .bounds import Figure
+from .measures_system import LINK_DELAYS, MeasureFailed, System, running
+
+JSON_FORM = orjson.OPT_INDENT_2 | orjson.OPT_NON_STR_KEYS
+LIMIT_S = 170  # Of one measure, so that a run ends by itself.
+
+Measure = Callable[[System, bool], list[Figure]]
+
+MEASURES: dict[str, Measure] = {
+    "share": measures_share.measure,
+    "failover": measures_failover.measure,
+}
+
+
+@frozen
+class Row:
+    """A line of the table; a measure without a figure has failed."""
+
+    deployment: str
+    measure: str
+    figure: Figure | None
+    failure: str = ""
+
+    @property
+    def verdict(self) -> str:
+        """Return whether the bound holds."""
+        if self.figure is None:
+            return "FAILED"
+        if self.figure.bound is None:
+            return "-"
+        return "ok" if self.figure.holds else "MISSED"
+
+    def as_text(self) -> str:
+        """Return the line."""
+        if self.figure is None:
+            return f"{self.measure:12} {self.failure}  {self.verdict}"
+        figure = self.figure
+        bound = str(figure.bound or "")
+        value = f"{round(figure.value, 3):g} {figure.unit}"
+        line = f"{self.measure:12} {figure.name:54} {bound:>8} {value:>14}"
+        return f"{line}  {self.verdict:6} {figure.note}".rstrip()
+
+    def as_json(self) -> dict[str, Any]:
+        """Return the line with its details."""
+        row: dict[str, Any] = {
+            "deployment": self.deployment,
+            "measure": self.measure,
+            "verdict": self.verdict,
+        }
+        if self.figure is None:
+            return {**row, "failure": self.failure}
+        figure = self.figure
+        return {
+            **row,
+            "name": figure.name,
+            "value": figure.value,
+            "unit": figure.unit,
+            "bound": str(figure.bound) if figure.bound else None,
+            "note": figure.note,
+            "details": figure.details,
+        }
+
+
+def time_out(number: int, frame: FrameType | None) -> NoReturn:
+    """End a measure that takes too long."""
+    raise MeasureFailed(f"not done within {LIMIT_S} s")
+
+
+def run_measure(deployment: str, name: str, quick: bool) -> list[Row]:
+    """Carry out one measure on a system of its own."""
+    signal.alarm(LIMIT_S)
+    try:
+        with running(deployment) as system:
+            figures = MEASURES[name](system, quick)
+            signal.alarm(0)
+    except Exception as error:
+        # One measure that fails leaves the others' figures.
+        traceback.print_exc()
+        failure = f"{type(error).__name__}: {error}"
+        return [Row(deployment, name, None, failure)]
+    finally:
+        signal.alarm(0)
+    return [Row(deployment, name, figure) for figure in figures]
+
+
+def parse_arguments(texts: list[str] | None = None) -> argparse.Namespace:
+    """Parse the command line."""
+    parser = argparse.ArgumentParser(description="Measure against the targets.")
+    parser.add_argument(
+        "--deployment", action="append", choices=sorted(LINK_DELAYS), default=[]
+    )
+    parser.add_argument("--only", action="append", choices=sorted(MEASURES), default=[])
+    parser.add_argument("--quick", action="store_true", help="fewer repetitions")
+    parser.add_argument("--json", type=Path, metavar="FILE", help="write a report")
+    return parser.parse_args(texts)
+
+
+def main() -> int:
+    """Run the measures and return the exit status."""
+    arguments = parse_arguments()
+    signal.signal(signal.SIGALRM, time_out)
+    rows: list[Row] = []
+    for deployment in arguments.deployment or list(LINK_DELAYS):
+        started = monotonic()
+        print(f"== {deployment}", flush=True)
+        for name in arguments.only or list(MEASURES):
+            found = run_measure(deployment, name, arguments.quick)
+            for row in found:
+                print(row.as_text(), flush=True)
+            rows += found
+        print(f"== {deployment}: {monotonic() - started:.0f} s", flush=True)
+    if arguments.json:
+        report = [row.as_json() for row in rows]
+        arguments.json.write_bytes(orjson.dumps(report, option=JSON_FORM))
+    failed = [row for row in rows if row.verdict in ("MISSED", "FAILED")]
+    print(f"{len(failed)} of {len(rows)} figures missed their bound or failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
