--- /dev/null
+++ b/tests/system_support.py
@@ -0,0 +1,445 @@
+"""Runs `pimentodrift local` for the system tests and talks to its parts.
+
+The tests wait for conditions with generous limits; no verdict depends on speed.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from threading import Event, Lock, Thread
+from typing import Any
+from urllib.parse import urlsplit
+
+import psycopg
+from attrs import define, field, frozen
+
+LIMIT_S = 60  # Ends a test that would wait forever; no result depends on it.
+CALL_LIMIT_S = 30  # Above the instances' request timeout of 10 s.
+STOP_LIMIT_S = 40  # Above the time that `local` gives its instances.
+MARKET = "kapalicarsi-market"
+OK = 200
+
+
+@frozen
+class Answer:
+    """An answer; status 0 if the connection ended without one."""
+
+    status: int
+    body: Any = None
+    token: str | None = None
+    headers: dict[str, str] = field(factory=dict)
+    raw: bytes = b""
+
+    @property
+    def outcome(self) -> str:
+        """Return ran, not_run or unknown."""
+        if self.status == OK:
+            return "ran"
+        return str(self.body["outcome"]) if self.status else "unknown"
+
+    @property
+    def problem(self) -> str:
+        """Return the last part of a refusal's type."""
+        return str(self.body["type"]).rpartition("/")[2] if self.status else ""
+
+
+@define
+class Caller:
+    """A caller on one kept connection, which it opens again when it ended."""
+
+    url: str
+    connection: HTTPConnection | None = None
+
+    def send(
+        self, method: str, path: str, headers: dict[str, str], body: bytes | None = None
+    ) -> Answer:
+        """Send one request and never repeat it."""
+        if self.connection is None:
+            netloc = urlsplit(self.url).netloc
+            self.connection = HTTPConnection(netloc, timeout=CALL_LIMIT_S)
+        try:
+            self.connection.request(method, path, body, headers)
+            answer = self.connection.getresponse()
+            raw = answer.read()
+        except (OSError, HTTPException) as error:
+            self.close()
+            return Answer(0, repr(error))
+        found = {name.lower(): value for name, value in answer.getheaders()}
+        if found.get("connection") == "close":
+            self.close()
+        is_json = "json" in found.get("content-type", "")
+        content = json.loads(raw) if is_json else None
+        return Answer(answer.status, content, found.get("session-token"), found, raw)
+
+    def close(self) -> None:
+        """End the connection."""
+        if self.connection is not None:
+            self.connection.close()
+        self.connection = None
+
+
+@define
+class System:
+    """The running processes, as the line of JSON describes them."""
+
+    line: dict[str, Any]
+    log: Path
+    stopped: set[int] = field(factory=set)
+
+    @property
+    def proxies(self) -> list[str]:
+        """Return the instances' base URLs."""
+        return list(self.line["proxies"])
+
+    def instance(self, name: str) -> dict[str, Any]:
+        """Return the description of an instance."""
+        return next(row for row in self.line["instances"] if row["name"] == name)
+
+    def endpoints(self, group: str) -> list[dict[str, Any]]:
+        """Return the descriptions of a group's endpoints."""
+        return [row for row in self.line["endpoints"] if row["group"] == group]
+
+    # --- Callers
+
+    def run(  # noqa: PLR0917
+        self,
+        proxy: str | Caller,
+        statement: str,
+        *parameters: Any,
+        access: str = "read",
+        group: str = "certificates",
+        workspace: str = MARKET,
+        key: str | None = None,
+        token: str | None = None,
+        idempotency_key: str = "",
+        transaction: str = "",
+        max_age_ms: int | None = 0,
+    ) -> Answer:
+        """Send one statement; by default a read accepts no age but its session's."""
+        headers = self.headers(workspace, key, token)
+        if idempotency_key:
+            headers["Idempotency-Key"] = idempotency_key
+        content: dict[str, Any] = {
+            "statement": statement,
+            "parameters": parameters,
+            "access": access,
+        }
+        if max_age_ms is not None:
+            content["max_age_ms"] = max_age_ms
+        if transaction:
+            content["transaction"] = transaction
+        path = f"/v1/groups/{group}/statements"
+        return self.send(proxy, path, headers, json.dumps(content).encode())
+
+    def headers(
+        self, workspace: str = MARKET, key: str | None = None, token: str | None = None
+    ) -> dict[str, str]:
+        """Return the headers of a workspace's key and a session."""
+        text = self.line["keys"][workspace] if key is None else key
+        headers = {"Content-Type": "application/json"}
+        if text:
+            headers["Authorization"] = f"Bearer {text}"
+        if token:
+            headers["Session-Token"] = token
+        return headers
+
+    def send(
+        self, proxy: str | Caller, path: str, headers: dict[str, str], body: bytes
+    ) -> Answer:
+        """Send a POST request, on a connection of its own unless a caller is given."""
+        if isinstance(proxy, Caller):
+            return proxy.send("POST", path, headers, body)
+        caller = Caller(proxy)
+        try:
+            return caller.send("POST", path, headers, body)
+        finally:
+            caller.close()
+
+    def create(self, table: str, group: str = "certificates") -> None:
+        """Create a table with one column, value, that may repeat."""
+        text = f"CREATE TABLE IF NOT EXISTS {table} (value TEXT)"
+        wait_for(
+            lambda: (
+                self.run(
+                    self.proxies[0],
+                    text,
+                    access="write",
+                    group=group,
+                ).status
+                == OK
+            )
+        )
+
+    def values(
+        self, proxy: str, table: str, group: str = "certificates"
+    ) -> dict[str, int]:
+        """Return how often each value is in a table, as a new session reads it."""
+        found: list[Answer] = []
+
+        def read() -> bool:
+            text = f"SELECT value, count(*) FROM {table} GROUP BY value"
+            found.append(self.run(proxy, text, group=group))
+            return found[-1].status == OK
+
+        wait_for(read)
+        return {value: int(number) for value, number in found[-1].body["rows"]}
+
+    # --- Processes
+
+    def signal(self, pid: int, number: int) -> None:
+        """Send a signal to one of the processes."""
+        os.kill(pid, number)
+        if number == signal.SIGSTOP:
+            self.stopped.add(pid)
+        else:
+            self.stopped.discard(pid)
+
+    def resume_all(self) -> None:
+        """Resume what a test has left stopped."""
+        for pid in list(self.stopped):
+            self.signal(pid, signal.SIGCONT)
+
+    # --- Endpoints
+
+    def sql(self, endpoint: str, text: str, *parameters: Any) -> list[Any]:
+        """Run a statement on an endpoint, past the instances."""
+        row = next(row for row in self.line["endpoints"] if row["name"] == endpoint)
+        host, _, port = row["address"].partition(":")
+        conninfo = f"host={host} port={port} user=test dbname=test connect_timeout=20"
+        with psycopg.connect(conninfo, autocommit=True) as connection:
+            cursor = connection.execute(text, parameters or None)
+            return cursor.fetchall() if cursor.description else []
+
+    def control(self, endpoint: str, name: str, value: int) -> None:
+        """Change a control of a database stand-in."""
+        self.sql(endpoint, "SELECT standin_set(%s, %s)", name, value)
+
+    def status(self, endpoint: str) -> tuple[str, int, int, int]:
+        """Return role, term, received and replayed of an endpoint."""
+        text = "SELECT role, term, received, replayed FROM group_status()"
+        (row,) = self.sql(endpoint, text)
+        return (str(row[0]), int(row[1]), int(row[2]), int(row[3]))
+
+    def counts(self, endpoint: str) -> dict[str, int]:
+        """Return what an endpoint has counted."""
+        rows = self.sql(endpoint, "SELECT name, value FROM standin_counts()")
+        return {str(name): int(value) for name, value in rows}
+
+    # --- Store
+
+    def store(self, method: str, path: str, body: Any = None, **headers: str) -> Any:
+        """Call the store; return the status and the content."""
+        netloc = urlsplit(self.line["platform"]).netloc
+        connection = HTTPConnection(netloc, timeout=CALL_LIMIT_S)
+        try:
+            data = None if body is None else json.dumps(body)
+            named = {name.replace("_", "-"): text for name, text in headers.items()}
+            connection.request(method, path, data, named)
+            answer = connection.getresponse()
+            return answer.status, json.loads(answer.read())
+        finally:
+            connection.close()
+
+    def object(self, kind: str, name: str) -> dict[str, Any]:
+        """Return an object of the store."""
+        status, item = self.store("GET", f"/v1/objects/{kind}/{name}")
+        assert status == OK, item
+        return dict(item)
+
+    def objects(self, kind: str) -> dict[str, dict[str, Any]]:
+        """Return the values of all objects of a kind by name."""
+        _, found = self.store("GET", "/v1/objects?after=0&wait_ms=0")
+        return {
+            item["name"]: item["value"]
+            for item in found["items"]
+            if item["kind"] == kind and item["value"] is not None
+        }
+
+    def change(self, kind: str, name: str, **values: Any) -> None:
+        """Change fields of an object, also when others write it at the same time."""
+
+        def put() -> bool:
+            item = self.object(kind, name)
+            path = f"/v1/objects/{kind}/{name}"
+            version = str(item["version"])
+            body = {**item["value"], **values}
+            return bool(self.store("PUT", path, body, If_Match=version)[0] == OK)
+
+        wait_for(put)
+
+    def faults(self, **values: Any) -> None:
+        """Set faults of the store."""
+        assert self.store("POST", "/standin/faults", values)[0] == OK
+
+    def group(self, name: str) -> dict[str, Any]:
+        """Return the value of a group's object."""
+        return dict(self.object("group", name)["value"])
+
+    def dump(self, instance: str) -> dict[str, Any]:
+        """Return the state of an instance by the `dump` command."""
+        address = self.instance(instance)["peer_address"]
+        return dict(json.loads(command("dump", address).stdout))
+
+    def wait_settled(self, group: str) -> None:
+        """Wait until all endpoints of a group have the same log and replayed it."""
+
+        def settled() -> bool:
+            rows = [self.status(row["name"]) for row in self.endpoints(group)]
+            return len({row[1:] for row in rows}) == 1 and {row[0] for row in rows} == {
+                "primary",
+                "replica",
+            }
+
+        wait_for(settled)
+
+
+def command(*arguments: str) -> "subprocess.CompletedProcess[str]":
+    """Run a subcommand of pimentodrift."""
+    return subprocess.run(
+        [sys.executable, "-m", "pimentodrift", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+        check=False,
+    )
+
+
+def wait_for(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    deadline = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < deadline, "the condition never held"
+        time.sleep(0.02)
+
+
+@contextmanager
+def running_system(*arguments: str) -> Iterator[System]:
+    """Run `pimentodrift local` and end it, also with processes left stopped."""
+    with TemporaryDirectory(prefix="pimentodrift-proofs-") as directory:
+        log = Path(directory) / "log"
+        with log.open("wb") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "pimentodrift", "local", *arguments],
+                stdout=subprocess.PIPE,
+                stderr=output,
+            )
+        assert process.stdout is not None
+        try:
+            line = process.stdout.readline()
+            assert line, log.read_text()
+            system = System(json.loads(line), log)
+            try:
+                yield system
+            finally:
+                system.resume_all()
+        finally:
+            stop(process)
+            process.stdout.close()
+
+
+def stop(process: "subprocess.Popen[bytes]") -> None:
+    """End `local` without waiting for requests: the second signal stops its wait."""
+    process.send_signal(signal.SIGTERM)
+    time.sleep(0.1)
+    process.send_signal(signal.SIGTERM)
+    try:
+        process.wait(STOP_LIMIT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+@frozen
+class Write:
+    """One write of a distinct value and what its caller was told."""
+
+    value: str
+    outcome: str
+    problem: str = ""
+
+
+@define
+class Writers:
+    """Threads that write distinct values, one through each instance, until stopped."""
+
+    system: System
+    table: str
+    with_keys: bool
+    proxies: list[str]
+    group: str = "certificates"
+    pause_s: float = 0.01
+    prefix: str = "v"
+    done: list[Write] = field(factory=list)
+    lock: Any = field(factory=Lock)
+    stopping: Event = field(factory=Event)
+    threads: list[Thread] = field(factory=list)
+
+    def __enter__(self) -> "Writers":
+        for number, proxy in enumerate(self.proxies):
+            thread = Thread(target=self.work, args=(number, proxy), daemon=True)
+            self.threads.append(thread)
+            thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """End the threads after the answers that they wait for."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        self.threads.clear()
+
+    def work(self, number: int, proxy: str) -> None:
+        """Write until stopped; never repeat."""
+        caller = Caller(proxy)
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            value = f"{self.prefix}-{number}-{count}"
+            answer = self.write(caller, value)
+            with self.lock:
+                problem = "" if answer.status == OK else answer.problem
+                self.done.append(Write(value, answer.outcome, problem))
+            self.stopping.wait(self.pause_s if answer.status else 0.1)
+        caller.close()
+
+    def write(self, caller: str | Caller, value: str) -> Answer:
+        """Write one value."""
+        return self.system.run(
+            caller,
+            f"INSERT INTO {self.table} VALUES ($1)",
+            value,
+            access="write",
+            group=self.group,
+            idempotency_key=f"{self.table}-{value}" if self.with_keys else "",
+        )
+
+    def values(self, outcome: str) -> list[str]:
+        """Return the values of the writes with an outcome."""
+        with self.lock:
+            return [write.value for write in self.done if write.outcome == outcome]
+
+    def wait_acknowledged(self, more: int = 30) -> None:
+        """Wait for a number of further acknowledged writes."""
+        wanted = len(self.values("ran")) + more
+        wait_for(lambda: len(self.values("ran")) >= wanted)
+
+
+def assert_outcomes(found: dict[str, int], writers: Writers) -> None:
+    """Assert that the table agrees with what the callers were told."""
+    doubled = {value for value, number in found.items() if number > 1}
+    lost = [value for value in writers.values("ran") if value not in found]
+    wrongly_refused = [value for value in writers.values("not_run") if value in found]
+    assert not doubled, f"written more than once: {sorted(doubled)[:5]}"
+    assert not lost, f"{len(lost)} acknowledged writes are missing: {lost[:5]}"
+    assert not wrongly_refused, f"refused as not run, yet run: {wrongly_refused[:5]}"
