--- a/tests/system_support.py
+++ b/tests/system_support.py
@@ -443,3 +443,18 @@
     assert not doubled, f"written more than once: {sorted(doubled)[:5]}"
     assert not lost, f"{len(lost)} acknowledged writes are missing: {lost[:5]}"
     assert not wrongly_refused, f"refused as not run, yet run: {wrongly_refused[:5]}"
+
+
+def find_owner(system: System, writers: Writers, names: list[str]) -> str:
+    """Return the instance that acknowledges most of the writes now."""
+
+    def acknowledged() -> dict[str, int]:
+        return {
+            name: int(system.dump(name)["counters"].get("replication.acknowledged", 0))
+            for name in names
+        }
+
+    before = acknowledged()
+    writers.wait_acknowledged()
+    after = acknowledged()
+    return max(names, key=lambda name: after[name] - before[name])
