Notice a dead primary by its refused connections

Cause: the write gap of a killed primary was 826 and 1106 ms, of which 759 ms was noticing: 400 ms of failures on two instances, plus probe and query intervals. The same 400 ms replaced a primary after any stall of that length. Ruled out: a shorter threshold for all failures; a checkpoint would then cause failovers. Change: an endpoint connection tells whether it failed before the endpoint accepted it. Two instances that are refused for 150 ms replace the primary; silence has to last 800 ms.

--- a/pimentodrift/connections.py
+++ b/pimentodrift/connections.py
@@ -82,4 +82,7 @@
     if row.purpose is ConnectionPurpose.WORK:
         handle(WorkConnectionLost(row.connection, row.endpoint, row.batch), state)
     else:
-        handle(MonitorConnectionLost(row.connection, row.endpoint, row.batch), state)
+        lost = MonitorConnectionLost(
+            row.connection, row.endpoint, row.batch, message.refused
+        )
+        handle(lost, state)
--- a/pimentodrift/detection.py
+++ b/pimentodrift/detection.py
@@ -15,10 +15,13 @@
 from .tables import GroupRow, Presence, ProbeRow, State
 
 MILLISECOND = timedelta(milliseconds=1)
-MIN_FAILURE = timedelta(milliseconds=400)
+# A silent primary may be back after a stall, and its replacement has a price too.
+MIN_SILENCE = timedelta(milliseconds=800)
+# A machine that refuses connections has no database process; a restart takes longer.
+MIN_REFUSAL = timedelta(milliseconds=150)
 # Questions go out early, so that the reports are there when the failure is established.
-QUERY_AFTER = timedelta(milliseconds=200)
-QUERY_INTERVAL = timedelta(milliseconds=100)
+QUERY_AFTER = timedelta(milliseconds=100)
+QUERY_INTERVAL = timedelta(milliseconds=60)
 # Two intervals and a round trip between regions.
 REPORT_LIFETIME = timedelta(milliseconds=300)
 # An attempt lasts at most 100 ms of fencing and 1.5 s of promoting.
@@ -54,6 +57,14 @@
     return state.clock.monotonic() - probe.failing_since
 
 
+def fails_for_long(probe: ProbeRow, state: State) -> bool:
+    """Return whether this instance has seen the primary fail for long enough."""
+    now = state.clock.monotonic()
+    if probe.refused_since is not None and now - probe.refused_since >= MIN_REFUSAL:
+        return True
+    return failing_for(probe, state) >= MIN_SILENCE
+
+
 def endpoint_ahead_for(group: str, state: State) -> timedelta:
     """Return how long an owned endpoint has had a higher term than the group.
 
@@ -83,7 +94,7 @@
 
 def is_failure_established(probe: ProbeRow, state: State) -> bool:
     """Return whether enough instances have seen the primary fail for long enough."""
-    if failing_for(probe, state) < MIN_FAILURE:
+    if not fails_for_long(probe, state):
         return False
     return len(state.instances) == 1 or any(
         is_witness(name, probe, state) for name in probe.reports
@@ -92,10 +103,8 @@
 
 def is_witness(name: str, probe: ProbeRow, state: State) -> bool:
     """Return whether another instance reported the failure recently."""
-    reported_at, failing = probe.reports[name]
-    if state.clock.monotonic() - reported_at > REPORT_LIFETIME:
-        return False
-    return failing >= MIN_FAILURE
+    reported_at, lasts = probe.reports[name]
+    return lasts and state.clock.monotonic() - reported_at <= REPORT_LIFETIME
 
 
 def is_leaving(group: str, state: State) -> bool:
@@ -152,12 +161,13 @@
     if probe is None or probe.term != message.term:
         return
     failing = failing_for(probe, state) // MILLISECOND
-    peers.send(sender, ProbeReport(message.group, message.term, failing), state)
+    lasts = fails_for_long(probe, state)
+    report = ProbeReport(message.group, message.term, failing, lasts)
+    peers.send(sender, report, state)
 
 
 @handle_peer.register
 def _(message: ProbeReport, sender: str, state: State) -> None:
     probe = state.probes.get(message.group)
     if probe is not None and probe.term == message.term:
-        failing = message.failing_ms * MILLISECOND
-        probe.reports[sender] = (state.clock.monotonic(), failing)
+        probe.reports[sender] = (state.clock.monotonic(), message.lasts)
--- a/pimentodrift/endpoint_connections.py
+++ b/pimentodrift/endpoint_connections.py
@@ -53,6 +53,7 @@
     descriptor: int = -1
     is_open: bool = False
     is_closed: bool = False
+    was_accepted: bool = False  # The TCP connection was established.
     batch: int = 0
     syncs: int = 0  # Segments of the batch that are still to end.
     results: list[StatementResult] = field(factory=list)
@@ -76,6 +77,7 @@
         elif status == pq.PollingStatus.OK:
             self.opened()
         else:
+            self.was_accepted = self.libpq.status != pq.ConnStatus.STARTED
             self.watch(WANTED_EVENTS.get(status, EPOLLIN | EPOLLOUT))
 
     def watch(self, events: int) -> None:
@@ -92,7 +94,7 @@
             self.timer.cancel()
         self.libpq.nonblocking = 1
         self.libpq.enter_pipeline_mode()
-        self.is_open = True
+        self.is_open = self.was_accepted = True
         self.watch(EPOLLIN)
         self.owner.deliver_all([EndpointOpened(self.number)])
 
@@ -162,12 +164,13 @@
         answer = EndpointAnswered(self.number, batch, tuple(results))
         self.owner.deliver_all([answer])
 
-    def fail(self, detail: str = "internal error") -> None:
+    def fail(self, detail: str = "internal error", timed_out: bool = False) -> None:
         """Close and tell the core."""
         if not self.is_closed:
             self.close()
             self.owner.state.counters["endpoints.lost"] += 1
-            closed = EndpointClosed(self.number, detail.strip())
+            refused = not self.was_accepted and not timed_out
+            closed = EndpointClosed(self.number, detail.strip(), refused)
             self.owner.deliver_all([closed])
 
     def close(self) -> None:
@@ -213,7 +216,8 @@
             connection.fail(libpq.get_error_message())
             return
         connection.timer = self.poller.timers.later(
-            CONNECT_TIMEOUT_S, lambda: connection.fail("connect timeout")
+            CONNECT_TIMEOUT_S,
+            lambda: connection.fail("connect timeout", timed_out=True),
         )
         connection.watch(EPOLLOUT)  # As after connect_poll said WRITING.
 
--- a/pimentodrift/messages.py
+++ b/pimentodrift/messages.py
@@ -305,11 +305,15 @@
 
 @frozen
 class ProbeReport(PeerMessage):
-    """Tell for how long the primary has failed for the sender; 0 when it answers."""
+    """Tell for how long the primary has failed for the sender; 0 when it answers.
+
+    `lasts` tells that the sender holds this for long enough to replace the primary.
+    """
 
     group: str
     term: int
     failing_ms: int
+    lasts: bool = False
 
 
 @frozen
@@ -403,10 +407,15 @@
 
 @frozen
 class EndpointClosed:
-    """A connection failed, closed, or could not be opened."""
+    """A connection failed, closed, or could not be opened.
+
+    `refused` tells that it failed before the endpoint accepted it: nothing listens on
+    the address.
+    """
 
     connection: int
     detail: str = ""
+    refused: bool = False
 
 
 @frozen
@@ -594,6 +603,7 @@
     connection: int
     endpoint: str
     batch: int
+    refused: bool = False
 
 
 @frozen
--- a/pimentodrift/monitoring.py
+++ b/pimentodrift/monitoring.py
@@ -55,6 +55,7 @@
         return False
     now = state.clock.monotonic()
     row.job, row.segments = job, batch.segments
+    row.refused = False
     row.deadline, row.used_at = now + batch.timeout, now
     connection = state.connections.get(row.connection)
     if connection is None:
@@ -126,6 +127,7 @@
     if row is None:
         return
     row.connection = 0
+    row.refused = message.refused
     state.counters["monitoring.connections_lost"] += 1
     finish(row, None, state)
 
--- a/pimentodrift/probes.py
+++ b/pimentodrift/probes.py
@@ -81,6 +81,7 @@
     group = state.groups[row.group]
     if group.primary == row.name and row.group in state.watched:
         judge(group, job, status, state)
+        note_refusal(group, state)
     if status is None:
         state.counters["probes.failed"] += 1
         rejoin_row(row.name, state).ahead_since = None
@@ -107,6 +108,17 @@
         state.counters["probes.failures_began"] += 1
 
 
+def note_refusal(group: GroupRow, state: State) -> None:
+    """Note since when the machine of the primary has refused connections."""
+    probe = state.probes[group.name]
+    monitor = state.monitors.get((group.primary, Channel.STATUS))
+    refused = monitor is not None and monitor.refused
+    if probe.failing_since is None or not refused:
+        probe.refused_since = None
+    elif probe.refused_since is None:
+        probe.refused_since = state.clock.monotonic()
+
+
 def sample(row: EndpointRow, status: EndpointStatus, read_at: timedelta) -> None:
     """Record a reading of an endpoint."""
     if read_at <= row.sampled_at:
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -417,6 +417,7 @@
     segments: tuple[tuple[Statement, ...], ...] = ()
     deadline: timedelta = NEVER
     used_at: timedelta = NEVER
+    refused: bool = False  # The last job ended because the endpoint refused it.
 
 
 @define
@@ -438,9 +439,10 @@
     group: str
     term: int
     failing_since: timedelta | None = None
+    refused_since: timedelta | None = None  # Its machine refuses connections.
     queried_at: timedelta = NEVER
-    # Of other instances: when the report came and how long the failure lasted then.
-    reports: dict[str, tuple[timedelta, timedelta]] = field(factory=dict)
+    # Of other instances: when the report came, and whether their failure lasts enough.
+    reports: dict[str, tuple[timedelta, bool]] = field(factory=dict)
     established_at: timedelta | None = None
     retry_at: timedelta = NEVER  # After a failed attempt of this instance.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -167,8 +167,9 @@
         if not self.reachable(name, message.endpoint):
             return
         up = self.databases[message.endpoint].up
-        answer = m.EndpointOpened if up else m.EndpointClosed
-        self.tell(name, answer(message.connection))
+        number = message.connection
+        closed = m.EndpointClosed(number, refused=True)
+        self.tell(name, m.EndpointOpened(number) if up else closed)
 
     def execute(self, name: str, endpoint: str, message: m.RunBatch) -> None:
         if not self.reachable(name, endpoint):
