--- a/bench/measures_failover.py
+++ b/bench/measures_failover.py
@@ -171,8 +171,8 @@
 
 async def restart(system: System, name: str, primary: str) -> None:
     """Restart a killed database and wait until it has the group's log."""
-    child = system.restart_database(name, primary)
-    await asyncio.to_thread(wait_ready, [child])
+    started = system.restart_database(name, primary)
+    await asyncio.to_thread(wait_ready, started)
     group = system.database(name).group
     term = (await asyncio.to_thread(system.read_object, "group", group))["term"]
 
--- /dev/null
+++ b/bench/measures_fairness.py
@@ -0,0 +1,390 @@
+"""Measures what the worst-served workspace gets while another sends five times as much.
+
+All eight workspaces send at 90% of what they are owed, then one of them at 500%. In
+the run `rates` they are owed their rates, and the instance that allocates most of the
+rates is killed at the end; in the run `slots` they are owed their shares of the slots
+of one group's primary.
+"""
+
+from collections import Counter
+from time import sleep, time
+from typing import Any
+
+from attrs import frozen
+
+from . import bounds
+from .bounds import Figure
+from .measures_baselines import Queue, admitted_by_parts, admitted_centrally
+from .measures_client import (
+    BROKEN,
+    NOT_SENT,
+    OK,
+    Phase,
+    Plan,
+    Record,
+    Stream,
+    collect,
+    sending,
+)
+from .measures_system import LISTED_AFTER_S, MeasureFailed, System
+
+# The workspaces that the example files describe as large on some days.
+FLOODING = {"kanitli": "bogazici-auctions", "heredia": "contract-registry"}
+OWED_PART = 0.9
+FLOOD_FACTOR = 5.0
+PROCESSES = 2  # For the flooding workspace, and as many for the others.
+START_AFTER_S = 2.0  # The client processes have started by then.
+SERVICE_MS = 15  # Makes the slots of a primary the bottleneck.
+NO_LIMIT = 100_000.0  # Requests/s.
+CALIBRATION_S = 5.0
+CALIBRATED_FROM_S = 2.0
+CALIBRATION_FACTOR = 2.0
+EMPTIED_AFTER_S = 5.0
+QUEUE_PLACES = 256  # Of the baseline, as the product's limit for one workspace.
+SEED = 1
+
+
+@frozen
+class Times:
+    """When the parts of a run begin, in seconds since its start."""
+
+    steady: float
+    flood: float
+    kill: float
+    end: float
+
+
+RATE_TIMES = Times(steady=6, flood=16, kill=26, end=46)
+QUICK_RATE_TIMES = Times(steady=4, flood=9, kill=14, end=22)
+SLOT_TIMES = Times(steady=0, flood=4, kill=16, end=16)
+QUICK_SLOT_TIMES = Times(steady=0, flood=3, kill=9, end=9)
+
+
+@frozen
+class Served:
+    """What one workspace got in a part of a run; latencies in milliseconds."""
+
+    workspace: str
+    offered: int
+    answered: int
+    p50: float
+    p99: float
+
+    @property
+    def percent(self) -> float:
+        """Return the answered part of what was offered within what is owed."""
+        return 100 * self.answered / max(1, self.offered)
+
+    def __str__(self) -> str:
+        """Return a note for the table."""
+        return f"{self.workspace}: {self.answered} of {self.offered} answered"
+
+
+# --- Load
+
+
+def plans(
+    system: System, owed: dict[str, float], groups: list[str], times: Times
+) -> list[Plan]:
+    """Return the plans of the client processes."""
+    flooding = FLOODING[system.layout.deployment.name]
+    streams: list[list[Stream]] = [[] for _ in range(2 * PROCESSES)]
+    for index, (name, rate) in enumerate(owed.items()):
+        calm = Phase(0, times.flood, OWED_PART * rate)
+        factor = FLOOD_FACTOR if name == flooding else OWED_PART
+        phases = [calm, Phase(times.flood, times.end, factor * rate)]
+        home = index % len(system.proxies)
+        key = system.keys[name]
+        if name != flooding:
+            streams[index % PROCESSES].append(Stream(name, key, groups, home, phases))
+            continue
+        for process in streams[PROCESSES:]:
+            parts = [
+                Phase(phase.begin, phase.end, phase.rate / PROCESSES)
+                for phase in phases
+            ]
+            process.append(Stream(name, key, groups, home, parts))
+    start_at = time() + START_AFTER_S
+    return [
+        Plan(start_at, system.proxies, some, SEED + number)
+        for number, some in enumerate(streams)
+    ]
+
+
+def between(records: list[Record], begin: float, end: float) -> list[Record]:
+    """Return the records of the arrivals in a part of a run."""
+    return [record for record in records if begin <= record.at < end]
+
+
+def served(records: list[Record]) -> list[Served]:
+    """Return what each workspace got, the worst-served one first."""
+    rows = []
+    for name in sorted({record.workspace for record in records}):
+        own = [record for record in records if record.workspace == name]
+        times = sorted(record.latency_ms for record in own if record.end == OK)
+        rows.append(
+            Served(
+                name, len(own), len(times), percentile(times, 50), percentile(times, 99)
+            )
+        )
+    return sorted(rows, key=lambda row: (row.percent, -row.p99))
+
+
+def percentile(ordered: list[float], percent: float) -> float:
+    """Return a percentile of ordered values, or 0 if there are none."""
+    if not ordered:
+        return 0
+    return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
+
+
+def check_sent(records: list[Record]) -> None:
+    """Raise MeasureFailed if the client processes were the bottleneck."""
+    not_sent = sum(record.end == NOT_SENT for record in records)
+    if not_sent:
+        raise MeasureFailed(f"the clients did not send {not_sent} requests")
+
+
+# --- Rates
+
+
+def measure_rates(system: System, quick: bool) -> list[Figure]:
+    """Return the figures of the run whose bottleneck is the rate."""
+    times = QUICK_RATE_TIMES if quick else RATE_TIMES
+    system.publish_and_wait(lambda name, value: None)
+    rates = {name: value["rate"] for name, value in system.workspaces().items()}
+    planned = plans(system, rates, system.groups, times)
+    with sending(planned) as processes:
+        sleep(max(0, planned[0].start_at + times.kill - time()))
+        killed, allocated = most_allocating(system, set(rates))
+        system.kill_instance(killed)
+        sleep(LISTED_AFTER_S)
+        system.list_leaving(killed)
+        records = collect(processes)
+    check_sent(records)
+    return rate_figures(system, records, times, allocated)
+
+
+def most_allocating(system: System, names: set[str]) -> tuple[str, set[str]]:
+    """Return the instance that allocates most workspaces, and these workspaces."""
+    holders = {name: system.read_object("allocator", name)["holder"] for name in names}
+    ((instance, _),) = Counter(holders.values()).most_common(1)
+    return instance, {name for name, holder in holders.items() if holder == instance}
+
+
+def rate_figures(
+    system: System, records: list[Record], times: Times, allocated: set[str]
+) -> list[Figure]:
+    """Return the figures from the records of a run."""
+    flooding = FLOODING[system.layout.deployment.name]
+    inside = inside_rate(system, records)
+    others = [record for record in inside if record.workspace != flooding]
+    steady = between(inside, times.steady, times.flood)
+    death = [
+        record
+        for record in between(others, times.kill, times.end)
+        if record.workspace in allocated
+    ]
+    in_flood = between(others, times.flood, times.kill)
+    flood = served(in_flood)
+    worst = flood[0]
+    flood_refused = [record for record in in_flood if record.is_refused]
+    steady_refused = [record for record in steady if record.is_refused]
+    death_refused = [record for record in death if record.is_refused]
+    broken = sum(record.end == BROKEN for record in death)
+    return [
+        Figure(
+            "refused inside the rate, steady load",
+            len(steady_refused),
+            "",
+            bounds.STEADY_REFUSALS,
+            f"of {len(steady)}; {ends(steady_refused)}",
+        ),
+        Figure(
+            "worst-served part in a five-fold flood, rate",
+            worst.percent,
+            "%",
+            bounds.WORST_SERVED,
+            str(worst),
+            {"served": [str(row) for row in flood]},
+        ),
+        Figure("worst-served p50, rate", worst.p50, "ms", note=f"p99 {worst.p99:.1f}"),
+        Figure(
+            "refused inside the rate, flood of another workspace",
+            len(flood_refused),
+            "",
+            note=f"of {len(in_flood)}; {ends(flood_refused)}",
+        ),
+        Figure(
+            "refused inside the rate, allocator's death",
+            100 * len(death_refused) / max(1, len(death)),
+            "%",
+            bounds.DEATH_REFUSALS,
+            f"{len(death_refused)} of {len(death)}, {broken} connections broken; "
+            f"{len(allocated)} workspaces; {ends(death_refused)}",
+        ),
+        over_rate(system, records, flooding, times),
+        static_baseline(system, between(records, 0, times.flood), times.steady),
+    ]
+
+
+def ends(records: list[Record]) -> str:
+    """Describe how requests ended, by workspace."""
+    counts = Counter((record.workspace, record.end) for record in records)
+    return ", ".join(f"{name} {end}: {n}" for (name, end), n in counts.most_common(4))
+
+
+def inside_rate(system: System, records: list[Record]) -> list[Record]:
+    """Return the records of the arrivals that one central bucket would admit."""
+    kept = []
+    for name, value in system.workspaces().items():
+        own = [record for record in records if record.workspace == name]
+        times = [record.at for record in own]
+        admitted = admitted_centrally(times, value["rate"], value["burst"])
+        kept += [row for row, is_in in zip(own, admitted, strict=True) if is_in]
+    return kept
+
+
+def over_rate(
+    system: System, records: list[Record], flooding: str, times: Times
+) -> Figure:
+    """Return how much of rate and burst the flooding workspace got in the run."""
+    value = system.workspaces()[flooding]
+    answered = sum(
+        record.workspace == flooding and record.end == OK for record in records
+    )
+    longest = max(record.at + record.latency_ms / 1000 for record in records)
+    allowed = value["burst"] + value["rate"] * max(times.end, longest)
+    return Figure(
+        "flooding workspace: part of its rate and burst",
+        100 * answered / allowed,
+        "%",
+        bounds.OVER_RATE,
+        f"{flooding}: {answered} answered, {allowed:.0f} allowed",
+    )
+
+
+def static_baseline(system: System, records: list[Record], begin: float) -> Figure:
+    """Return what equal parts of the rates would refuse in steady load."""
+    refused = total = 0
+    for name, value in system.workspaces().items():
+        own = [record for record in records if record.workspace == name]
+        arrivals = [(record.at, record.proxy) for record in own]
+        admitted = admitted_by_parts(
+            arrivals, value["rate"], value["burst"], len(system.proxies)
+        )
+        counted = [
+            is_in for row, is_in in zip(own, admitted, strict=True) if row.at >= begin
+        ]
+        total += len(counted)
+        refused += counted.count(False)
+    return Figure(
+        "baseline, static 1/N rates: refused in steady load",
+        100 * refused / max(1, total),
+        "%",
+        note=f"arithmetic on the recorded arrivals: {refused} of {total}",
+    )
+
+
+# --- Slots
+
+
+def measure_slots(system: System, quick: bool) -> list[Figure]:
+    """Return the figures of the run whose bottleneck is the slots of one group."""
+    times = QUICK_SLOT_TIMES if quick else SLOT_TIMES
+    system.publish_and_wait(without_rates)
+    system.set_service_time(SERVICE_MS)
+    group = system.groups[0]
+    capacity = measure_capacity(system, group)
+    sleep(EMPTIED_AFTER_S)
+    shares = {name: value["share"] for name, value in system.workspaces().items()}
+    total = sum(shares.values())
+    owed = {name: capacity * share / total for name, share in shares.items()}
+    with sending(plans(system, owed, [group], times)) as processes:
+        records = collect(processes)
+    check_sent(records)
+    return slot_figures(system, between(records, times.flood, times.end), capacity)
+
+
+def without_rates(name: str, value: dict[str, Any]) -> None:
+    """Give a workspace a rate that does not limit it."""
+    value["rate"] = value["burst"] = NO_LIMIT
+
+
+def measure_capacity(system: System, group: str) -> float:
+    """Return how many reads/s the primary of a group answers under one workspace."""
+    name = FLOODING[system.layout.deployment.name]
+    nominal = system.layout.deployment.slots * 1000 / SERVICE_MS
+    phases = [Phase(0, CALIBRATION_S, CALIBRATION_FACTOR * nominal)]
+    # The home is no instance: the requests are spread evenly.
+    stream = Stream(name, system.keys[name], [group], -1, phases)
+    plan = Plan(time() + START_AFTER_S, system.proxies, [stream], SEED)
+    with sending([plan]) as processes:
+        records = collect(processes)
+    ended = [
+        record.at + record.latency_ms / 1000 for record in records if record.end == OK
+    ]
+    counted = sum(CALIBRATED_FROM_S <= at < CALIBRATION_S for at in ended)
+    if not counted:
+        raise MeasureFailed(f"{group} answered nothing")
+    return counted / (CALIBRATION_S - CALIBRATED_FROM_S)
+
+
+def slot_figures(
+    system: System, records: list[Record], capacity: float
+) -> list[Figure]:
+    """Return the figures of the flood, and those of first come first served."""
+    flooding = FLOODING[system.layout.deployment.name]
+    rows = [row for row in served(records) if row.workspace != flooding]
+    worst = rows[0]
+    flooder = next(row for row in served(records) if row.workspace == flooding)
+    refused = [
+        record
+        for record in records
+        if record.is_refused and record.workspace != flooding
+    ]
+    baseline = first_come_first_served(system, records, capacity)
+    return [
+        Figure(
+            "worst-served part in a five-fold flood, slots",
+            worst.percent,
+            "%",
+            bounds.WORST_SERVED,
+            f"{worst}; capacity {capacity:.0f}/s; flooding {flooder}",
+            {"served": [str(row) for row in rows]},
+        ),
+        Figure(
+            "worst-served p50, slots",
+            worst.p50,
+            "ms",
+            note=f"p99 {worst.p99:.1f}; highest p99 {max(row.p99 for row in rows):.1f}",
+        ),
+        Figure("refused within the share, slots", len(refused), "", note=ends(refused)),
+        Figure(
+            "baseline, first come first served: worst-served part",
+            baseline.percent,
+            "%",
+            note=f"simulated on the recorded arrivals, {QUEUE_PLACES} places, "
+            f"p50 {baseline.p50:.0f} ms, p99 {baseline.p99:.0f} ms",
+        ),
+    ]
+
+
+def first_come_first_served(
+    system: System, records: list[Record], capacity: float
+) -> Served:
+    """Return the worst-served workspace of one queue for all."""
+    slots = system.layout.deployment.slots
+    queue = Queue(slots, slots / capacity, QUEUE_PLACES)
+    waits = queue.waits([record.at for record in records])
+    simulated = [
+        Record(
+            record.workspace,
+            record.at,
+            record.proxy,
+            "queue full" if wait is None else OK,
+            0 if wait is None else wait * 1000,
+        )
+        for record, wait in zip(records, waits, strict=True)
+    ]
+    flooding = FLOODING[system.layout.deployment.name]
+    return next(row for row in served(simulated) if row.workspace != flooding)
--- a/bench/measures_system.py
+++ b/bench/measures_system.py
@@ -2,8 +2,10 @@
 
 Each region's instances read the store through a port of their own, which hands out
 link addresses for the instances and endpoints of other regions. Replication always
-crosses regions, so the store lists link addresses for it. The processes write to one
-log file, from which the measurements take the events.
+crosses regions, so the store lists link addresses for it. Each instance and database
+has a link process of its own that ends with it: connections to a process that has
+ended are then refused, as they are without a link. The processes write to one log
+file, from which the measurements take the events.
 """
 
 import os
@@ -35,7 +37,7 @@
     wait_ready,
 )
 from pimentodrift.dump import fetch_dump
-from pimentodrift.local import LocalRun, is_ready
+from pimentodrift.local import LocalRun
 from pimentodrift.local_layout import (
     DEPLOYMENTS,
     Database,
@@ -54,7 +56,6 @@
 }
 REPLICA_LAG = timedelta(milliseconds=100)
 LISTED_AFTER_S = 1.0  # The platform's list of instances lags.
-RESTART_S = 15.0
 EVENT_PREFIX = "pimentodrift:"
 OK = 200
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
@@ -100,6 +101,8 @@
     store_ports: dict[str, str] = field(factory=dict)
     # Where a database listens for replicas, behind the link that the store lists.
     replication_ports: dict[str, str] = field(factory=dict)
+    link_pairs: dict[str, list[tuple[str, str]]] = field(factory=dict)
+    links: dict[str, Child] = field(factory=dict)
     pieces: list[Piece] = field(factory=list)
 
     @property
@@ -137,37 +140,34 @@
         return self.children.start("platform", command, prints_ready=True)
 
     def start_links(self) -> list[Child]:
-        """Start one link process for each region and one for replication."""
-        rewrites = {region: self.far_addresses(region) for region in self.store_ports}
-        numbers = sum(len(addresses) for addresses in rewrites.values())
-        free = iter(unused_addresses(numbers, self))
-        links = []
-        for region, addresses in rewrites.items():
-            rewrites[region] = {address: next(free) for address in addresses}
-            links.append(self.start_link(region, rewrites[region]))
-        ports = {
-            self.replication_ports[row.name]: row.replication
-            for row in self.layout.databases
-        }
-        links.append(self.start_link("replication", ports))
-        post_json(self.layout.platform, "/standin/rewrites", rewrites)
-        return links
-
-    def far_addresses(self, region: str) -> dict[str, str]:
-        """Return the addresses of other regions, without links yet."""
-        rows = [row for row in self.layout.databases if row.region != region]
-        instances = [row for row in self.layout.instances if row.region != region]
-        addresses = [row.address for row in rows]
-        addresses += [row.peer_address for row in instances]
-        return dict.fromkeys(addresses, "")
-
-    def start_link(self, name: str, pairs: dict[str, str]) -> Child:
-        """Start a link process; `pairs` has the link address of each address."""
+        """Start a link process for each instance and database."""
+        layout = self.layout
+        targets = {row.name: (row.region, row.address) for row in layout.databases}
+        for row in layout.instances:
+            targets[row.name] = (row.region, row.peer_address)
+        regions = list(self.store_ports)
+        free = iter(unused_addresses(len(targets) * (len(regions) - 1), self))
+        rewrites: dict[str, dict[str, str]] = {region: {} for region in regions}
+        for name, (own_region, address) in targets.items():
+            far = {region: next(free) for region in regions if region != own_region}
+            for region, link in far.items():
+                rewrites[region][address] = link
+            self.link_pairs[name] = [(link, address) for link in far.values()]
+        for row in layout.databases:
+            pair = (row.replication, self.replication_ports[row.name])
+            self.link_pairs[row.name].append(pair)
+        post_json(layout.platform, "/standin/rewrites", rewrites)
+        return [self.start_link(name) for name in self.link_pairs]
+
+    def start_link(self, name: str) -> Child:
+        """Start the link process in front of an instance or a database."""
         arguments = ["--delay-ms", str(self.delay_ms)]
-        for address, link in pairs.items():
+        for link, address in self.link_pairs[name]:
             arguments += ["--pair", f"{link}={address}"]
         command = module_command("standins.link", arguments)
-        return self.children.start(f"link-{name}", command, prints_ready=True)
+        child = self.children.start(f"link-{name}", command, prints_ready=True)
+        self.links[name] = child
+        return child
 
     def start_database(self, row: Database) -> Child:
         """Start a database that follows the group's primary through a link."""
@@ -316,18 +316,23 @@
         ) as connection:
             return connection.execute(statement).fetchall()
 
-    def set_service_time(self, milliseconds: float) -> None:
+    def set_service_time(self, milliseconds: int) -> None:
         """Change how long a statement keeps a slot, at all databases."""
         for row in self.layout.databases:
             self.query(row.name, f"SELECT standin_set('service_ms', {milliseconds})")
 
     def kill_database(self, name: str) -> None:
-        """Kill a database."""
+        """Kill a database with its link, which would go on accepting connections."""
         self.kill_child(self.databases[name])
+        self.kill_child(self.links[name])
 
     def kill_instance(self, name: str) -> None:
-        """Kill an instance; `list_leaving` changes the platform's list later."""
+        """Kill an instance with its link, which would go on accepting connections.
+
+        `list_leaving` changes the platform's list later.
+        """
         self.kill_child(self.instances[name])
+        self.kill_child(self.links[name])
 
     def kill_child(self, child: Child) -> None:
         """Kill a child that this run started."""
@@ -335,7 +340,7 @@
         child.process.wait()
         self.children.running.remove(child)
 
-    def restart_database(self, name: str, primary: str) -> Child:
+    def restart_database(self, name: str, primary: str) -> list[Child]:
         """Start a killed database, empty, as a replica of the present primary."""
         group = self.database(name).group
         rows = tuple(
@@ -343,7 +348,7 @@
             for row in self.layout.databases
         )
         self.layout = evolve(self.layout, databases=rows)
-        return self.start_database(self.database(name))
+        return [self.start_link(name), self.start_database(self.database(name))]
 
 
 def edited(edit: Edit) -> Callable[[Piece], Piece]:
@@ -421,12 +426,3 @@
             yield system
         finally:
             system.children.kill()
-
-
-def wait_ready_again(system: System, name: str) -> None:
-    """Wait until a restarted instance is ready."""
-    deadline = monotonic() + RESTART_S
-    while not is_ready(system.instance(name).address):
-        if monotonic() > deadline:
-            raise MeasureFailed(f"{name} is not ready after its restart")
-        sleep(0.05)
--- a/bench/run.py
+++ b/bench/run.py
@@ -18,7 +18,7 @@
 import orjson
 from attrs import frozen
 
-from . import measures_failover, measures_share
+from . import measures_failover, measures_fairness, measures_share
 from .bounds import Figure
 from .measures_system import LINK_DELAYS, MeasureFailed, System, running
 
@@ -30,6 +30,8 @@
 MEASURES: dict[str, Measure] = {
     "share": measures_share.measure,
     "failover": measures_failover.measure,
+    "rates": measures_fairness.measure_rates,
+    "slots": measures_fairness.measure_slots,
 }
 
 
