--- /dev/null
+++ b/bench/measures_publication.py
@@ -0,0 +1,47 @@
+"""Measures how long a publication takes until every instance has it in force.
+
+The time runs from the operator's command to the last instance's event, over
+publications that change every workspace.
+"""
+
+from statistics import median
+from time import sleep, time
+from typing import Any
+
+from . import bounds
+from .bounds import Figure
+from .measures_system import System
+
+PUBLICATIONS = 10
+QUICK_PUBLICATIONS = 3
+PAUSE_S = 0.5
+
+
+def measure(system: System, quick: bool) -> list[Figure]:
+    """Return the times of several publications."""
+    system.publish_and_wait(lambda name, value: None)
+    number = QUICK_PUBLICATIONS if quick else PUBLICATIONS
+    seconds = [publish(system, index) for index in range(number)]
+    return [
+        Figure(
+            "publication in force everywhere, worst",
+            max(seconds),
+            "s",
+            bounds.PUBLICATION,
+            f"median {median(seconds):.3f} s of {number}, "
+            f"{len(system.proxies)} instances",
+            {"seconds": seconds},
+        )
+    ]
+
+
+def publish(system: System, index: int) -> float:
+    """Publish a change and return the time until the last instance had it."""
+
+    def change_burst(name: str, value: dict[str, Any]) -> None:
+        value["burst"] += index + 1
+
+    sleep(PAUSE_S)
+    started = time()
+    publication = system.publish(change_burst)
+    return max(system.applied(publication)) - started
--- a/bench/run.py
+++ b/bench/run.py
@@ -18,7 +18,13 @@
 import orjson
 from attrs import frozen
 
-from . import measures_failover, measures_fairness, measures_share
+from . import (
+    measures_failover,
+    measures_fairness,
+    measures_hop,
+    measures_publication,
+    measures_share,
+)
 from .bounds import Figure
 from .measures_system import LINK_DELAYS, MeasureFailed, System, running
 
@@ -32,6 +38,9 @@
     "failover": measures_failover.measure,
     "rates": measures_fairness.measure_rates,
     "slots": measures_fairness.measure_slots,
+    "publication": measures_publication.measure,
+    "hops": measures_hop.measure_hops,
+    "connections": measures_hop.measure_connections,
 }
 
 
