--- /dev/null
+++ b/bench/slopes_measure.py
@@ -0,0 +1,106 @@
+"""Measures of cost for `bench.slopes`, and whether they grow with a size.
+
+CPU time is that of the process and memory what Python allocates, so neither depends
+on other processes, apart from effects of caches and clock frequency.
+"""
+
+import gc
+import tracemalloc
+from collections.abc import Callable
+from time import process_time
+from typing import TypeVar
+
+from attrs import field, frozen
+
+T = TypeVar("T")
+MICROSECOND = 1e-6
+MIN_CPU_S = 0.02  # The clock's resolution is below a thousandth of this.
+MAX_REPEATS = 10_000
+# A cost per call that grows less than this over the sizes counts as constant.
+FLAT_GROWTH = 1.5
+# Cold caches add up to this to a call in a larger state.
+NOISE_US = 30.0
+# Slopes of the lower and of the upper half that differ by less are one line.
+LINE_TOLERANCE = 1.6
+
+
+@frozen
+class Row:
+    """One cost at several sizes.
+
+    `expected` is "flat" for an operation whose cost must not depend on the size and
+    "line" for one whose cost may be proportional to it.
+    """
+
+    name: str
+    unit: str  # Of the costs: "us" or "B".
+    size_of: str
+    sizes: tuple[int, ...]
+    costs: tuple[float, ...]
+    expected: str = field(default="line")
+
+    def slope(self) -> float:
+        """Return the cost per unit of size."""
+        return (self.costs[-1] - self.costs[0]) / (self.sizes[-1] - self.sizes[0])
+
+    def shape(self) -> str:
+        """Return "flat", "line" or "curve"."""
+        first, last = max(self.costs[0], 1e-3), max(self.costs[-1], 1e-3)
+        is_noise = self.unit == "us" and last - first < NOISE_US
+        if last / first < FLAT_GROWTH or is_noise:
+            return "flat"
+        slopes = [
+            (self.costs[n + 1] - self.costs[n]) / (self.sizes[n + 1] - self.sizes[n])
+            for n in range(len(self.sizes) - 1)
+        ]
+        lowest, highest = min(slopes), max(slopes)
+        is_line = lowest > 0 and highest / lowest < LINE_TOLERANCE
+        return "line" if is_line else "curve"
+
+    def mark(self) -> str:
+        """Return a mark for a cost that grows in another way than it should."""
+        shape = self.shape()
+        if shape in ("flat", self.expected):
+            return ""
+        return "SCAN" if self.expected == "flat" else "NOT A LINE"
+
+
+def cpu_us(call: Callable[[], object], max_repeats: int = MAX_REPEATS) -> float:
+    """Return the CPU time of a call in microseconds, averaged."""
+    gc.collect()
+    gc.disable()
+    try:
+        repeats, began = 0, process_time()
+        while True:
+            call()
+            repeats += 1
+            spent = process_time() - began
+            if spent >= MIN_CPU_S or repeats >= max_repeats:
+                return spent / repeats / MICROSECOND
+    finally:
+        gc.enable()
+
+
+def allocated(make: Callable[[], T]) -> tuple[T, int]:
+    """Return what a call made and the bytes that stay allocated."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    result = make()
+    gc.collect()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return result, after - before
+
+
+def sweep(
+    name: str,
+    size_of: str,
+    sizes: tuple[int, ...],
+    cost: Callable[[int], float],
+    unit: str = "us",
+    expected: str = "line",
+) -> Row:
+    """Return the row of a cost measured at each size."""
+    costs = tuple(cost(size) for size in sizes)
+    return Row(name, unit, size_of, sizes, costs, expected)
--- /dev/null
+++ b/bench/slopes_statements.py
@@ -0,0 +1,196 @@
+"""CPU time of a statement in the core for `bench.slopes`, by the role of the instance.
+
+Two cores exchange encoded messages; databases answer at once. Each role's share is
+measured alone, so that an instance that is the entry of one statement and the owner
+for another can be added up. Sockets are measured in `slopes_shell`.
+"""
+
+from collections.abc import Iterator
+from time import process_time
+
+import msgpack
+import orjson
+from attrs import define, field
+
+from pimentodrift import core, membership, rates
+from pimentodrift.messages import (
+    CallerAnswer,
+    CallerRequest,
+    EndpointAnswered,
+    EndpointOpened,
+    OpenEndpoint,
+    PeerReceived,
+    Rows,
+    RunBatch,
+    SendPeer,
+    Statement,
+    StatementResult,
+)
+from pimentodrift.tables import State
+
+from . import slopes_world as world
+from .slopes_core import move
+from .slopes_measure import MICROSECOND, Row, sweep
+
+INSTANCES = (100, 1000, 5800)
+DATABASES = (99, 999, 6900)
+STATEMENTS = 400
+WARM_UP = 40
+KEY = "the key of the only workspace"
+SESSION_HEADERS = {"authorization": f"Bearer {KEY}", "idempotency-key": ""}
+ROWS = Rows(("id", "name"), ((1, "one"),))
+REPLICAS = Rows(
+    ("endpoint", "term", "received"), (("database-1", 1, 10), ("database-2", 1, 10))
+)
+STATUS = Rows(("role", "term", "received", "replayed"), (("primary", 1, 10, 10),))
+
+
+def run_statement(statement: Statement) -> StatementResult:
+    """Return the result of a database for a statement."""
+    if "group_status" in statement.text:
+        return StatementResult(STATUS)
+    if "group_replicas" in statement.text:
+        return StatementResult(REPLICAS)
+    return StatementResult(ROWS)
+
+
+@define
+class Pair:
+    """An entry and an owner, with the CPU time that each has used (seconds)."""
+
+    states: dict[str, State]
+    used: dict[str, float] = field(factory=dict)
+    answers: int = 0
+
+    def handle(self, name: str, message: object) -> None:
+        """Let an instance handle a message, and carry out what it wants."""
+        state = self.states[name]
+        began = process_time()
+        core.handle(message, state)
+        self.add(name, began)
+        for sent in core.take_outbox(state):
+            self.carry_out(name, sent)
+
+    def add(self, name: str, began: float) -> None:
+        """Charge an instance with the time since `began`."""
+        self.used[name] = self.used.get(name, 0.0) + process_time() - began
+
+    def carry_out(self, name: str, message: object) -> None:
+        """Do what the shell does."""
+        match message:
+            case SendPeer():
+                self.send(name, message)
+            case OpenEndpoint():
+                self.handle(name, EndpointOpened(message.connection))
+            case RunBatch():
+                results = tuple(
+                    run_statement(statement)
+                    for segment in message.segments
+                    for statement in segment
+                )
+                answered = EndpointAnswered(message.connection, message.batch, results)
+                self.handle(name, answered)
+            case CallerAnswer():
+                self.answers += message.status == 200
+
+    def send(self, name: str, message: SendPeer) -> None:
+        """Encode at the sender, decode and handle at the receiver."""
+        began = process_time()
+        data = world.encode(message)
+        self.add(name, began)
+        target = self.states.get(message.instance)
+        if target is None:
+            return
+        began = process_time()
+        decoded = world.CODEC.decode(msgpack.unpackb(data, use_list=False))
+        self.add(message.instance, began)
+        self.handle(message.instance, PeerReceived(name, decoded))
+
+
+def make_pair(instances: int, endpoints: int, same: bool) -> tuple[Pair, str]:
+    """Return a pair and the name of the entry; with `same` it is also the owner."""
+    first = prepared(world.OWN, instances, endpoints)
+    owner = membership.owner(first.endpoints["database-0"], first)
+    assert owner is not None
+    names = [owner] if same else [owner, other_than(owner, first)]
+    states = {name: prepared(name, instances, endpoints) for name in names}
+    return Pair(states), names[-1]
+
+
+def other_than(name: str, state: State) -> str:
+    """Return the name of another instance."""
+    return next(other for other in state.instances if other != name)
+
+
+def prepared(name: str, instances: int, endpoints: int) -> State:
+    """Return the state of an instance that admits whatever its workspace sends."""
+    state = world.make_world(instances, endpoints, name=name, key=KEY)
+    row = rates.share_of("workspace-0", state)
+    row.rate = row.burst = row.tokens = 1e9
+    row.renewed_at = state.clock.monotonic()
+    for endpoint in state.endpoints.values():
+        endpoint.slots, endpoint.connections = 100, 400
+    return state
+
+
+def requests(access: str) -> Iterator[CallerRequest]:
+    """Yield the requests of a caller without a session."""
+    text = "SELECT id, name FROM bags WHERE id = $1"
+    body = {"statement": text, "parameters": [1], "access": access}
+    content = orjson.dumps(body)
+    for number in range(1, STATEMENTS + WARM_UP + 1):
+        yield CallerRequest(
+            1_000_000 + number,
+            "POST",
+            "/v1/groups/group-0/statements",
+            dict(SESSION_HEADERS),
+            content,
+        )
+
+
+def statement_costs(
+    instances: int, endpoints: int, access: str, same: bool
+) -> dict[str, float]:
+    """Return the microseconds of a statement at the entry and at the owner."""
+    pair, entry = make_pair(instances, endpoints, same)
+    for index, request in enumerate(requests(access)):
+        if index == WARM_UP:
+            pair.used.clear()
+        pair.handle(entry, request)
+        for state in pair.states.values():
+            move(state)
+            rates.share_of("workspace-0", state).renewed_at = state.clock.monotonic()
+    if pair.answers != STATEMENTS + WARM_UP:
+        raise RuntimeError(f"{pair.answers} of {STATEMENTS + WARM_UP} were answered")
+    owner = next(iter(pair.states))
+    per_statement = 1 / STATEMENTS / MICROSECOND
+    return {
+        "entry": pair.used[entry] * per_statement,
+        "owner": pair.used[owner] * per_statement,
+    }
+
+
+def statement_rows() -> list[Row]:
+    """Return the cost of a statement by role, kind, instances and databases."""
+    rows = []
+    for access in ("read", "write"):
+        for role, same in (("entry", False), ("owner", False), ("entry", True)):
+            name = f"{access}, {'entry and owner' if same else role}"
+
+            def by_instances(
+                size: int, access: str = access, role: str = role, same: bool = same
+            ) -> float:
+                return statement_costs(size, 3, access, same)[role]
+
+            def by_databases(
+                size: int, access: str = access, role: str = role, same: bool = same
+            ) -> float:
+                return statement_costs(24, size, access, same)[role]
+
+            rows.append(
+                sweep(name, "instances", INSTANCES, by_instances, expected="flat")
+            )
+            rows.append(
+                sweep(name, "databases", DATABASES, by_databases, expected="flat")
+            )
+    return rows
--- /dev/null
+++ b/bench/slopes_totals.py
@@ -0,0 +1,211 @@
+"""Extrapolates the costs of `bench.slopes` to the target scale, line by line.
+
+Each line is a rate or a number times a measured cost. The assumptions that the
+targets do not state are the constants below; docs/slopes.md discusses them.
+"""
+
+from attrs import frozen
+
+from . import slopes_wire
+from .slopes_measure import Row
+
+INSTANCES = 5800
+DATABASES = 6900
+GROUPS = 2300
+DATA_CENTRES = 16
+RELAYS_PER_DATA_CENTRE = 2
+CONNECTIONS = 22_000_000 / INSTANCES
+STATEMENTS_PER_S = 12e6 / INSTANCES
+DAY_S = 86_400
+CONFIGURATION_CHANGES_PER_S = 8500 / DAY_S
+# An instance that is replaced changes its object to leaving, leaves and comes anew.
+INSTANCE_CHANGES_PER_S = 3 * (3800 + 49) / DAY_S
+TICKS_PER_S = 50
+PINGS_PER_S = 5
+WATCHED_REFRESHES_PER_S = 5
+REPORTS_PER_S = 2
+SUBSCRIBES_PER_S = 2
+BALANCES_PER_S = 10
+
+# Assumptions.
+WORKSPACES = GROUPS  # One for each group, with two keys.
+PIECES = 100  # Services that publish together.
+PEERS = 8  # Instances that one talks to; with all of a region it would be 725.
+ACTIVE_WORKSPACES = 8  # Whose requests reach one instance at a time.
+HOLDERS = INSTANCES * ACTIVE_WORKSPACES / WORKSPACES  # Instances that use a workspace.
+ALLOCATED = WORKSPACES / INSTANCES
+
+CPU_BUDGET_US_PER_S = 10_000  # 1% of a core.
+MEMORY_BUDGET_MB = 128
+WIRE_BUDGET_B_PER_S = 7000
+MB = 1e6
+
+
+@frozen
+class Line:
+    """A product: so many a second, or in all, each at a cost."""
+
+    name: str
+    count: float
+    cost: float
+
+    @property
+    def total(self) -> float:
+        """Return the product."""
+        return self.count * self.cost
+
+
+@frozen
+class Costs:
+    """Looks measured costs up by the names of their rows."""
+
+    rows: list[Row]
+
+    def find(self, name: str, size_of: str = "") -> Row:
+        """Return the row of a name, of several by the size that varies."""
+        return next(
+            row
+            for row in self.rows
+            if row.name == name and size_of in ("", row.size_of)
+        )
+
+    def slope(self, name: str, size_of: str = "") -> float:
+        """Return a cost per unit of size."""
+        return self.find(name, size_of).slope()
+
+    def largest(self, name: str, size_of: str = "") -> float:
+        """Return a cost at the largest size, which is the target's."""
+        return self.find(name, size_of).costs[-1]
+
+    def smallest(self, name: str, size_of: str = "") -> float:
+        """Return a cost at the smallest size."""
+        return self.find(name, size_of).costs[0]
+
+
+def cpu_lines(costs: Costs, reporting: float) -> list[Line]:
+    """Return the control work of an instance a second, in microseconds."""
+    peer = costs.slope("heartbeats, per round")
+    report = costs.largest("share report answered")
+    change = "configuration change, 2,300 workspaces"
+    return [
+        Line("ticks with few rows", TICKS_PER_S, costs.smallest("tick, all systems")),
+        Line("relay chosen each tick", TICKS_PER_S, costs.largest("choice of a relay")),
+        Line(
+            "owner looked up, each database each tick",
+            TICKS_PER_S * DATABASES,
+            costs.largest("owner of an endpoint"),
+        ),
+        Line(
+            "watchers looked up, each group",
+            WATCHED_REFRESHES_PER_S * GROUPS,
+            costs.largest("watchers of a group"),
+        ),
+        Line(
+            "allocation walks workspaces",
+            TICKS_PER_S * WORKSPACES,
+            costs.slope("tick of allocation", "workspaces"),
+        ),
+        Line(
+            "rates walks workspaces",
+            TICKS_PER_S * WORKSPACES,
+            costs.slope("tick of rates", "workspaces"),
+        ),
+        Line("heartbeats sent", PINGS_PER_S * PEERS, peer),
+        Line(
+            "heartbeats answered", PINGS_PER_S * PEERS, costs.largest("Ping answered")
+        ),
+        Line("share reports sent", REPORTS_PER_S * reporting, report),
+        Line("share reports answered", REPORTS_PER_S * reporting, report),
+        Line(
+            "ledgers balanced",
+            BALANCES_PER_S * ALLOCATED * HOLDERS,
+            costs.slope("ledger balanced"),
+        ),
+        Line(
+            "instances changed",
+            INSTANCE_CHANGES_PER_S,
+            costs.largest("instance object applied"),
+        ),
+        Line(
+            "configuration changed", CONFIGURATION_CHANGES_PER_S, costs.largest(change)
+        ),
+    ]
+
+
+def relay_lines(costs: Costs) -> list[Line]:
+    """Return what a relay does besides, a second, in microseconds."""
+    subscribers = INSTANCES / DATA_CENTRES / RELAYS_PER_DATA_CENTRE
+    changes = INSTANCE_CHANGES_PER_S + 2 * CONFIGURATION_CHANGES_PER_S
+    return [
+        Line(
+            "Subscribe answered",
+            SUBSCRIBES_PER_S * subscribers,
+            costs.largest("Subscribe, up to date"),
+        ),
+        Line(
+            "changes pushed", changes * subscribers, costs.slope("push of one object")
+        ),
+    ]
+
+
+def memory_lines(costs: Costs) -> list[Line]:
+    """Return what an instance keeps, in bytes."""
+    return [
+        Line("instances", INSTANCES, costs.slope("instance: object and row")),
+        Line("databases", DATABASES, costs.slope("database: objects and rows")),
+        Line("workspaces", WORKSPACES, costs.slope("workspace, two keys")),
+        Line("shares held", WORKSPACES, costs.slope("share held, idle")),
+        Line(
+            "shares allocated",
+            ALLOCATED * HOLDERS,
+            costs.slope("share allocated to a holder"),
+        ),
+        Line("peers", PEERS, costs.slope("peer with heartbeats")),
+        Line("caller connections", CONNECTIONS, costs.slope("caller connection, idle")),
+    ]
+
+
+def wire_lines(reporting: float) -> list[Line]:
+    """Return the bytes that an instance sends and receives a second."""
+    sizes = {
+        name: slopes_wire.size(message)
+        for name, message in slopes_wire.messages().items()
+    }
+    renewal = sizes["ShareReport"] + sizes["ShareRenew"]
+    subscription = sizes["Subscribe"] + sizes["ViewUpdate, empty"]
+    changed_instance = slopes_wire.size(slopes_wire.update(1))
+    workspaces = round(WORKSPACES / PIECES)
+    publication = slopes_wire.size(slopes_wire.piece_update(workspaces))
+    publication += slopes_wire.size(slopes_wire.manifest_update(PIECES))
+    heartbeat = sizes["Ping"] + sizes["Pong, 1 sample"]
+    return [
+        Line("heartbeats to peers", PINGS_PER_S * PEERS, heartbeat),
+        Line("heartbeats of peers", PINGS_PER_S * PEERS, heartbeat),
+        Line("shares reported and renewed", REPORTS_PER_S * reporting, renewal),
+        Line("shares of other holders", REPORTS_PER_S * ALLOCATED * HOLDERS, renewal),
+        Line("subscription", SUBSCRIBES_PER_S, subscription),
+        Line("instances changed", INSTANCE_CHANGES_PER_S, changed_instance),
+        Line("configuration changed", CONFIGURATION_CHANGES_PER_S, publication),
+    ]
+
+
+def print_lines(
+    title: str, unit: str, lines: list[Line], scale: float, budget: float
+) -> None:
+    """Print a table of products and their sum against a budget."""
+    print(f"\n#### {title}\n\n| part | count | x cost | = {unit} |\n|---|---|---|---|")
+    for line in lines:
+        counted = f"{line.count:,.2f} | {line.cost:,.2f}"
+        print(f"| {line.name} | {counted} | {line.total / scale:,.3f} |")
+    total = sum(line.total for line in lines) / scale
+    print(f"| sum (budget {budget:g}) | | | {total:,.3f} |", flush=True)
+
+
+def print_totals(rows: list[Row], reporting: float) -> None:
+    """Print the extrapolation."""
+    costs = Costs(rows)
+    percent = CPU_BUDGET_US_PER_S
+    print_lines("CPU, control", "% of a core", cpu_lines(costs, reporting), percent, 1)
+    print_lines("CPU, relays besides", "% of a core", relay_lines(costs), percent, 1)
+    print_lines("memory", "MB", memory_lines(costs), MB, MEMORY_BUDGET_MB)
+    print_lines("wire", "B/s", wire_lines(reporting), 1, WIRE_BUDGET_B_PER_S)
--- /dev/null
+++ b/bench/slopes_wire.py
@@ -0,0 +1,94 @@
+"""Bytes on the wire of control messages for `bench.slopes`."""
+
+from pimentodrift.messages import (
+    EndpointSample,
+    Epoch,
+    PeerMessage,
+    Ping,
+    Pong,
+    Position,
+    ShareLower,
+    ShareLowered,
+    ShareRaise,
+    ShareRaised,
+    ShareRenew,
+    ShareReport,
+    Subscribe,
+    ViewUpdate,
+)
+
+from . import slopes_world as world
+from .slopes_measure import Row, sweep
+
+NUMBER = 5_000_000  # A number as long as that of an instance after some hours.
+EPOCH = Epoch(12, "instance-4711")
+OFFSET = 10_000_000
+IP_TCP_HEADERS = 52  # Bytes of a segment with timestamps; sent with each message.
+
+
+def size(message: PeerMessage) -> int:
+    """Return the bytes of a message with the headers of its segment."""
+    return len(world.encode(message)) + IP_TCP_HEADERS
+
+
+def pong(samples: int) -> Pong:
+    """Return an answer with samples of some endpoints."""
+    position = Position(12, OFFSET)
+    row = EndpointSample("database-4711", True, position, 50)
+    return Pong(NUMBER, 700, (row,) * samples)
+
+
+def report() -> ShareReport:
+    """Return a report of a share."""
+    return ShareReport(
+        "workspace-1234", EPOCH, 1.23, 4.56, 3.21, 1.1, 0.0, NUMBER, NUMBER
+    )
+
+
+def update(instances: int) -> ViewUpdate:
+    """Return an update with some changed instances."""
+    items = tuple(world.instance(index, NUMBER) for index in range(instances))
+    return ViewUpdate(NUMBER, 700, NUMBER, NUMBER, items)
+
+
+def piece_update(workspaces: int) -> ViewUpdate:
+    """Return an update with a piece of some workspaces."""
+    return ViewUpdate(0, 700, NUMBER, NUMBER, (world.pieces(workspaces, 1, 1)[0],))
+
+
+def manifest_update(count: int) -> ViewUpdate:
+    """Return an update with a manifest of some pieces, named by their digests."""
+    item = world.manifest(count, NUMBER)
+    assert item.value is not None
+    item.value["pieces"] = [f"{place:064x}" for place in range(count)]
+    return ViewUpdate(NUMBER, 700, NUMBER, NUMBER, (item,))
+
+
+def messages() -> dict[str, PeerMessage]:
+    """Return one message of each kind that a fleet exchanges without requests."""
+    return {
+        "Ping": Ping(NUMBER),
+        "Pong, 1 sample": pong(1),
+        "ShareReport": report(),
+        "ShareRenew": ShareRenew("workspace-1234", EPOCH, NUMBER),
+        "ShareLower": ShareLower("workspace-1234", EPOCH, NUMBER, 1.23, 4.56),
+        "ShareLowered": ShareLowered("workspace-1234", EPOCH, NUMBER, 1.2, 4.5, 3.2),
+        "ShareRaise": ShareRaise("workspace-1234", EPOCH, NUMBER, 1.2, 4.5, 3.2),
+        "ShareRaised": ShareRaised("workspace-1234", EPOCH, NUMBER),
+        "Subscribe": Subscribe(NUMBER, NUMBER),
+        "ViewUpdate, empty": update(0),
+    }
+
+
+def wire_rows() -> list[Row]:
+    """Return the bytes of messages by what they carry."""
+    return [
+        sweep("Pong", "samples", (1, 8, 64), lambda n: size(pong(n)), "B"),
+        sweep("ViewUpdate", "instances", (1, 16, 256), lambda n: size(update(n)), "B"),
+        sweep(
+            "piece", "workspaces", (1, 23, 230), lambda n: size(piece_update(n)), "B"
+        ),
+        sweep(
+            "manifest", "pieces", (1, 8, 100), lambda n: size(manifest_update(n)), "B"
+        ),
+    ]
