Keep owners and watchers in an index instead of sorting all instances

Each look at an owner ranked all listed instances, and probes do that for every endpoint at every tick. The module rendezvous now keeps the first usable instance for each key, checks it before use and compares only instances that become usable; endpoints are indexed by group, and those owned are kept for heartbeats.

The index is beside the state, because tables.py is another part's file; a field of State would be simpler.

--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -8,7 +8,7 @@
 
 from . import peers
 from .dispatch import handle, handle_peer
-from .membership import contact, owns, suspect, usable
+from .membership import contact, owned, recheck, suspect, usable
 from .messages import (
     ClosePeer,
     EndpointSample,
@@ -105,11 +105,8 @@
 
 def samples(state: State) -> tuple[EndpointSample, ...]:
     """Return what this instance knows about the endpoints that it owns."""
-    return tuple(
-        sample(row, state)
-        for row in state.endpoints.values()
-        if has_sample(row, state) and owns(row, state)
-    )
+    rows = (row for row in owned(state) if has_sample(row, state))
+    return tuple(sample(row, state) for row in rows)
 
 
 def has_sample(row: EndpointRow, state: State) -> bool:
@@ -145,6 +142,7 @@
     if instance.suspected_number is None or number <= instance.suspected_number:
         return
     instance.suspected_number = None
+    recheck(state)
     state.events.append(("instance_answers", {"peer": instance.name}))
 
 
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -5,14 +5,23 @@
 cost efficiency, never correctness.
 """
 
-from collections.abc import Iterable
 from datetime import timedelta
-from functools import lru_cache
-
-import xxhash
 
 from .dispatch import handle
 from .messages import PrimaryChanged, StoreObject
+from .rendezvous import (
+    Index,
+    Ranking,
+    first,
+    heaviest_few,
+    index_of,
+    is_usable,
+    note_change,
+    ranked,
+    recheck,
+    stands,
+    usable,
+)
 from .tables import (
     NEVER,
     ContactRow,
@@ -23,17 +32,37 @@
     State,
 )
 
+__all__ = [
+    "apply",
+    "contact",
+    "data_centre_leaders",
+    "first",
+    "group_endpoints",
+    "learn_primary",
+    "owned",
+    "owner",
+    "owners",
+    "owns",
+    "ranked",
+    "recheck",
+    "suspect",
+    "usable",
+    "watchers",
+]
+
 SUSPICION = timedelta(seconds=2)
 # Ticks come every 20 ms; a gap as long as this means that the process was paused.
 PAUSE = timedelta(seconds=1)
 # Two different instances must have seen a primary fail before it is replaced.
 MIN_WATCHERS = 2
-WEIGHT_CACHE = 2**16  # Entries, for 8 instances and some thousand keys.
+# Ownership also changes without an addition, when another instance becomes unusable.
+OWNED_LIFETIME = timedelta(milliseconds=200)
 
 
 def apply(item: StoreObject, state: State) -> None:
     """Update the rows that a changed object of the store describes."""
     value = item.value
+    note_change(item.kind, state)
     match item.kind:
         case "instance" if value is None:
             state.instances.pop(item.name, None)
@@ -109,15 +138,6 @@
     return True
 
 
-def usable(row: InstanceRow, state: State) -> bool:
-    """Return whether new work may go to an instance."""
-    if row.presence is not Presence.LIVE:
-        return False
-    if row.suspected_number is not None:
-        return False
-    return row.suspected_until <= state.clock.monotonic()
-
-
 def suspect(name: str, state: State) -> None:
     """Leave an instance out of ownership for a while and until it answers a ping."""
     row = state.instances.get(name)
@@ -130,27 +150,21 @@
     state.counters["membership.suspected"] += 1
 
 
-@lru_cache(maxsize=WEIGHT_CACHE)
-def weight(key: str, name: str) -> int:
-    """Return the rendezvous weight of an instance for a key."""
-    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
-
-
-def ranked(key: str, rows: Iterable[InstanceRow]) -> list[InstanceRow]:
-    """Return the rows in rendezvous order for a key."""
-    return sorted(
-        rows,
-        key=lambda row: weight(key, row.name),
-        reverse=True,
-    )
+def data_centre_leaders(
+    key: str, data_centre: str, count: int, state: State
+) -> list[InstanceRow]:
+    """Return the first usable instances of a data centre for a key."""
+    index = index_of(state)
+    rows = index.by_data_centre.get(data_centre, [])
+    ranking = index.rankings.get(key)
+    if ranking is None or not stands(ranking, rows, index, state):
+        found = heaviest_few(key, rows, count, index, state)
+        ranking = index.rankings[key] = Ranking(index.epoch, found, rows)
+    return ranking.rows
 
 
 def owners(endpoint: EndpointRow, state: State) -> list[InstanceRow]:
-    """Return the usable instances in the order in which they own an endpoint.
-
-    Instances of the endpoint's region go first, so that a database in a region
-    without usable instances still has an owner.
-    """
+    """Return the usable instances in the order in which they own an endpoint."""
     rows = [row for row in state.instances.values() if usable(row, state)]
     ordered = ranked(endpoint.name, rows)
     return sorted(ordered, key=lambda row: row.region != endpoint.region)
@@ -158,8 +172,8 @@
 
 def owner(endpoint: EndpointRow, state: State) -> str | None:
     """Return the name of the instance that owns an endpoint."""
-    rows = owners(endpoint, state)
-    return rows[0].name if rows else None
+    row = first(endpoint.name, endpoint.region, state)
+    return row.name if row is not None else None
 
 
 def owns(endpoint: EndpointRow, state: State) -> bool:
@@ -167,10 +181,35 @@
     return owner(endpoint, state) == state.settings.name
 
 
+def owned(state: State) -> list[EndpointRow]:
+    """Return the endpoints that this instance owns, at most `OWNED_LIFETIME` old."""
+    index = index_of(state)
+    now = state.clock.monotonic()
+    is_old = now - index.owned_at >= OWNED_LIFETIME
+    if is_old or index.owned_epoch != index.epoch:
+        index.owned = [row for row in nearby(index, state) if owns(row, state)]
+        index.owned_at, index.owned_epoch = now, index.epoch
+    return index.owned
+
+
+def nearby(index: Index, state: State) -> list[EndpointRow]:
+    """Return the endpoints of this region and of regions without usable instances."""
+    rows = []
+    for region, endpoints in index.endpoint_regions.items():
+        if region == state.settings.region or not has_usable(region, index, state):
+            rows += endpoints
+    return rows
+
+
+def has_usable(region: str, index: Index, state: State) -> bool:
+    """Return whether a region has a usable instance."""
+    rows = index.by_region.get(region, ())
+    return any(is_usable(row, index, state) for _, row in rows)
+
+
 def group_endpoints(group: str, state: State) -> list[EndpointRow]:
     """Return the endpoints of a group, by name."""
-    rows = (row for row in state.endpoints.values() if row.group == group)
-    return sorted(rows, key=lambda row: row.name)
+    return list(index_of(state).by_group.get(group, ()))
 
 
 def watchers(group: str, state: State) -> list[str]:
@@ -179,13 +218,27 @@
     They are the owners of the group's endpoints and the holders of reserved terms,
     and others by rank when these are fewer than two.
     """
-    usable_rows = [row for row in state.instances.values() if usable(row, state)]
-    order = [row.name for row in ranked(group, usable_rows)]
+    index = index_of(state)
+    reservations = state.groups[group].reservations
+    key = f"watchers/{group}"
+    ranking = index.rankings.get(key)
+    if ranking is None or not stands(ranking, reservations, index, state):
+        rows = find_watchers(group, index, state)
+        ranking = index.rankings[key] = Ranking(index.epoch, rows, reservations)
+    return [row.name for row in ranking.rows]
+
+
+def find_watchers(group: str, index: Index, state: State) -> list[InstanceRow]:
+    """Rank the instances that watch a group's primary."""
     names = {owner(row, state) for row in group_endpoints(group, state)}
     names |= set(state.groups[group].reservations)
-    chosen = [name for name in order if name in names]
-    others = [name for name in order if name not in names]
-    return chosen + others[: max(0, MIN_WATCHERS - len(chosen))]
+    rows = [state.instances[name] for name in names if name in state.instances]
+    chosen = ranked(group, [row for row in rows if is_usable(row, index, state)])
+    missing = MIN_WATCHERS - len(chosen)
+    if missing > 0:
+        others = [pair for pair in index.candidates if pair[1] not in chosen]
+        chosen += heaviest_few(group, others, missing, index, state)
+    return chosen
 
 
 def contact(name: str, state: State) -> None:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,113 @@
+"""Ownership found by the index against the order that hashing defines."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from pimentodrift import membership, rendezvous
+from pimentodrift.dispatch import handle_peer
+from pimentodrift.messages import Pong, StoreObject
+from pimentodrift.tables import Presence, State
+
+from .support import ManualClock, make_state
+
+NAMES = [f"i{number}" for number in range(12)]
+REGIONS = ["r1", "r2", "r3"]
+GROUPS = ["g1", "g2"]
+
+
+def list_instance(state: State, random: Random) -> None:
+    name, region = random.choice(NAMES), random.choice(REGIONS)
+    value = {
+        "address": "127.0.0.1:1",
+        "region": region,
+        "data_centre": f"{region}-1",
+        "state": random.choice(["live", "live", "leaving"]),
+    }
+    membership.apply(StoreObject("instance", name, 1, value), state)
+
+
+def drop_instance(state: State, random: Random) -> None:
+    name = random.choice(NAMES)
+    membership.apply(StoreObject("instance", name, 1, None), state)
+
+
+def suspect(state: State, random: Random) -> None:
+    membership.suspect(random.choice(NAMES), state)
+
+
+def answer(state: State, random: Random) -> None:
+    handle_peer(Pong(state.number(), 0), random.choice(NAMES), state)
+
+
+def leave(state: State, random: Random) -> None:
+    row = state.instances.get(random.choice(NAMES))
+    if row is not None:
+        row.presence = Presence.LEAVING
+
+
+def wait(state: State, random: Random) -> None:
+    assert isinstance(state.clock, ManualClock)
+    state.clock.advance(timedelta(milliseconds=random.choice([20, 500, 2100])))
+
+
+def change_endpoint(state: State, random: Random) -> None:
+    value = {
+        "group": random.choice(GROUPS),
+        "region": random.choice(REGIONS),
+        "address": "127.0.0.1:2",
+        "slots": 1,
+        "connections": 2,
+    }
+    name = f"e{random.randrange(6)}"
+    membership.apply(StoreObject("endpoint", name, 1, value), state)
+
+
+def reserve(state: State, random: Random) -> None:
+    for group in state.groups.values():
+        group.reservations = {random.choice(NAMES): 2}
+
+
+STEPS: list[Callable[[State, Random], None]] = [
+    list_instance,
+    drop_instance,
+    suspect,
+    answer,
+    leave,
+    wait,
+    change_endpoint,
+    reserve,
+]
+
+
+def expected_watchers(group: str, state: State) -> list[str]:
+    rows = [row for row in state.instances.values() if membership.usable(row, state)]
+    order = [row.name for row in membership.ranked(group, rows)]
+    members = [row for row in state.endpoints.values() if row.group == group]
+    names = {row.name for e in members for row in membership.owners(e, state)[:1]}
+    names |= set(state.groups[group].reservations)
+    chosen = [name for name in order if name in names]
+    others = [name for name in order if name not in names]
+    return chosen + others[: max(0, membership.MIN_WATCHERS - len(chosen))]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_index_agrees_with_the_tables(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an owner or watcher kept after the list or a suspicion changed."""
+    monkeypatch.setattr(rendezvous, "MAX_ADDED", 1 + seed)
+    state, random = make_state("i0"), Random(seed)
+    for _ in range(300):
+        random.choice(STEPS)(state, random)
+        for row in state.endpoints.values():
+            expected = [found.name for found in membership.owners(row, state)][:1]
+            found = membership.owner(row, state)
+            assert ([found] if found else []) == expected
+        for group in state.groups:
+            assert membership.watchers(group, state) == expected_watchers(group, state)
+            names = [e.name for e in membership.group_endpoints(group, state)]
+            rows = state.endpoints.values()
+            assert names == sorted(row.name for row in rows if row.group == group)
