Check in the safety test that all logs agree after recovery

A rejoining endpoint that missed several terms must drop its tail from the first missed term on; the test did not notice when it dropped too little.

--- a/tests/test_failover_safety.py
+++ b/tests/test_failover_safety.py
@@ -2,7 +2,7 @@
 
 Guards requirement 2: every write reported by `WriteAcknowledged` is in the log of the
 primary of every later term, and a term has at most one primary. When all faults are
-over, the group must take writes again.
+over, the group must take writes again and all its databases must have the same log.
 """
 
 from unittest.mock import patch
@@ -131,6 +131,8 @@
         fleet.run(500)
         fleet.check()
         assert len(fleet.acknowledged) == before + len(INSTANCES)
+        logs = [database.log for database in fleet.databases.values()]
+        assert logs[0] == logs[1] == logs[2]
 
 
 TestFailover = Failover.TestCase
