Rank endpoints every 200 ms and keep the acknowledgment connection open

A write after a pause no longer waits for a new connection. Heartbeats do not count as a use of a contact, so that contacts can expire.

--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -6,7 +6,6 @@
 
 from datetime import timedelta
 
-from . import peers
 from .dispatch import handle, handle_peer
 from .membership import contact, owner, owns, suspect, usable
 from .messages import (
@@ -15,6 +14,7 @@
     InstanceDown,
     Ping,
     Pong,
+    SendPeer,
 )
 from .rejoining import is_readable
 from .tables import ContactRow, EndpointRow, InstanceRow, State
@@ -44,8 +44,10 @@
 
 def refresh_contacts(state: State) -> None:
     """Make the owners of all endpoints contacts while the fleet is small."""
-    if len(state.instances) > SMALL_FLEET:
+    now = state.clock.monotonic()
+    if len(state.instances) > SMALL_FLEET or now - state.contacts_at < PING_INTERVAL:
         return
+    state.contacts_at = now
     names = {owner(row, state) for row in state.endpoints.values()}
     for name in names - {None}:
         contact(str(name), state)
@@ -80,17 +82,23 @@
     row.unanswered += 1
     row.pinged_at = state.clock.monotonic()
     state.counters["heartbeats.pings"] += 1
-    peers.send(row.name, Ping(state.number()), state)
+    post(instance, Ping(state.number()), state)
+
+
+def post(instance: InstanceRow, message: Ping | Pong, state: State) -> None:
+    """Send a heartbeat, which does not count as a use of the contact."""
+    state.outbox.append(SendPeer(instance.name, instance.address, message))
 
 
 @handle_peer.register
 def _(message: Ping, sender: str, state: State) -> None:
     now = state.clock.monotonic()
     instance = state.instances.get(sender)
-    if instance is not None:
-        instance.last_heard = now
+    if instance is None:
+        return
+    instance.last_heard = now
     store_age = (now - state.view.confirmed_at) // MILLISECOND
-    peers.send(sender, Pong(message.number, store_age, samples(state)), state)
+    post(instance, Pong(message.number, store_age, samples(state)), state)
 
 
 def samples(state: State) -> tuple[EndpointSample, ...]:
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -158,8 +158,16 @@
 
 def owner(endpoint: EndpointRow, state: State) -> str | None:
     """Return the name of the instance that owns an endpoint."""
-    rows = owners(endpoint, state)
-    return rows[0].name if rows else None
+    rows = [row for row in state.instances.values() if usable(row, state)]
+    if not rows:
+        return None
+    return max(
+        rows,
+        key=lambda row: (
+            row.region == endpoint.region,
+            weight(endpoint.name, row.name),
+        ),
+    ).name
 
 
 def owns(endpoint: EndpointRow, state: State) -> bool:
--- a/pimentodrift/monitoring.py
+++ b/pimentodrift/monitoring.py
@@ -25,6 +25,8 @@
 
 # Ten status intervals; shorter times would reopen connections at brief stalls.
 IDLE_TIME = timedelta(seconds=1)
+# A new connection costs 10-30 ms, which a write after a pause should not wait for.
+ACKNOWLEDGMENT_IDLE_TIME = timedelta(minutes=1)
 
 Segments = tuple[tuple[Statement, ...], ...]
 Results = tuple[StatementResult, ...]
@@ -130,6 +132,13 @@
     finish(row, None, state)
 
 
+def idle_time(channel: Channel) -> timedelta:
+    """Return how long an unused connection of a channel is kept."""
+    if channel is Channel.ACKNOWLEDGMENT:
+        return ACKNOWLEDGMENT_IDLE_TIME
+    return IDLE_TIME
+
+
 def run(state: State) -> None:
     """End jobs without an answer and close connections that nobody uses."""
     now = state.clock.monotonic()
@@ -141,6 +150,6 @@
             close(row, state)
             state.counters["monitoring.timeouts"] += 1
             finish(row, None, state)
-        elif row.job is None and now - row.used_at > IDLE_TIME:
+        elif row.job is None and now - row.used_at > idle_time(row.channel):
             close(row, state)
             del state.monitors[(row.endpoint, row.channel)]
--- a/pimentodrift/probes.py
+++ b/pimentodrift/probes.py
@@ -42,14 +42,19 @@
     if now - state.watched_at >= WATCH_INTERVAL:
         refresh_watched(state)
     primaries = {state.groups[name].primary for name in state.watched}
-    for row in list(state.endpoints.values()):
-        if row.name in primaries or owns(row, state):
+    for name in sorted(state.monitored | primaries):
+        row = state.endpoints.get(name)
+        if row is not None:
             begin(row, state)
 
 
 def refresh_watched(state: State) -> None:
-    """Find the groups that this instance watches and drop old probes."""
+    """Find what this instance owns and watches, and drop old probes.
+
+    Ranking every endpoint at each tick would cost more than all other systems.
+    """
     state.watched_at = state.clock.monotonic()
+    state.monitored = {row.name for row in state.endpoints.values() if owns(row, state)}
     watched = {name: watchers(name, state) for name in state.groups}
     own = state.settings.name
     state.watched = {name: names for name, names in watched.items() if own in names}
--- a/tests/test_failover_basic.py
+++ b/tests/test_failover_basic.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from pimentodrift import rejoining
+from pimentodrift.database_group import DroppedEntry
 from pimentodrift.messages import StopRequested
 from pimentodrift.tables import Presence, Stage
 
@@ -180,6 +182,23 @@
     assert fleet.databases["d1"].role == "replica"
 
 
+def test_steady_state_leaves_the_store_alone(fleet: Fleet) -> None:
+    """Guards against instances that overwrite each other's reservations."""
+    version = fleet.version
+    fleet.run(10_000)
+    assert fleet.version == version
+    assert len(fleet.states["a"].groups["g"].reservations) == 2
+
+
+def test_many_dropped_entries_are_divided() -> None:
+    """Guards against objects that are larger than the store accepts."""
+    sizes = [10] * 2500 + [300_000] * 2
+    entries = [DroppedEntry(1, n, "x" * size) for n, size in enumerate(sizes)]
+    divided = list(rejoining.parts(entries))
+    assert [len(part) for part in divided] == [1000, 1000, 501, 1]
+    assert [entry for part in divided for entry in part] == entries
+
+
 def test_dead_instance_is_suspected_until_it_answers(fleet: Fleet) -> None:
     """Guards against an endpoint without owner and against flapping ownership."""
     fleet.dead.add("b")
