Give up a failover that waits for a term when the primary is back

Without a usable reservation and with the store away, an attempt waited up to 5 s for a term and then replaced a primary that worked again; the new test failed before this change.

--- a/pimentodrift/failover.py
+++ b/pimentodrift/failover.py
@@ -157,9 +157,7 @@
     """Fence all endpoints of the group as soon as there is a reserved term."""
     term = own_term(group, state)
     if term is None:
-        # The reservations module writes one for the instance of this row.
-        if state.clock.monotonic() - row.started_at > RESERVE_TIMEOUT:
-            abandon(row, "no term could be reserved", state)
+        wait_for_term(row, state)
         return
     row.term = state.used_terms[group.name] = term
     enter(row, Stage.FENCING, state)
@@ -172,6 +170,15 @@
         monitoring.submit(name, Channel.COMMAND, job, batch, state)
 
 
+def wait_for_term(row: FailoverRow, state: State) -> None:
+    """Let `reservations` write a term for this row while there is a reason for it."""
+    probe = state.probes.get(row.group)
+    if not row.planned and (probe is None or probe.failing_since is None):
+        abandon(row, "the primary answers again", state)
+    elif state.clock.monotonic() - row.started_at > RESERVE_TIMEOUT:
+        abandon(row, "no term could be reserved", state)
+
+
 def current(group: str, term: int, stage: Stage, state: State) -> FailoverRow | None:
     """Return the attempt that an answer belongs to, if it is still at that stage."""
     row = state.failovers.get(group)
--- a/tests/test_failover_basic.py
+++ b/tests/test_failover_basic.py
@@ -88,6 +88,21 @@
     assert_settled(fleet)
 
 
+def test_primary_returns_while_a_term_is_being_reserved(fleet: Fleet) -> None:
+    """Guards against the replacement of a primary that works again."""
+    for state in fleet.states.values():
+        state.used_terms["g"] = 9
+    fleet.cut("store", *fleet.names)
+    fleet.crash("d1")
+    fleet.run(2000)
+    assert any(state.failovers for state in fleet.states.values())
+    fleet.databases["d1"].up = True
+    fleet.run(1000)
+    fleet.cuts.clear()
+    fleet.run(3000)
+    assert fleet.promotions == {}
+
+
 @pytest.mark.parametrize("lost", ["store", "group_promote", "group_follow"])
 def test_lost_answer(fleet: Fleet, lost: str) -> None:
     """Guards against two primaries or a stuck group after an unclear answer."""
