--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -6,7 +6,6 @@
 
 from datetime import timedelta
 
-from . import peers
 from .dispatch import handle, handle_peer
 from .membership import contact, owned, recheck, suspect, usable
 from .messages import (
@@ -16,6 +15,7 @@
     InstanceDown,
     Ping,
     Pong,
+    SendPeer,
 )
 from .rejoining import is_readable
 from .tables import ContactRow, EndpointRow, InstanceRow, State
@@ -48,8 +48,10 @@
 
     Whether the store is down is judged by a majority of them.
     """
-    if len(state.instances) > SMALL_FLEET:
+    now = state.clock.monotonic()
+    if len(state.instances) > SMALL_FLEET or now - state.contacts_at < PING_INTERVAL:
         return
+    state.contacts_at = now
     for name in state.instances:
         contact(name, state)
 
@@ -83,7 +85,12 @@
     row.unanswered += 1
     row.pinged_at = state.clock.monotonic()
     state.counters["heartbeats.pings"] += 1
-    peers.send(row.name, Ping(state.number()), state)
+    post(instance, Ping(state.number()), state)
+
+
+def post(instance: InstanceRow, message: Ping | Pong, state: State) -> None:
+    """Send a heartbeat, which does not count as a use of the contact."""
+    state.outbox.append(SendPeer(instance.name, instance.address, message))
 
 
 @handle_peer.register
@@ -97,10 +104,11 @@
 def _(message: Ping, sender: str, state: State) -> None:
     now = state.clock.monotonic()
     instance = state.instances.get(sender)
-    if instance is not None:
-        instance.last_heard = now
+    if instance is None:
+        return
+    instance.last_heard = now
     store_age = (now - state.view.confirmed_at) // MILLISECOND
-    peers.send(sender, Pong(message.number, store_age, samples(state)), state)
+    post(instance, Pong(message.number, store_age, samples(state)), state)
 
 
 def samples(state: State) -> tuple[EndpointSample, ...]:
--- a/tests/test_failover_basic.py
+++ b/tests/test_failover_basic.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from pimentodrift import rejoining
+from pimentodrift.database_group import DroppedEntry
 from pimentodrift.messages import StopRequested
 from pimentodrift.tables import Presence, Stage
 
@@ -86,6 +88,21 @@
     assert_settled(fleet)
 
 
+def test_primary_returns_while_a_term_is_being_reserved(fleet: Fleet) -> None:
+    """Guards against the replacement of a primary that works again."""
+    for state in fleet.states.values():
+        state.used_terms["g"] = 9
+    fleet.cut("store", *fleet.names)
+    fleet.crash("d1")
+    fleet.run(2000)
+    assert any(state.failovers for state in fleet.states.values())
+    fleet.databases["d1"].up = True
+    fleet.run(1000)
+    fleet.cuts.clear()
+    fleet.run(3000)
+    assert fleet.promotions == {}
+
+
 @pytest.mark.parametrize("lost", ["store", "group_promote", "group_follow"])
 def test_lost_answer(fleet: Fleet, lost: str) -> None:
     """Guards against two primaries or a stuck group after an unclear answer."""
@@ -180,6 +197,23 @@
     assert fleet.databases["d1"].role == "replica"
 
 
+def test_steady_state_leaves_the_store_alone(fleet: Fleet) -> None:
+    """Guards against instances that overwrite each other's reservations."""
+    version = fleet.version
+    fleet.run(10_000)
+    assert fleet.version == version
+    assert len(fleet.states["a"].groups["g"].reservations) == 2
+
+
+def test_many_dropped_entries_are_divided() -> None:
+    """Guards against objects that are larger than the store accepts."""
+    sizes = [10] * 2500 + [300_000] * 2
+    entries = [DroppedEntry(1, n, "x" * size) for n, size in enumerate(sizes)]
+    divided = list(rejoining.parts(entries))
+    assert [len(part) for part in divided] == [1000, 1000, 501, 1]
+    assert [entry for part in divided for entry in part] == entries
+
+
 def test_dead_instance_is_suspected_until_it_answers(fleet: Fleet) -> None:
     """Guards against an endpoint without owner and against flapping ownership."""
     fleet.dead.add("b")
