--- a/pimentodrift/detection.py
+++ b/pimentodrift/detection.py
@@ -62,9 +62,11 @@
     """
     now = state.clock.monotonic()
     times = [timedelta(0)]
-    for endpoint in group_endpoints(group, state):
-        row = state.rejoins.get(endpoint.name)
-        if row is not None and row.ahead_since is not None and owns(endpoint, state):
+    for row in state.rejoins.values():
+        if row.ahead_since is None:
+            continue
+        endpoint = state.endpoints.get(row.endpoint)
+        if endpoint is not None and endpoint.group == group and owns(endpoint, state):
             times.append(now - row.ahead_since)
     return max(times)
 
--- a/pimentodrift/replication.py
+++ b/pimentodrift/replication.py
@@ -77,32 +77,37 @@
     status = parse_status(status_rows)
     term = status.term if status.role == Role.PRIMARY else 0
     progress = [] if progress_rows is None else parse_replicas(progress_rows)
+    members = group_members(job.endpoint, state)
     state.counters["replication.readings"] += 1
     for write in list(state.waiting_writes.get(job.endpoint, {}).values()):
         if write.number > job.number:
             continue
         if write.position.term != term:
             fail(write, "the endpoint is not the primary of the write's term", state)
-        elif is_replicated(write, progress, state):
+        elif is_replicated(write, progress, members):
             acknowledge(write, state)
     begin_reading(job.endpoint, state)
 
 
+def group_members(endpoint: str, state: State) -> set[str]:
+    """Return the endpoints of an endpoint's group; none if it is not listed."""
+    row = state.endpoints.get(endpoint)
+    if row is None:
+        return set()
+    return {member.name for member in group_endpoints(row.group, state)}
+
+
 def is_replicated(
-    write: WaitingWrite, progress: list[ReplicaProgress], state: State
+    write: WaitingWrite, progress: list[ReplicaProgress], members: set[str]
 ) -> bool:
     """Return whether enough endpoints of the group have received a write."""
-    endpoint = state.endpoints.get(write.endpoint)
-    if endpoint is None:
-        return False
-    members = {row.name for row in group_endpoints(endpoint.group, state)}
     received = {
         row.endpoint
         for row in progress
         if row.term == write.position.term and row.received >= write.position.offset
     }
     received = (received | {write.endpoint}) & members
-    return len(received) >= required(write.durability, len(members))
+    return bool(members) and len(received) >= required(write.durability, len(members))
 
 
 def required(durability: Durability, members: int) -> int:
