Place a rejoining endpoint's log only by what is known about it

A trial of the state machine ended with a replica whose log had left the group's: an instance that had just started saw the endpoint only fenced, which does not tell its last term, and made it follow from the current term's start. Such an endpoint now waits for a new term, whose fence tells its last term.

--- a/pimentodrift/failover.py
+++ b/pimentodrift/failover.py
@@ -189,11 +189,15 @@
 
 @job_ended.register
 def _(job: FenceJob, results: Results | None, state: State) -> None:
+    rows = rows_of(results, 0)
+    answer = None if rows is None else parse_fence(rows)
+    if answer is not None and answer.accepted:
+        learned = rejoin_row(job.endpoint, state)
+        learned.lineage_term = answer.last_term
+        learned.read_at = state.clock.monotonic()
     row = current(job.group, job.term, Stage.FENCING, state)
     if row is None:
         return
-    rows = rows_of(results, 0)
-    answer = None if rows is None else parse_fence(rows)
     row.outstanding.discard(job.endpoint)
     if answer is None:
         state.counters["failover.fences_failed"] += 1
@@ -202,7 +206,6 @@
         return
     else:
         row.fences[job.endpoint] = answer
-        rejoin_row(job.endpoint, state).lineage_term = answer.last_term
     finish_fencing(row, state)
 
 
@@ -311,10 +314,9 @@
 
 
 def follow_others(row: FailoverRow, group: GroupRow, state: State) -> None:
-    """Make the endpoints follow that do not yet."""
-    for endpoint in group_endpoints(row.group, state):
-        if endpoint.name != row.chosen and endpoint.name not in row.following:
-            follow(endpoint.name, group, state)
+    """Make the fenced endpoints follow; the owners care for the others."""
+    for name in sorted(set(row.fences) - {row.chosen} - row.following):
+        follow(name, group, state)
 
 
 def keep_following(
--- a/pimentodrift/rejoining.py
+++ b/pimentodrift/rejoining.py
@@ -32,6 +32,8 @@
 COMMAND_TIMEOUT = timedelta(milliseconds=500)
 # Reads avoid an endpoint for this long; each status reading renews it.
 EXCLUSION = timedelta(seconds=1)
+# A failure counts after 400 ms, so two changes of primary take longer than this.
+MAX_READING_GAP = timedelta(milliseconds=700)
 MAX_ENTRIES = 1000  # Entries in one object.
 # The store holds values up to a megabyte; JSON escapes can double a statement.
 MAX_OBJECT_CHARACTERS = 400_000
@@ -68,15 +70,15 @@
     if group.term == 0:
         return
     row = rejoin_row(endpoint.name, state)
-    if status.role != Role.FENCED:
-        row.lineage_term = status.term
-    if status.term <= group.term:
+    note_lineage(row, status, state)
+    is_stranded = status.term > group.term or row.lineage_term is None
+    if not is_stranded:
         row.ahead_since = None
     if endpoint.name == group.primary:
         return
     if row.checked_term < group.term:
         endpoint.failing_until = state.clock.monotonic() + EXCLUSION
-    if status.term > group.term:
+    if is_stranded:
         # A change of primary is in progress or was given up; `detection` decides.
         if row.ahead_since is None:
             row.ahead_since = state.clock.monotonic()
@@ -87,20 +89,34 @@
         begin_check(row, group, state)
 
 
+def note_lineage(row: RejoinRow, status: EndpointStatus, state: State) -> None:
+    """Record up to which term an endpoint's log is surely part of the group's.
+
+    A fenced endpoint does not tell; what is known from before holds only if no whole
+    change of primary can have passed since the last reading.
+    """
+    now = state.clock.monotonic()
+    if status.role != Role.FENCED:
+        row.lineage_term = status.term
+    elif now - row.read_at > MAX_READING_GAP:
+        row.lineage_term = None
+    row.read_at = now
+
+
 def rejoin_row(endpoint: str, state: State) -> RejoinRow:
     """Return the row of an endpoint's return to its group."""
     return state.rejoins.setdefault(endpoint, RejoinRow(endpoint))
 
 
 def start_position(endpoint: str, group: GroupRow, state: State) -> int | None:
-    """Return the last offset up to which an endpoint's log is the group's log.
+    """Return the last offset up to which an endpoint's log is the group's, if known.
 
     An endpoint that missed several terms left the group's log where the first of
     them started, not where the current one did.
     """
     lineage = rejoin_row(endpoint, state).lineage_term
     if lineage is None or group.term not in group.term_starts:
-        return group.term_starts.get(group.term)
+        return None
     missed = (start for term, start in group.term_starts.items() if term > lineage)
     return min(missed, default=group.term_starts[group.term])
 
