Prove requirement 1 on real processes: roaming sessions read their own writes

Cause: sessions over lagging replicas were checked only in simulation. Change: test_system_sessions.py moves six sessions to another instance with each request, half of them accepting the declared age, over replicas that lag 100 ms and 2 s or are frozen, and through a paused and a killed primary. Dumps are read without a process each.

--- a/tests/system_support.py
+++ b/tests/system_support.py
@@ -21,6 +21,8 @@
 import psycopg
 from attrs import define, field, frozen
 
+from pimentodrift.dump import fetch_dump
+
 LIMIT_S = 60  # Ends a test that would wait forever; no result depends on it.
 CALL_LIMIT_S = 30  # Above the instances' request timeout of 10 s.
 STOP_LIMIT_S = 40  # Above the time that `local` gives its instances.
@@ -284,9 +286,8 @@
         return dict(self.object("group", name)["value"])
 
     def dump(self, instance: str) -> dict[str, Any]:
-        """Return the state of an instance by the `dump` command."""
-        address = self.instance(instance)["peer_address"]
-        return dict(json.loads(command("dump", address).stdout))
+        """Return the state of an instance as the `dump` command gets it."""
+        return fetch_dump(self.instance(instance)["peer_address"])
 
     def wait_settled(self, group: str) -> None:
         """Wait until all endpoints of a group have the same log and replayed it."""
--- /dev/null
+++ b/tests/test_system_sessions.py
@@ -0,0 +1,162 @@
+"""Requirement 1 on real processes: a session reads its own writes everywhere.
+
+Each session goes to another instance with each request and carries only its token.
+"""
+
+import signal
+from collections.abc import Iterator
+from threading import Thread
+from typing import Any
+
+import pytest
+from attrs import define, field
+
+from .system_support import OK, Answer, Caller, System, running_system, wait_for
+
+GROUP = "certificates"
+SESSIONS = 6
+ROUNDS = 40
+READS = 3  # After each write.
+
+
+@pytest.fixture(scope="module")
+def system() -> Iterator[System]:
+    with running_system() as result:
+        result.create("sessions")
+        yield result
+
+
+@define
+class Session:
+    """A caller with a row of its own, in which it counts its writes."""
+
+    system: System
+    name: str
+    max_age_ms: int | None
+    token: str | None = None
+    written: int = 0
+    seen: int = 0
+    requests: int = 0
+    stale: list[str] = field(factory=list)
+    callers: list[Caller] = field(factory=list)
+
+    def call(self, statement: str, access: str, key: str = "") -> Answer:
+        """Send a request through the next instance and keep the token."""
+        self.callers = self.callers or [Caller(url) for url in self.system.proxies]
+        self.requests += 1
+        answer = self.system.run(
+            self.callers[self.requests % len(self.callers)],
+            statement,
+            access=access,
+            token=self.token,
+            idempotency_key=key,
+            max_age_ms=self.max_age_ms,
+        )
+        if answer.token:
+            self.token = answer.token
+        if answer.status and answer.status != OK and answer.problem == "write-dropped":
+            self.seen = self.written  # It may have seen what nobody was promised.
+        return answer
+
+    def until_ran(self, statement: str, access: str, key: str = "") -> Answer:
+        """Repeat a request until it has run."""
+        found: list[Answer] = []
+
+        def ran() -> bool:
+            found.append(self.call(statement, access, key))
+            return found[-1].status == OK
+
+        wait_for(ran)
+        return found[-1]
+
+    def work(self) -> None:
+        """Write and read."""
+        insert = f"INSERT INTO sessions VALUES ('{self.name}-0')"
+        self.until_ran(insert, "write", f"{self.name}-0")
+        for number in range(1, ROUNDS + 1):
+            text = f"INSERT INTO sessions VALUES ('{self.name}-{number}')"
+            self.until_ran(text, "write", f"{self.name}-{number}")
+            self.written = number
+            for _ in range(READS):
+                self.read()
+
+    def read(self) -> None:
+        """Read the own writes and note what is missing."""
+        text = f"SELECT count(*) FROM sessions WHERE value LIKE '{self.name}-%'"
+        answer = self.until_ran(text, "read")
+        number = int(answer.body["rows"][0][0]) - 1
+        if number < max(self.written, self.seen):
+            self.stale.append(f"{number} of {max(self.written, self.seen)}")
+        self.seen = max(self.seen, number)
+
+
+def run_sessions(system: System, label: str, meanwhile: Any = None) -> None:
+    """Run sessions, half of which accept data of the age that the operators declare."""
+    sessions = [
+        Session(system, f"{label}{number}", None if number % 2 else 0)
+        for number in range(SESSIONS)
+    ]
+    threads = [Thread(target=session.work, daemon=True) for session in sessions]
+    for thread in threads:
+        thread.start()
+    if meanwhile:
+        wait_for(lambda: sum(session.written for session in sessions) > ROUNDS)
+        meanwhile()
+    for thread in threads:
+        thread.join()
+    assert all(session.written == ROUNDS for session in sessions)
+    assert {session.name: session.stale for session in sessions if session.stale} == {}
+
+
+def set_replicas(system: System, name: str, value: int) -> None:
+    """Change a control of both replicas."""
+    primary = system.group(GROUP)["primary"]
+    for row in system.endpoints(GROUP):
+        if row["name"] != primary:
+            system.control(row["name"], name, value)
+
+
+@pytest.mark.parametrize(
+    ("control", "value"), [("lag_ms", 100), ("lag_ms", 2000), ("frozen", 1)]
+)
+def test_replicas_behind(system: System, control: str, value: int) -> None:
+    """Guards against reads from replicas that lack the session's writes."""
+    before = reads_at_replicas(system)
+    set_replicas(system, control, value)
+    run_sessions(system, f"{control}{value}x")
+    set_replicas(system, control, 0)
+    # Without such reads the test would show nothing.
+    run_sessions(system, f"{control}{value}y")
+    assert reads_at_replicas(system) > before
+
+
+def test_failover(system: System) -> None:
+    """Guards against reads from a history that lacks the session's writes."""
+    primary = system.group(GROUP)["primary"]
+    pid = next(r["pid"] for r in system.endpoints(GROUP) if r["name"] == primary)
+    set_replicas(system, "lag_ms", 2000)
+    run_sessions(system, "paused", lambda: pause_until_replaced(system, pid))
+    run_sessions(system, "killed", lambda: kill_primary(system))
+
+
+def pause_until_replaced(system: System, pid: int) -> None:
+    """Stop the primary, and resume it as an old one."""
+    term = system.group(GROUP)["term"]
+    system.signal(pid, signal.SIGSTOP)
+    wait_for(lambda: system.group(GROUP)["term"] > term)
+    system.signal(pid, signal.SIGCONT)
+
+
+def kill_primary(system: System) -> None:
+    """Kill the primary."""
+    primary = system.group(GROUP)["primary"]
+    pid = next(r["pid"] for r in system.endpoints(GROUP) if r["name"] == primary)
+    system.signal(pid, signal.SIGKILL)
+
+
+def reads_at_replicas(system: System) -> int:
+    """Return how many reads the replicas served."""
+    return sum(
+        system.dump(row["name"])["counters"].get("routing.reads_replica", 0)
+        for row in system.line["instances"]
+    )
