--- a/tests/test_failover_basic.py
+++ b/tests/test_failover_basic.py
@@ -273,3 +273,20 @@
         if name == "failover_completed"
     ]
     assert [f"{stage.value}_ms" in completed[0] for stage in Stage] == [True] * 6
+
+
+def test_endpoint_of_an_abandoned_term_returns(fleet: Fleet) -> None:
+    """Guards against a replica that stays out because its log left the group's.
+
+    Term 4 grew from term 2 on d1; d2 has an entry of term 3, which nobody follows.
+    """
+    d1, d2, d3 = fleet.databases.values()
+    d1.log.append((2, 60))
+    d2.log.append((3, 70))
+    d1.term = d3.term = 4
+    d2.term = 3
+    starts = {"1": 0, "2": 5, "3": 5, "4": 6}
+    fleet.put("group", "g", {"term": 4, "primary": "d1", "term_starts": starts})
+    fleet.run(3000)
+    assert d3.log == d1.log
+    assert d2.log == d1.log
