Choose relays, judge outages and answer Subscribe without walking the view

Each tick ranked the data centre's instances out of all; each judgement of an outage, which every keyed request needs while the view is stale, and each Subscribe of a current subscriber walked all instances or objects. The relays now come from the index, the judges from the instances that were heard, and a Subscribe is compared with the newest version first.

--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -8,7 +8,7 @@
 
 from . import peers
 from .dispatch import handle, handle_peer
-from .membership import contact, owned, recheck, suspect, usable
+from .membership import contact, hear, heard, owned, recheck, suspect, usable
 from .messages import (
     ClosePeer,
     EndpointSample,
@@ -90,7 +90,7 @@
 def _(message: Hello, sender: str, state: State) -> None:
     instance = state.instances.get(sender)
     if instance is not None:
-        instance.last_heard = state.clock.monotonic()
+        hear(instance, state)
 
 
 @handle_peer.register
@@ -98,7 +98,7 @@
     now = state.clock.monotonic()
     instance = state.instances.get(sender)
     if instance is not None:
-        instance.last_heard = now
+        hear(instance, state)
     store_age = (now - state.view.confirmed_at) // MILLISECOND
     peers.send(sender, Pong(message.number, store_age, samples(state)), state)
 
@@ -127,7 +127,7 @@
     if instance is None:
         return
     now = state.clock.monotonic()
-    instance.last_heard = now
+    hear(instance, state)
     instance.store_age = message.store_age_ms * MILLISECOND
     contact_row = state.contacts.get(sender)
     if contact_row is not None:
@@ -162,7 +162,7 @@
     names = set(state.contacts)
     names |= {
         row.name
-        for row in state.instances.values()
+        for row in heard(state)
         if usable(row, state) and now - row.last_heard <= CONTACT_LIFETIME
     }
     return names - {state.settings.name}
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -38,6 +38,8 @@
     "data_centre_leaders",
     "first",
     "group_endpoints",
+    "hear",
+    "heard",
     "learn_primary",
     "owned",
     "owner",
@@ -248,6 +250,20 @@
         row.used_at = state.clock.monotonic()
 
 
+def hear(row: InstanceRow, state: State) -> None:
+    """Note that an instance has just been heard."""
+    row.last_heard = state.clock.monotonic()
+    index_of(state).heard[row.name] = row
+
+
+def heard(state: State) -> list[InstanceRow]:
+    """Return the listed instances that were heard since the last pause."""
+    rows = index_of(state).heard
+    for name in [name for name in rows if state.instances.get(name) is not rows[name]]:
+        del rows[name]
+    return [row for row in rows.values() if row.last_heard != NEVER]
+
+
 def run(state: State) -> None:
     """Detect a pause of this process, after which nothing heard before counts."""
     now = state.clock.monotonic()
--- a/pimentodrift/rendezvous.py
+++ b/pimentodrift/rendezvous.py
@@ -69,6 +69,8 @@
     by_group: dict[str, list[EndpointRow]] = field(factory=dict)
     endpoint_regions: dict[str, list[EndpointRow]] = field(factory=dict)
     endpoint_count: int = -1  # Below 0: the endpoints have changed.
+    heard: dict[str, InstanceRow] = field(factory=dict)  # Some may have gone.
+    newest: int = -1  # The highest version of an object; below 0: not known.
     owned: list[EndpointRow] = field(factory=list)
     owned_epoch: int = -1
     owned_at: timedelta = NEVER
@@ -82,6 +84,7 @@
     index = INDEXES.get(id(state))
     if index is None:
         return
+    index.newest = -1
     index.is_stale = index.is_stale or kind == "instance"
     if kind == "endpoint":
         index.endpoint_count = -1
@@ -102,6 +105,15 @@
     return index
 
 
+def newest_version(state: State) -> int:
+    """Return the highest version of an object in the view."""
+    index = index_of(state)
+    if index.newest < 0:
+        versions = (item.version for item in state.view.objects.values())
+        index.newest = max(versions, default=0)
+    return index.newest
+
+
 def index_instances(index: Index, state: State) -> None:
     """Take over the list of instances."""
     index.is_stale = False
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -23,7 +23,8 @@
     ViewUpdate,
     WatchStore,
 )
-from .tables import NEVER, InstanceRow, State, SubscriberRow
+from .rendezvous import newest_version
+from .tables import InstanceRow, State, SubscriberRow
 
 # An instance whose copy is older refuses keyed requests, except in an outage.
 FRESH = timedelta(milliseconds=3500)
@@ -76,12 +77,10 @@
 
 def judges(state: State) -> list[InstanceRow]:
     """Return the other instances whose majority decides: all, or a fleet's contacts."""
-    others = [
-        row for row in state.instances.values() if row.name != state.settings.name
-    ]
-    if len(others) < SMALL_FLEET:
-        return others
-    return [row for row in others if row.last_heard != NEVER]
+    own = state.settings.name
+    if len(state.instances) - (own in state.instances) < SMALL_FLEET:
+        return [row for row in state.instances.values() if row.name != own]
+    return [row for row in membership.heard(state) if row.name != own]
 
 
 def hears_majority(state: State) -> bool:
@@ -115,14 +114,11 @@
 
 def relays(state: State) -> list[str]:
     """Return the names of the relays of this instance's data centre."""
-    rows = [
-        row
-        for row in state.instances.values()
-        if row.data_centre == state.settings.data_centre
-        and membership.usable(row, state)
-    ]
-    ordered = membership.ranked(f"relay/{state.settings.data_centre}", rows)
-    return [row.name for row in ordered[:RELAYS_PER_DATA_CENTRE]]
+    data_centre = state.settings.data_centre
+    rows = membership.data_centre_leaders(
+        f"relay/{data_centre}", data_centre, RELAYS_PER_DATA_CENTRE, state
+    )
+    return [row.name for row in rows]
 
 
 def choose_relay(state: State) -> str:
@@ -265,9 +261,10 @@
     now = state.clock.monotonic()
     row = SubscriberRow(sender, message.version, message.number, now)
     state.view.subscribers[sender] = row
-    newer = [
-        item for item in state.view.objects.values() if item.version > message.version
-    ]
+    newer = []
+    if message.version < newest_version(state):
+        items = state.view.objects.values()
+        newer = [item for item in items if item.version > message.version]
     send_update(row, newer, state)
 
 
