--- a/bench/slopes_measure.py
+++ b/bench/slopes_measure.py
@@ -15,7 +15,6 @@
 T = TypeVar("T")
 MICROSECOND = 1e-6
 MIN_CPU_S = 0.02  # The clock's resolution is below a thousandth of this.
-MAX_REPEATS = 10_000
 # A cost per call that grows less than this over the sizes counts as constant.
 FLAT_GROWTH = 1.5
 # Cold caches add up to this to a call in a larger state.
@@ -65,18 +64,23 @@
         return "SCAN" if self.expected == "flat" else "NOT A LINE"
 
 
-def cpu_us(call: Callable[[], object], max_repeats: int = MAX_REPEATS) -> float:
-    """Return the CPU time of a call in microseconds, averaged."""
+def cpu_us(call: Callable[[], object]) -> float:
+    """Return the CPU time of a call in microseconds, averaged.
+
+    Reading the clock takes a system call, so it is read once for many calls.
+    """
     gc.collect()
     gc.disable()
     try:
-        repeats, began = 0, process_time()
+        repeats = 1
         while True:
-            call()
-            repeats += 1
+            began = process_time()
+            for _ in range(repeats):
+                call()
             spent = process_time() - began
-            if spent >= MIN_CPU_S or repeats >= max_repeats:
+            if spent >= MIN_CPU_S:
                 return spent / repeats / MICROSECOND
+            repeats *= 2
     finally:
         gc.enable()
 
