--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -7,9 +7,11 @@
 from collections.abc import Callable
 
 from . import (
+    slopes_calls,
     slopes_core,
     slopes_shell,
     slopes_statements,
+    slopes_target,
     slopes_totals,
     slopes_wire,
 )
@@ -17,7 +19,7 @@
 
 SECTIONS: dict[str, Callable[[], list[Row]]] = {
     "memory": slopes_core.memory_rows,
-    "calls": slopes_core.call_rows,
+    "calls": slopes_calls.call_rows,
     "statements": slopes_statements.statement_rows,
     "systems": slopes_core.system_rows,
     "shell": slopes_shell.shell_rows,
@@ -64,6 +66,8 @@
             rows = measure()
             print_section(title, rows)
             found += rows
+    if only in "target":
+        slopes_target.print_target()
     if not only:
         slopes_totals.print_totals(found)
 
--- a/bench/slopes_core.py
+++ b/bench/slopes_core.py
@@ -1,4 +1,4 @@
-"""Costs of the decision core for `bench.slopes`: systems, tables and messages.
+"""Costs of the decision core for `bench.slopes`: systems and tables.
 
 Every row varies one size and keeps the others small, so that a list which is scanned
 on each call or tick shows as a cost that grows with its length.
@@ -8,26 +8,18 @@
 from datetime import timedelta
 from time import process_time
 
-from attrs import frozen
-
-from pimentodrift import configuration, core, heartbeats, membership, rates, view
-from pimentodrift.allocation import balance, take_over
+from pimentodrift import configuration, core, membership, rates
+from pimentodrift.allocation import take_over
 from pimentodrift.dispatch import handle_peer
 from pimentodrift.messages import (
     Epoch,
-    Ping,
-    Pong,
     ShareReport,
     StoreObject,
-    StoreWritten,
-    Subscribe,
-    WriteStore,
 )
-from pimentodrift.store_writes import StoreOutcome, write, write_ended
 from pimentodrift.tables import ClaimRow, State, SubscriberRow
 
 from . import slopes_world as world
-from .slopes_measure import MICROSECOND, Row, allocated, cpu_us, sweep
+from .slopes_measure import MICROSECOND, Row, allocated, sweep
 
 INSTANCES = (100, 1000, 5800)
 DATABASES = (99, 999, 6900)
@@ -35,8 +27,6 @@
 PEERS = (10, 100, 1000)
 SUBSCRIBERS = (8, 64, 512)
 HOLDERS = (8, 64, 512)
-SHARES = (8, 64, 512)
-PIECES = (1, 8, 100)
 KEYS_PER_WORKSPACE = 2
 FEW_DATABASES = 30
 FEW_INSTANCES = 24
@@ -214,114 +204,6 @@
     return allocated(make)[1]
 
 
-# --- Calls
-
-
-def call_rows() -> list[Row]:
-    """Return the CPU time of calls that requests and messages make."""
-    return [
-        sweep(
-            "owner of an endpoint", "instances", INSTANCES, owner_cost, expected="flat"
-        ),
-        sweep(
-            "watchers of a group",
-            "instances",
-            INSTANCES,
-            watchers_cost,
-            expected="flat",
-        ),
-        sweep(
-            "endpoints of a group", "databases", DATABASES, group_cost, expected="flat"
-        ),
-        sweep("Ping answered", "databases", DATABASES, pong_cost, expected="flat"),
-        sweep("choice of a relay", "instances", INSTANCES, relay_cost, expected="flat"),
-        sweep("outage judged", "instances", INSTANCES, outage_cost, expected="flat"),
-        sweep(
-            "Subscribe, up to date",
-            "instances",
-            INSTANCES,
-            subscribe_cost,
-            expected="flat",
-        ),
-        sweep("push of one object", "subscribers", SUBSCRIBERS, push_cost),
-        sweep("heartbeats, per round", "peers", PEERS, heartbeat_cost),
-        sweep("second of shares held", "shares", SHARES, held_cost),
-        sweep(
-            "share report answered", "holders", HOLDERS, report_cost, expected="flat"
-        ),
-        sweep("ledger balanced", "holders", HOLDERS, balance_cost),
-        sweep(
-            "conditional update", "instances", INSTANCES, update_cost, expected="flat"
-        ),
-        sweep(
-            "instance object applied",
-            "instances",
-            INSTANCES,
-            apply_cost,
-            expected="flat",
-        ),
-        *change_rows(),
-    ]
-
-
-def owner_cost(size: int) -> float:
-    """Return the cost of finding an owner again."""
-    state = world.make_world(size, FEW_DATABASES)
-    row = state.endpoints["database-0"]
-    return cpu_us(lambda: membership.owner(row, state))
-
-
-def watchers_cost(size: int) -> float:
-    """Return the cost of finding the watchers of a group again."""
-    state = world.make_world(size, FEW_DATABASES)
-    return cpu_us(lambda: membership.watchers("group-0", state))
-
-
-def group_cost(size: int) -> float:
-    """Return the cost of finding the endpoints of a group again."""
-    state = world.make_world(FEW_INSTANCES, size)
-    return cpu_us(lambda: membership.group_endpoints("group-0", state))
-
-
-def pong_cost(size: int) -> float:
-    """Return the cost of a `Ping` when all endpoints were read recently."""
-    state = world.make_world(FEW_INSTANCES, size)
-    for row in state.endpoints.values():
-        row.sampled_at = state.clock.monotonic()
-
-    def call() -> None:
-        handle_peer(Ping(1), "instance-1", state)
-        state.outbox.clear()
-
-    return cpu_us(call)
-
-
-def relay_cost(size: int) -> float:
-    """Return the cost of choosing the relay again."""
-    state = world.make_world(size, 0)
-    return cpu_us(lambda: view.choose_relay(state))
-
-
-def outage_cost(size: int) -> float:
-    """Return the cost of judging an outage with a stale view, as requests do."""
-    state = world.make_world(size, 0)
-    move(state)
-    state.view.confirmed_at -= timedelta(seconds=10)
-    return cpu_us(lambda: view.is_outage(state))
-
-
-def subscribe_cost(size: int) -> float:
-    """Return the cost of a `Subscribe` of an instance whose copy is current."""
-    state = world.make_world(size, 0)
-    message = Subscribe(state.view.version, 1)
-
-    def call() -> None:
-        handle_peer(message, "instance-1", state)
-        state.outbox.clear()
-
-    return cpu_us(call)
-
-
 def add_subscriber(state: State, index: int) -> None:
     """Add a subscriber that was just heard."""
     name = f"instance-{index}"
@@ -329,41 +211,6 @@
     state.view.subscribers[name] = SubscriberRow(name, state.view.version, 1, now)
 
 
-def push_cost(size: int) -> float:
-    """Return the cost of pushing one object, with its bytes for each subscriber."""
-    state = world.make_world(size + 1, 0)
-    for index in range(1, size + 1):
-        add_subscriber(state, index)
-    item = world.instance(1, state.view.version)
-
-    def call() -> None:
-        view.push([item], state)
-        for message in core.take_outbox(state):
-            world.encode(message)
-
-    return cpu_us(call)
-
-
-def heartbeat_cost(size: int) -> float:
-    """Return the cost of a round of pings and their answers."""
-    state = world.make_world(size + 1, 0)
-    names = [f"instance-{index}" for index in range(1, size + 1)]
-    for name in names:
-        membership.contact(name, state)
-
-    def call() -> None:
-        move(state, heartbeats.PING_INTERVAL)
-        for name in names:
-            membership.contact(name, state)
-        heartbeats.run(state)
-        for message in core.take_outbox(state):
-            world.encode(message)
-        for name in names:
-            handle_peer(Pong(state.next_number, 100), name, state)
-
-    return cpu_us(call)
-
-
 def make_allocator(holders: int) -> State:
     """Return the state of the allocator of a workspace."""
     state = world.make_world(holders, 3, 1)
@@ -381,121 +228,3 @@
     epoch = state.allocations["workspace-0"].epoch
     message = ShareReport("workspace-0", epoch, rate, rate, 0.0, 5.0, 0.0, 1)
     handle_peer(message, f"instance-{index}", state)
-
-
-def report_cost(size: int) -> float:
-    """Return the cost of answering a report, with its bytes."""
-    state = make_allocator(size)
-    for index in range(size):
-        report_share(state, index)
-
-    def call() -> None:
-        report_share(state, 1)
-        for message in core.take_outbox(state):
-            world.encode(message)
-
-    state.outbox.clear()
-    return cpu_us(call)
-
-
-def held_cost(size: int) -> float:
-    """Return the cost of shares in a second of ticks, with the bytes of reports."""
-    state = world.make_world(FEW_INSTANCES, 3, size)
-    value = {"epoch": 1, "holder": "instance-1"}
-    first = state.view.version + 1
-    items = [
-        StoreObject("allocator", f"workspace-{index}", first + index, value)
-        for index in range(size)
-    ]
-    world.receive(state, items)
-    for index in range(size):
-        rates.share_of(f"workspace-{index}", state).rate = 1.0
-
-    def call() -> None:
-        for _ in range(SECOND_OF_TICKS):
-            move(state)
-            rates.run(state)
-            for message in core.take_outbox(state):
-                world.encode(message)
-
-    return cpu_us(call)
-
-
-def balance_cost(size: int) -> float:
-    """Return the cost of a balancing of a ledger."""
-    state = make_allocator(size)
-    for index in range(size):
-        report_share(state, index)
-    row = state.allocations["workspace-0"]
-    declared = state.configuration.workspaces["workspace-0"]
-
-    def call() -> None:
-        move(state, timedelta(milliseconds=100))
-        for holding in row.holdings.values():
-            holding.heard_at = state.clock.monotonic()
-        balance(row, declared, state)
-        state.outbox.clear()
-
-    return cpu_us(call)
-
-
-@frozen
-class Probe:
-    """The purpose of an update that nothing waits for."""
-
-
-@write_ended.register
-def _(purpose: Probe, outcome: StoreOutcome, state: State) -> None:
-    """Ignore the outcome."""
-
-
-def update_cost(size: int) -> float:
-    """Return the cost of a conditional update and its answer."""
-    state = world.make_world(size, 3)
-
-    def call() -> None:
-        version = state.view.version + 1
-        write(StoreObject("dropped", "x", 0, {}), {}, Probe(), state)
-        sent = core.take_outbox(state)[0]
-        assert isinstance(sent, WriteStore)
-        written = StoreObject("dropped", "x", version, {})
-        core.handle(StoreWritten(sent.call, written), state)
-
-    return cpu_us(call)
-
-
-def apply_cost(size: int) -> float:
-    """Return the cost of a changed instance, with the next look at an owner."""
-    state = world.make_world(size, FEW_DATABASES)
-    row = state.endpoints["database-0"]
-
-    def call() -> None:
-        world.receive(state, [world.instance(1, state.view.version + 1)])
-        membership.owner(row, state)
-
-    return cpu_us(call)
-
-
-def change_rows() -> list[Row]:
-    """Return the cost of a changed piece of a manifest, with 2,300 workspaces."""
-    return [
-        sweep("configuration change, 2,300 workspaces", "pieces", PIECES, change_cost)
-    ]
-
-
-def change_cost(count: int) -> float:
-    """Return the cost of a publication that changes one piece."""
-    state = world.make_world(2, 3, WORKSPACES[-1], count)
-    part = state.view.objects["piece", "piece-0"].value
-    numbers = iter(range(1_000_000))
-
-    def call() -> None:
-        name = f"changed-{next(numbers)}"
-        version = state.view.version
-        items = [
-            StoreObject("piece", name, version + 1, part),
-            world.manifest(count, version + 2, name),
-        ]
-        world.receive(state, items)
-
-    return cpu_us(call)
--- /dev/null
+++ b/bench/slopes_target.py
@@ -0,0 +1,38 @@
+"""Measures one idle instance at the target scale for `bench.slopes`.
+
+It has all instances, databases and workspaces of the target in its view, and nothing
+answers what it sends; so this checks the extrapolation for systems and rows.
+"""
+
+from time import process_time
+
+from pimentodrift.tables import State
+
+from . import slopes_world as world
+from .slopes_core import TICK_S, run_systems, tick_costs
+from .slopes_measure import MICROSECOND, allocated
+from .slopes_totals import DATABASES, INSTANCES, MB, PIECES, WORKSPACES
+
+SHOWN_SHARE = 0.001  # Of a core; systems below it are left out.
+
+
+def make_target() -> State:
+    """Return the state of an instance at the target scale."""
+    return world.make_world(INSTANCES, DATABASES, WORKSPACES, PIECES, near=DATABASES)
+
+
+def print_target() -> None:
+    """Print the memory of the tables and the CPU time of each system's tick."""
+    state, size = allocated(make_target)
+    began = process_time()
+    run_systems(state, {})
+    first_s = process_time() - began
+    costs = tick_costs(state)
+    costs["all systems"] = sum(costs.values())
+    print("\n### target, measured\n")
+    print(f"Tables: {size / MB:.1f} MB. First tick: {first_s:.2f} s.\n")
+    print("| system | us a tick | % of a core |\n|---|---|---|")
+    for name, cost in costs.items():
+        share = cost * MICROSECOND / TICK_S
+        if share >= SHOWN_SHARE:
+            print(f"| {name} | {cost:,.1f} | {100 * share:.2f} |", flush=True)
--- a/bench/slopes_totals.py
+++ b/bench/slopes_totals.py
@@ -4,6 +4,10 @@
 targets do not state are the constants below; docs/slopes.md discusses them.
 """
 
+import resource
+import subprocess
+import sys
+
 from attrs import frozen
 
 from . import slopes_wire
@@ -152,6 +156,14 @@
     ]
 
 
+def base_memory() -> int:
+    """Return the resident bytes of a process that has imported the package."""
+    code = "import pimentodrift.process; print(open('/proc/self/statm').read())"
+    command = [sys.executable, "-c", code]
+    found = subprocess.run(command, capture_output=True, check=True, text=True)
+    return int(found.stdout.split()[1]) * resource.getpagesize()
+
+
 def memory_lines(costs: Costs) -> list[Line]:
     """Return what an instance keeps, in bytes."""
     return [
@@ -165,6 +177,7 @@
             costs.slope("share allocated to a holder"),
         ),
         Line("peers", PEERS, costs.slope("peer with heartbeats")),
+        Line("interpreter and modules", 1, base_memory()),
         Line("caller connections", CONNECTIONS, costs.slope("caller connection, idle")),
     ]
 
--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -98,9 +98,12 @@
 def claim_if_vacant(workspace: str, state: State) -> None:
     """Become the allocator if there is none and this instance comes first."""
     own = state.settings.name
+    item = state.view.objects.get(("allocator", workspace))
+    if item is not None and item.value is not None:
+        holder = item.value["holder"]
+        if holder != own and is_usable(holder, state):
+            return
     stored = stored_epoch(workspace, state)
-    if stored.holder != own and is_usable(stored.holder, state):
-        return
     now = state.clock.monotonic()
     claim = state.claims.get(workspace)
     if claim is not None and now - claim.sent_at < CLAIM_TIMEOUT:
@@ -117,7 +120,6 @@
     epoch = Epoch(stored.number + 1, own)
     claim = ClaimRow(workspace, epoch, stored.holder, now)
     state.claims[workspace] = claim
-    item = state.view.objects.get(("allocator", workspace))
     target = item or StoreObject("allocator", workspace, 0, None)
     value = {"epoch": epoch.number, "holder": own}
     write(target, value, claim, state)
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -222,11 +222,10 @@
     """
     index = index_of(state)
     reservations = state.groups[group].reservations
-    key = f"watchers/{group}"
-    ranking = index.rankings.get(key)
+    ranking = index.watchers.get(group)
     if ranking is None or not stands(ranking, reservations, index, state):
         rows = find_watchers(group, index, state)
-        ranking = index.rankings[key] = Ranking(index.epoch, rows, reservations)
+        ranking = index.watchers[group] = Ranking(index.epoch, rows, reservations)
     return [row.name for row in ranking.rows]
 
 
--- a/pimentodrift/rendezvous.py
+++ b/pimentodrift/rendezvous.py
@@ -66,6 +66,7 @@
     epoch: int = 0  # Grows with each addition and with changes of endpoints.
     winners: dict[tuple[str, str], Winner] = field(factory=dict)
     rankings: dict[str, Ranking] = field(factory=dict)
+    watchers: dict[str, Ranking] = field(factory=dict)  # By group.
     by_group: dict[str, list[EndpointRow]] = field(factory=dict)
     endpoint_regions: dict[str, list[EndpointRow]] = field(factory=dict)
     endpoint_count: int = -1  # Below 0: the endpoints have changed.
@@ -206,7 +207,12 @@
 
 def is_usable(row: InstanceRow, index: Index, state: State) -> bool:
     """Return whether a row is listed and usable; if not, wait for it to be."""
-    if state.instances.get(row.name) is not row:
+    is_listed = state.instances.get(row.name) is row
+    if is_listed and row.suspected_until == NEVER and row.suspected_number is None:
+        # The rule, without a further call; probes ask for each endpoint at each tick.
+        if row.presence is Presence.LIVE:
+            return True
+    elif not is_listed:
         index.is_stale = True
         return False
     if usable(row, state):
@@ -296,4 +302,5 @@
     """Return whether a ranking is what it would be if it were made now."""
     if ranking.epoch != index.epoch or ranking.source is not source:
         return False
-    return all(is_usable(row, index, state) for row in ranking.rows)
+    # Of two or three rows; a generator would cost more than it saves.
+    return all([is_usable(row, index, state) for row in ranking.rows])
