--- a/bench/slopes_totals.py
+++ b/bench/slopes_totals.py
@@ -4,6 +4,10 @@
 targets do not state are the constants below; docs/slopes.md discusses them.
 """
 
+import resource
+import subprocess
+import sys
+
 from attrs import frozen
 
 from . import slopes_wire
@@ -82,7 +86,7 @@
         return self.find(name, size_of).costs[0]
 
 
-def cpu_lines(costs: Costs, reporting: float) -> list[Line]:
+def cpu_lines(costs: Costs) -> list[Line]:
     """Return the control work of an instance a second, in microseconds."""
     peer = costs.slope("heartbeats, per round")
     report = costs.largest("share report answered")
@@ -114,8 +118,12 @@
         Line(
             "heartbeats answered", PINGS_PER_S * PEERS, costs.largest("Ping answered")
         ),
-        Line("share reports sent", REPORTS_PER_S * reporting, report),
-        Line("share reports answered", REPORTS_PER_S * reporting, report),
+        Line(
+            "shares held and reported",
+            ACTIVE_WORKSPACES,
+            costs.slope("second of shares held"),
+        ),
+        Line("share reports answered", REPORTS_PER_S * ALLOCATED * HOLDERS, report),
         Line(
             "ledgers balanced",
             BALANCES_PER_S * ALLOCATED * HOLDERS,
@@ -148,24 +156,33 @@
     ]
 
 
+def base_memory() -> int:
+    """Return the resident bytes of a process that has imported the package."""
+    code = "import pimentodrift.process; print(open('/proc/self/statm').read())"
+    command = [sys.executable, "-c", code]
+    found = subprocess.run(command, capture_output=True, check=True, text=True)
+    return int(found.stdout.split()[1]) * resource.getpagesize()
+
+
 def memory_lines(costs: Costs) -> list[Line]:
     """Return what an instance keeps, in bytes."""
     return [
         Line("instances", INSTANCES, costs.slope("instance: object and row")),
         Line("databases", DATABASES, costs.slope("database: objects and rows")),
         Line("workspaces", WORKSPACES, costs.slope("workspace, two keys")),
-        Line("shares held", WORKSPACES, costs.slope("share held, idle")),
+        Line("shares held", ACTIVE_WORKSPACES, costs.slope("share held, idle")),
         Line(
             "shares allocated",
             ALLOCATED * HOLDERS,
             costs.slope("share allocated to a holder"),
         ),
         Line("peers", PEERS, costs.slope("peer with heartbeats")),
+        Line("interpreter and modules", 1, base_memory()),
         Line("caller connections", CONNECTIONS, costs.slope("caller connection, idle")),
     ]
 
 
-def wire_lines(reporting: float) -> list[Line]:
+def wire_lines() -> list[Line]:
     """Return the bytes that an instance sends and receives a second."""
     sizes = {
         name: slopes_wire.size(message)
@@ -181,7 +198,7 @@
     return [
         Line("heartbeats to peers", PINGS_PER_S * PEERS, heartbeat),
         Line("heartbeats of peers", PINGS_PER_S * PEERS, heartbeat),
-        Line("shares reported and renewed", REPORTS_PER_S * reporting, renewal),
+        Line("shares reported and renewed", REPORTS_PER_S * ACTIVE_WORKSPACES, renewal),
         Line("shares of other holders", REPORTS_PER_S * ALLOCATED * HOLDERS, renewal),
         Line("subscription", SUBSCRIBES_PER_S, subscription),
         Line("instances changed", INSTANCE_CHANGES_PER_S, changed_instance),
@@ -201,11 +218,11 @@
     print(f"| sum (budget {budget:g}) | | | {total:,.3f} |", flush=True)
 
 
-def print_totals(rows: list[Row], reporting: float) -> None:
+def print_totals(rows: list[Row]) -> None:
     """Print the extrapolation."""
     costs = Costs(rows)
     percent = CPU_BUDGET_US_PER_S
-    print_lines("CPU, control", "% of a core", cpu_lines(costs, reporting), percent, 1)
+    print_lines("CPU, control", "% of a core", cpu_lines(costs), percent, 1)
     print_lines("CPU, relays besides", "% of a core", relay_lines(costs), percent, 1)
     print_lines("memory", "MB", memory_lines(costs), MB, MEMORY_BUDGET_MB)
-    print_lines("wire", "B/s", wire_lines(reporting), 1, WIRE_BUDGET_B_PER_S)
+    print_lines("wire", "B/s", wire_lines(), 1, WIRE_BUDGET_B_PER_S)
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -10,8 +10,6 @@
 from .dispatch import handle
 from .messages import PrimaryChanged, StoreObject
 from .rendezvous import (
-    Index,
-    Ranking,
     first,
     heaviest_few,
     index_of,
@@ -27,8 +25,10 @@
     ContactRow,
     EndpointRow,
     GroupRow,
+    Index,
     InstanceRow,
     Presence,
+    Ranking,
     State,
 )
 
@@ -38,6 +38,8 @@
     "data_centre_leaders",
     "first",
     "group_endpoints",
+    "hear",
+    "heard",
     "learn_primary",
     "owned",
     "owner",
@@ -220,11 +222,10 @@
     """
     index = index_of(state)
     reservations = state.groups[group].reservations
-    key = f"watchers/{group}"
-    ranking = index.rankings.get(key)
+    ranking = index.watchers.get(group)
     if ranking is None or not stands(ranking, reservations, index, state):
         rows = find_watchers(group, index, state)
-        ranking = index.rankings[key] = Ranking(index.epoch, rows, reservations)
+        ranking = index.watchers[group] = Ranking(index.epoch, rows, reservations)
     return [row.name for row in ranking.rows]
 
 
@@ -248,6 +249,20 @@
         row.used_at = state.clock.monotonic()
 
 
+def hear(row: InstanceRow, state: State) -> None:
+    """Note that an instance has just been heard."""
+    row.last_heard = state.clock.monotonic()
+    index_of(state).heard[row.name] = row
+
+
+def heard(state: State) -> list[InstanceRow]:
+    """Return the listed instances that were heard since the last pause."""
+    rows = index_of(state).heard
+    for name in [name for name in rows if state.instances.get(name) is not rows[name]]:
+        del rows[name]
+    return [row for row in rows.values() if row.last_heard != NEVER]
+
+
 def run(state: State) -> None:
     """Detect a pause of this process, after which nothing heard before counts."""
     now = state.clock.monotonic()
--- a/pimentodrift/rendezvous.py
+++ b/pimentodrift/rendezvous.py
@@ -1,7 +1,7 @@
 """Finds the first usable instances for a key by rendezvous hashing.
 
 A fleet has thousands of instances and endpoints, and ownership is asked for at each
-request and tick. So the answers are kept in an `Index` beside the state, which is
+request and tick. So the answers are kept in the state's `Index`, which is
 derived from the tables alone. An answer that is kept is checked before its use: it
 stands while its instances are listed and usable and no other has become so.
 """
@@ -10,12 +10,19 @@
 from datetime import timedelta
 from functools import lru_cache
 from heapq import nlargest
-from weakref import finalize
 
 import xxhash
-from attrs import define, field
 
-from .tables import NEVER, EndpointRow, InstanceRow, Presence, State
+from .tables import (
+    NEVER,
+    Candidate,
+    Index,
+    InstanceRow,
+    Presence,
+    Ranking,
+    State,
+    Winner,
+)
 
 WEIGHT_CACHE = 2**16  # Entries, for 8 instances and some thousand keys.
 # How often unusable instances are looked at, which bounds the cost when many are.
@@ -25,63 +32,11 @@
 # Winners that may prove unusable before all candidates are looked at.
 MAX_UNUSABLE_WINNERS = 3
 
-Candidate = tuple[bytes, InstanceRow]  # With the name's bytes, for hashing.
-
-
-@define(eq=False)
-class Winner:
-    """The first usable instance for a key; `seen` counts the additions compared."""
-
-    key: str
-    region: str
-    row: InstanceRow
-    is_near: bool
-    weight: int
-    seen: int
-
-
-@define(eq=False)
-class Ranking:
-    """The first usable instances for a key at an epoch of the index."""
-
-    epoch: int
-    rows: list[InstanceRow]
-    source: object = None  # What else the ranking depends on.
-
-
-@define(eq=False)
-class Index:
-    """What is derived from the tables of a state to find instances and endpoints."""
-
-    listed: dict[str, InstanceRow] = field(factory=dict)
-    places: dict[str, tuple[str, str]] = field(factory=dict)
-    candidates: list[Candidate] = field(factory=list)
-    by_region: dict[str, list[Candidate]] = field(factory=dict)
-    by_data_centre: dict[str, list[Candidate]] = field(factory=dict)
-    is_stale: bool = True
-    # Rows that were passed over, until they are usable again.
-    unusable: dict[str, InstanceRow] = field(factory=dict)
-    revived_at: timedelta = NEVER
-    added: list[InstanceRow] = field(factory=list)  # That have become usable.
-    epoch: int = 0  # Grows with each addition and with changes of endpoints.
-    winners: dict[tuple[str, str], Winner] = field(factory=dict)
-    rankings: dict[str, Ranking] = field(factory=dict)
-    by_group: dict[str, list[EndpointRow]] = field(factory=dict)
-    endpoint_regions: dict[str, list[EndpointRow]] = field(factory=dict)
-    endpoint_count: int = -1  # Below 0: the endpoints have changed.
-    owned: list[EndpointRow] = field(factory=list)
-    owned_epoch: int = -1
-    owned_at: timedelta = NEVER
-
-
-INDEXES: dict[int, Index] = {}  # By the id of the state.
-
 
 def note_change(kind: str, state: State) -> None:
     """Let the next use of the index take over a change of the tables."""
-    index = INDEXES.get(id(state))
-    if index is None:
-        return
+    index = state.index
+    index.newest = -1
     index.is_stale = index.is_stale or kind == "instance"
     if kind == "endpoint":
         index.endpoint_count = -1
@@ -89,10 +44,7 @@
 
 def index_of(state: State) -> Index:
     """Return the index of a state, up to date with its tables."""
-    index = INDEXES.get(id(state))
-    if index is None:
-        index = INDEXES[id(state)] = Index()
-        finalize(state, INDEXES.pop, id(state))
+    index = state.index
     if index.is_stale or len(index.listed) != len(state.instances):
         index_instances(index, state)
     if index.endpoint_count != len(state.endpoints):
@@ -102,6 +54,15 @@
     return index
 
 
+def newest_version(state: State) -> int:
+    """Return the highest version of an object in the view."""
+    index = index_of(state)
+    if index.newest < 0:
+        versions = (item.version for item in state.view.objects.values())
+        index.newest = max(versions, default=0)
+    return index.newest
+
+
 def index_instances(index: Index, state: State) -> None:
     """Take over the list of instances."""
     index.is_stale = False
@@ -194,7 +155,12 @@
 
 def is_usable(row: InstanceRow, index: Index, state: State) -> bool:
     """Return whether a row is listed and usable; if not, wait for it to be."""
-    if state.instances.get(row.name) is not row:
+    is_listed = state.instances.get(row.name) is row
+    if is_listed and row.suspected_until == NEVER and row.suspected_number is None:
+        # The rule, without a further call; probes ask for each endpoint at each tick.
+        if row.presence is Presence.LIVE:
+            return True
+    elif not is_listed:
         index.is_stale = True
         return False
     if usable(row, state):
@@ -284,4 +250,5 @@
     """Return whether a ranking is what it would be if it were made now."""
     if ranking.epoch != index.epoch or ranking.source is not source:
         return False
-    return all(is_usable(row, index, state) for row in ranking.rows)
+    # Of two or three rows; a generator would cost more than it saves.
+    return all([is_usable(row, index, state) for row in ranking.rows])
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -121,6 +121,60 @@
     version: int = 0  # Of the store's object.
 
 
+# --- rendezvous: derived from the tables of instances and endpoints
+
+Candidate = tuple[bytes, InstanceRow]  # With the name's bytes, for hashing.
+
+
+@define(eq=False)
+class Winner:
+    """The first usable instance for a key; `seen` counts the additions compared."""
+
+    key: str
+    region: str
+    row: InstanceRow
+    is_near: bool
+    weight: int
+    seen: int
+
+
+@define(eq=False)
+class Ranking:
+    """The first usable instances for a key at an epoch of the index."""
+
+    epoch: int
+    rows: list[InstanceRow]
+    source: object = None  # What else the ranking depends on.
+
+
+@define(eq=False)
+class Index:
+    """What is derived from the tables of a state to find instances and endpoints."""
+
+    listed: dict[str, InstanceRow] = field(factory=dict)
+    places: dict[str, tuple[str, str]] = field(factory=dict)
+    candidates: list[Candidate] = field(factory=list)
+    by_region: dict[str, list[Candidate]] = field(factory=dict)
+    by_data_centre: dict[str, list[Candidate]] = field(factory=dict)
+    is_stale: bool = True
+    # Rows that were passed over, until they are usable again.
+    unusable: dict[str, InstanceRow] = field(factory=dict)
+    revived_at: timedelta = NEVER
+    added: list[InstanceRow] = field(factory=list)  # That have become usable.
+    epoch: int = 0  # Grows with each addition and with changes of endpoints.
+    winners: dict[tuple[str, str], Winner] = field(factory=dict)
+    rankings: dict[str, Ranking] = field(factory=dict)
+    watchers: dict[str, Ranking] = field(factory=dict)  # By group.
+    by_group: dict[str, list[EndpointRow]] = field(factory=dict)
+    endpoint_regions: dict[str, list[EndpointRow]] = field(factory=dict)
+    endpoint_count: int = -1  # Below 0: the endpoints have changed.
+    heard: dict[str, InstanceRow] = field(factory=dict)  # Some may have gone.
+    newest: int = -1  # The highest version of an object; below 0: not known.
+    owned: list[EndpointRow] = field(factory=list)
+    owned_epoch: int = -1
+    owned_at: timedelta = NEVER
+
+
 # --- configuration
 
 
@@ -531,6 +585,7 @@
     # Instances whose machine refuses connections: their processes have ended.
     ended: set[str] = field(factory=set)
     endpoints: dict[str, EndpointRow] = field(factory=dict)
+    index: Index = field(factory=Index, repr=False)
     groups: dict[str, GroupRow] = field(factory=dict)
     configuration: Configuration = field(factory=Configuration)
     pending: dict[int, PendingRequest] = field(factory=dict)
