Read the time once when an endpoint's owner is chosen

Each request ranks all instances about twice to find owners, and read the clock for each of them. At the target scale the ranking has to be kept between requests.

--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -111,11 +111,16 @@
 
 def usable(row: InstanceRow, state: State) -> bool:
     """Return whether new work may go to an instance."""
+    return usable_at(row, state.clock.monotonic())
+
+
+def usable_at(row: InstanceRow, now: timedelta) -> bool:
+    """Return whether new work may go to an instance at a time."""
     if row.presence is not Presence.LIVE:
         return False
     if row.suspected_number is not None:
         return False
-    return row.suspected_until <= state.clock.monotonic()
+    return row.suspected_until <= now
 
 
 def suspect(name: str, state: State) -> None:
@@ -151,7 +156,9 @@
     Instances of the endpoint's region go first, so that a database in a region
     without usable instances still has an owner.
     """
-    rows = [row for row in state.instances.values() if usable(row, state)]
+    # Each request asks for owners, so the time is read once for all rows.
+    now = state.clock.monotonic()
+    rows = [row for row in state.instances.values() if usable_at(row, now)]
     ordered = ranked(endpoint.name, rows)
     return sorted(ordered, key=lambda row: row.region != endpoint.region)
 
