--- a/bench/measures_client.py
+++ b/bench/measures_client.py
@@ -23,7 +23,6 @@
 from .load_sessions import read_answer
 
 TIMEOUT_S = 15.0
-ENDS_WITHIN_S = 30.0  # After the last arrival.
 LEFT_OUT_S = 1.0
 STATEMENT = "SELECT 1"
 OK = "ok"
--- a/bench/measures_failover.py
+++ b/bench/measures_failover.py
@@ -19,8 +19,18 @@
 
 from . import bounds, load
 from .bounds import Figure
-from .load_sessions import INSERT, Client, Outcome, Session, Violations, Workspace
-from .measures_system import MeasureFailed, System
+from .load_sessions import (
+    CREATE_INDEX,
+    CREATE_TABLE,
+    INSERT,
+    Client,
+    Outcome,
+    Session,
+    Violations,
+    Workspace,
+)
+from .measures_processes import MeasureFailed
+from .measures_system import System
 
 KILLS = 20
 QUICK_KILLS = 3
@@ -74,8 +84,8 @@
     def gap_end(self, killed: float) -> float | None:
         """Return when the longest pause around a kill ended."""
         times = [at for at in self.acknowledged if at > killed - BEFORE_S]
-        pairs = [pair for pair in zip(times, times[1:], strict=False)]
-        pairs = [pair for pair in pairs if pair[1] > killed]
+        intervals = zip(times, times[1:], strict=False)
+        pairs = [pair for pair in intervals if pair[1] > killed]
         return max(pairs, key=lambda pair: pair[1] - pair[0])[1] if pairs else None
 
 
@@ -132,7 +142,7 @@
     """Create the table in each group."""
     for group in system.groups:
         session = Session("set-up", workspace, group, Violations())
-        for statement in (load.CREATE_TABLE, load.CREATE_INDEX):
+        for statement in (CREATE_TABLE, CREATE_INDEX):
             await load.run_until_done(client, session, statement)
 
 
--- a/bench/measures_fairness.py
+++ b/bench/measures_fairness.py
@@ -26,7 +26,8 @@
     collect,
     sending,
 )
-from .measures_system import LISTED_AFTER_S, MeasureFailed, System
+from .measures_processes import MeasureFailed
+from .measures_system import LISTED_AFTER_S, System
 
 # The workspaces that the example files describe as large on some days.
 FLOODING = {"kanitli": "bogazici-auctions", "heredia": "contract-registry"}
--- a/bench/measures_hop.py
+++ b/bench/measures_hop.py
@@ -18,7 +18,8 @@
 from . import bounds
 from .bounds import Figure
 from .measures_fairness import percentile
-from .measures_system import MeasureFailed, System
+from .measures_processes import MeasureFailed
+from .measures_system import System
 from .measures_wire import STATEMENT, HttpCaller, Plan
 
 READS = 1000
--- /dev/null
+++ b/bench/measures_processes.py
@@ -0,0 +1,65 @@
+"""Processes of the system under measurement: their output, CPU time and control."""
+
+import os
+import subprocess
+from http.client import HTTPConnection
+from pathlib import Path
+from typing import IO
+
+import orjson
+from attrs import define, field
+
+from pimentodrift.children import Child, Children, end_with_parent, environment
+
+OK = 200
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+# Fields of /proc/PID/stat after the command, which ends with ")".
+USER_TIME, SYSTEM_TIME = 11, 12
+
+
+class MeasureFailed(Exception):
+    """The system did not get as far as the measurement needs."""
+
+
+@define
+class LoggedChildren(Children):
+    """Starts children whose output goes to one file."""
+
+    log: IO[bytes]
+    directory: str
+    running: list[Child] = field(factory=list)
+
+    def start(self, name: str, command: list[str], prints_ready: bool) -> Child:
+        """Start a process; databases keep their files in the run's directory."""
+        process = subprocess.Popen(
+            command,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE if prints_ready else self.log,
+            stderr=self.log,
+            env={**environment(), "TMPDIR": self.directory},
+            bufsize=0,
+            preexec_fn=end_with_parent(os.getpid()),  # noqa: PLW1509
+        )
+        child = Child(name, process)
+        self.running.append(child)
+        return child
+
+
+def cpu_time(pid: int) -> float:
+    """Return the CPU seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[USER_TIME]) + int(fields[SYSTEM_TIME])
+    return ticks / TICKS_PER_SECOND
+
+
+def post_json(address: str, path: str, value: object) -> None:
+    """Send JSON to a stand-in; raise MeasureFailed if it refuses."""
+    connection = HTTPConnection(address, timeout=5)
+    try:
+        connection.request("POST", path, orjson.dumps(value))
+        answer = connection.getresponse()
+        answer.read()
+    finally:
+        connection.close()
+    if answer.status != OK:
+        raise MeasureFailed(f"{address}{path}: {answer.status}")
--- a/bench/measures_share.py
+++ b/bench/measures_share.py
@@ -15,7 +15,8 @@
 from .bounds import Figure
 from .load_report import Report, summary
 from .load_sessions import Answer, Client, Session, Violation, Workspace
-from .measures_system import MeasureFailed, System
+from .measures_processes import MeasureFailed
+from .measures_system import System
 
 MEASURED_S = 20.0
 QUICK_S = 6.0
@@ -156,7 +157,8 @@
         after = await asyncio.to_thread(system.counter_sums, *COUNTERS)
         every = [session for some in sessions.values() for session in some]
         await load.verify(every, client, counted)
-    return Phase(*(after[name] - before[name] for name in COUNTERS), counted)
+    primary, replica, behind = (after[name] - before[name] for name in COUNTERS)
+    return Phase(primary, replica, behind, counted)
 
 
 def make_sessions(
--- a/bench/measures_system.py
+++ b/bench/measures_system.py
@@ -10,17 +10,15 @@
 
 import os
 import signal
-import subprocess
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from copy import deepcopy
 from datetime import timedelta
 from hashlib import sha256
-from http.client import HTTPConnection
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
-from typing import IO, Any
+from typing import Any
 
 import orjson
 import psycopg
@@ -30,8 +28,6 @@
     Child,
     Children,
     drain,
-    end_with_parent,
-    environment,
     module_command,
     own_command,
     wait_ready,
@@ -49,6 +45,8 @@
 from pimentodrift.publishing import Publisher
 from pimentodrift.store_api import StoreApi
 
+from .measures_processes import LoggedChildren, MeasureFailed, cpu_time, post_json
+
 # One way between regions, from docs/design.md, section 2.
 LINK_DELAYS = {
     "kanitli": timedelta(milliseconds=20),
@@ -57,42 +55,10 @@
 REPLICA_LAG = timedelta(milliseconds=100)
 LISTED_AFTER_S = 1.0  # The platform's list of instances lags.
 EVENT_PREFIX = "pimentodrift:"
-OK = 200
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-# Fields of /proc/PID/stat after the command, which ends with ")".
-USER_TIME, SYSTEM_TIME = 11, 12
 
 Edit = Callable[[str, dict[str, Any]], None]
 
 
-class MeasureFailed(Exception):
-    """The system did not get as far as the measurement needs."""
-
-
-@define
-class LoggedChildren(Children):
-    """Starts children whose output goes to one file."""
-
-    log: IO[bytes]
-    directory: str
-    running: list[Child] = field(factory=list)
-
-    def start(self, name: str, command: list[str], prints_ready: bool) -> Child:
-        """Start a process; databases keep their files in the run's directory."""
-        process = subprocess.Popen(
-            command,
-            stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE if prints_ready else self.log,
-            stderr=self.log,
-            env={**environment(), "TMPDIR": self.directory},
-            bufsize=0,
-            preexec_fn=end_with_parent(os.getpid()),  # noqa: PLW1509
-        )
-        child = Child(name, process)
-        self.running.append(child)
-        return child
-
-
 @define
 class System(LocalRun):
     """A local run with links, and what the measurements do to it."""
@@ -143,8 +109,8 @@
         """Start a link process for each instance and database."""
         layout = self.layout
         targets = {row.name: (row.region, row.address) for row in layout.databases}
-        for row in layout.instances:
-            targets[row.name] = (row.region, row.peer_address)
+        for instance in layout.instances:
+            targets[instance.name] = (instance.region, instance.peer_address)
         regions = list(self.store_ports)
         free = iter(unused_addresses(len(targets) * (len(regions) - 1), self))
         rewrites: dict[str, dict[str, str]] = {region: {} for region in regions}
@@ -153,9 +119,9 @@
             for region, link in far.items():
                 rewrites[region][address] = link
             self.link_pairs[name] = [(link, address) for link in far.values()]
-        for row in layout.databases:
-            pair = (row.replication, self.replication_ports[row.name])
-            self.link_pairs[row.name].append(pair)
+        for database in layout.databases:
+            pair = (database.replication, self.replication_ports[database.name])
+            self.link_pairs[database.name].append(pair)
         post_json(layout.platform, "/standin/rewrites", rewrites)
         return [self.start_link(name) for name in self.link_pairs]
 
@@ -364,26 +330,6 @@
     return apply
 
 
-def cpu_time(pid: int) -> float:
-    """Return the CPU seconds that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    ticks = int(fields[USER_TIME]) + int(fields[SYSTEM_TIME])
-    return ticks / TICKS_PER_SECOND
-
-
-def post_json(address: str, path: str, value: object) -> None:
-    """Send JSON to a stand-in; raise MeasureFailed if it refuses."""
-    connection = HTTPConnection(address, timeout=5)
-    try:
-        connection.request("POST", path, orjson.dumps(value))
-        answer = connection.getresponse()
-        answer.read()
-    finally:
-        connection.close()
-    if answer.status != OK:
-        raise MeasureFailed(f"{address}{path}: {answer.status}")
-
-
 def unused_addresses(number: int, system: System) -> list[str]:
     """Find free ports that the layout does not use either."""
     used = {system.layout.platform, *system.store_ports.values()}
--- a/bench/measures_wire.py
+++ b/bench/measures_wire.py
@@ -176,10 +176,10 @@
 
     async def connect(self, index: int) -> None:
         """Open a connection."""
-        address = urlsplit(self.plan.proxy)
+        host, _, port = urlsplit(self.plan.proxy).netloc.rpartition(":")
         group = self.plan.groups[index % len(self.plan.groups)]
         _, caller = await asyncio.get_running_loop().create_connection(
-            lambda: Caller(self, group), address.hostname, address.port
+            lambda: Caller(self, group), host, int(port)
         )
         self.idle.append(caller)
 
--- a/bench/run.py
+++ b/bench/run.py
@@ -26,10 +26,13 @@
     measures_share,
 )
 from .bounds import Figure
-from .measures_system import LINK_DELAYS, MeasureFailed, System, running
+from .measures_processes import MeasureFailed
+from .measures_system import LINK_DELAYS, System, running
 
 JSON_FORM = orjson.OPT_INDENT_2 | orjson.OPT_NON_STR_KEYS
-LIMIT_S = 170  # Of one measure, so that a run ends by itself.
+# A run ends by itself: limits of one measure and of all measures of a deployment.
+LIMIT_S = 170
+DEPLOYMENT_LIMIT_S = 355
 
 Measure = Callable[[System, bool], list[Figure]]
 
@@ -95,12 +98,12 @@
 
 def time_out(number: int, frame: FrameType | None) -> NoReturn:
     """End a measure that takes too long."""
-    raise MeasureFailed(f"not done within {LIMIT_S} s")
+    raise MeasureFailed("not done within the time limit")
 
 
-def run_measure(deployment: str, name: str, quick: bool) -> list[Row]:
+def run_measure(deployment: str, name: str, quick: bool, limit_s: float) -> list[Row]:
     """Carry out one measure on a system of its own."""
-    signal.alarm(LIMIT_S)
+    signal.alarm(max(1, int(limit_s)))
     try:
         with running(deployment) as system:
             figures = MEASURES[name](system, quick)
@@ -136,7 +139,9 @@
         started = monotonic()
         print(f"== {deployment}", flush=True)
         for name in arguments.only or list(MEASURES):
-            found = run_measure(deployment, name, arguments.quick)
+            left_s = started + DEPLOYMENT_LIMIT_S - monotonic()
+            limit_s = min(LIMIT_S, left_s)
+            found = run_measure(deployment, name, arguments.quick, limit_s)
             for row in found:
                 print(row.as_text(), flush=True)
             rows += found
