--- a/standins/client_protocol.py
+++ b/standins/client_protocol.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from attrs import define, field
 
@@ -45,11 +46,18 @@
     sent_rows: int = 0
 
 
+class ByteReader(Protocol):
+    """Where a client's bytes come from."""
+
+    async def readexactly(self, n: int, /) -> bytes:
+        """Return exactly n bytes; raise `IncompleteReadError` at the end."""
+
+
 @define(eq=False)
 class Client:
     """Protocol state of one client."""
 
-    reader: asyncio.StreamReader
+    reader: ByteReader
     writer: asyncio.StreamWriter
     session: SqlSession
     statements: dict[str, Prepared] = field(factory=dict)
--- a/standins/database_server.py
+++ b/standins/database_server.py
@@ -6,22 +6,25 @@
 Tests change its behaviour by `SELECT standin_set(NAME, VALUE)` with lag_ms,
 service_ms, connect_ms, frozen (1: replay stops) and cut (1: no replication in either
 direction, while clients still connect). `SELECT name, value FROM standin_counts()`
-tells reads, writes, commits, connections and peaks.
+tells reads, writes, commits, connections and peaks. With the environment variable
+STANDIN_RECORD_DIRECTORY, all bytes from clients are written to a file there.
 """
 
 import argparse
 import asyncio
 import itertools
+import os
 import sys
 from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from typing import BinaryIO
 
 from attrs import define, field
 
 from . import replication, wire
-from .client_protocol import Client
+from .client_protocol import ByteReader, Client
 from .database import Database, Options, Role, Upstream
 from .group_log import GroupLog
 from .processes import CONNECTION_ENDS, host_port, run_until_signal
@@ -30,6 +33,7 @@
 from .storage import Storage
 
 TOO_MANY_CONNECTIONS = "53300"
+RECORD_VARIABLE = "STANDIN_RECORD_DIRECTORY"
 MIN_STARTUP_BYTES = 8  # Length and version.
 MAX_STARTUP_BYTES = 10_000
 PARAMETERS = {
@@ -43,12 +47,27 @@
 }
 
 
+@define(eq=False)
+class RecordingReader:
+    """Writes what it reads to a file, for tests of what endpoints receive."""
+
+    reader: ByteReader
+    file: BinaryIO
+
+    async def readexactly(self, n: int, /) -> bytes:
+        """Return exactly n bytes."""
+        data = await self.reader.readexactly(n)
+        self.file.write(data)
+        return data
+
+
 @define(eq=False)
 class Server:
     """Accepts clients and replicas of one database."""
 
     database: Database
     slots: Slots
+    record: BinaryIO | None = None
     open_clients: int = 0
     numbers: Iterator[int] = field(factory=itertools.count)
 
@@ -56,19 +75,22 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection until it ends."""
+        source: ByteReader = reader
+        if self.record is not None:
+            source = RecordingReader(reader, self.record)
         with suppress(*CONNECTION_ENDS):
-            parameters = await self.startup(reader, writer)
+            parameters = await self.startup(source, writer)
             if parameters is None:
                 pass
             elif "replication" in parameters:
                 name = parameters["user"]
                 await replication.serve_replica(name, reader, writer, self.database)
             else:
-                await self.serve_client(reader, writer)
+                await self.serve_client(source, writer)
         writer.close()
 
     async def startup(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: ByteReader, writer: asyncio.StreamWriter
     ) -> dict[str, str] | None:
         """Return the parameters of the startup packet; None for a cancel request."""
         while True:
@@ -85,7 +107,7 @@
                 return wire.startup_parameters(body[4:])
 
     async def serve_client(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: ByteReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve a client within the connection limit."""
         options = self.database.options
@@ -134,6 +156,15 @@
     )
 
 
+def open_record(name: str) -> BinaryIO | None:
+    """Open the file for the bytes from clients if the environment names a directory."""
+    directory = os.environ.get(RECORD_VARIABLE)
+    if not directory:
+        return None
+    # Unbuffered, so that the file is complete also when the process is killed.
+    return (Path(directory) / name).open("ab", buffering=0)
+
+
 def stop_on_failure(task: asyncio.Task[None]) -> None:
     """End the process when a background task fails: its state is then unreliable."""
     if task.cancelled() or task.exception() is None:
@@ -144,7 +175,8 @@
 
 async def serve(arguments: argparse.Namespace, database: Database) -> None:
     """Serve until a signal arrives."""
-    server = Server(database, Slots(database.options.slots, database.counts))
+    slots = Slots(database.options.slots, database.counts)
+    server = Server(database, slots, open_record(database.options.name))
     listeners = [
         await asyncio.start_server(server.accept, host, port, backlog=1024)
         for host, port in filter(None, (arguments.listen, arguments.replication_listen))
--- a/tests/system_support.py
+++ b/tests/system_support.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -22,6 +23,8 @@
 from attrs import define, field, frozen
 
 from pimentodrift.dump import fetch_dump
+from pimentodrift.keys import digest
+from pimentodrift.local import EXAMPLES
 
 LIMIT_S = 60  # Ends a test that would wait forever; no result depends on it.
 CALL_LIMIT_S = 30  # Above the instances' request timeout of 10 s.
@@ -50,7 +53,9 @@
     @property
     def problem(self) -> str:
         """Return the last part of a refusal's type."""
-        return str(self.body["type"]).rpartition("/")[2] if self.status else ""
+        if self.status in (0, OK):
+            return ""
+        return str(self.body["type"]).rpartition("/")[2]
 
 
 @define
@@ -322,7 +327,7 @@
 
 
 @contextmanager
-def running_system(*arguments: str) -> Iterator[System]:
+def running_system(*arguments: str, **variables: str) -> Iterator[System]:
     """Run `pimentodrift local` and end it, also with processes left stopped."""
     with TemporaryDirectory(prefix="pimentodrift-proofs-") as directory:
         log = Path(directory) / "log"
@@ -331,6 +336,7 @@
                 [sys.executable, "-m", "pimentodrift", "local", *arguments],
                 stdout=subprocess.PIPE,
                 stderr=output,
+                env={**os.environ, **variables},
             )
         assert process.stdout is not None
         try:
@@ -459,3 +465,25 @@
     writers.wait_acknowledged()
     after = acknowledged()
     return max(names, key=lambda name: after[name] - before[name])
+
+
+def write_files(system: System, directory: Path, keys: dict[str, str]) -> list[Path]:
+    """Write the example files with the digests of the running keys, or of others."""
+    current = {**system.line["keys"], **keys}
+    services = []
+    for source in sorted((EXAMPLES / "kanitli").glob("*")):
+        text = (source / "workspaces.yaml").read_text()
+        for name, key in current.items():
+            pattern = rf"(\n  {name}:\n(?:.*\n)*?    keys:\n      - )[0-9a-f]{{64}}"
+            text = re.sub(pattern, rf"\g<1>{digest(key)}", text)
+        target = directory / source.name
+        target.mkdir(parents=True, exist_ok=True)
+        (target / "workspaces.yaml").write_text(text)
+        services.append(target)
+    return services
+
+
+def publish(system: System, *directories: Path) -> "subprocess.CompletedProcess[str]":
+    """Run the `publish` command."""
+    names = map(str, directories)
+    return command("publish", "--platform", system.line["platform"], *names)
