--- /dev/null
+++ b/tests/test_system_stop.py
@@ -0,0 +1,196 @@
+"""Requirements 11 and 12 on real processes: leaving endpoints and planned stops."""
+
+import base64
+import signal
+from collections.abc import Iterator
+from functools import partial
+from random import Random
+from threading import Event, Thread
+from typing import Any
+
+import msgpack
+import pytest
+from attrs import define, field
+
+from .system_support import (
+    MARKET,
+    OK,
+    Answer,
+    Caller,
+    System,
+    running_system,
+    wait_for,
+)
+
+GROUP = "certificates"
+CALLERS = 12
+READS = 120
+STATEMENTS = 10
+STATEMENT_PAUSE_S = 0.2  # Together longer than the least time of a stop, 1 s.
+
+
+@pytest.fixture(scope="module")
+def system() -> Iterator[System]:
+    with running_system() as result:
+        result.create("stopping")
+        yield result
+
+
+@define
+class Obedient:
+    """A caller that goes to a ready instance when its connection is to be closed."""
+
+    system: System
+    random: Random
+    number: int
+    answers: list[Answer] = field(factory=list)
+
+    def work(self, stopping: Event) -> None:
+        """Write and read, each request once."""
+        caller = self.connect()
+        while not stopping.is_set():
+            value = f"{self.number}-{len(self.answers)}"
+            access, text = (
+                ("write", "INSERT INTO stopping VALUES ($1)")
+                if len(self.answers) % 3 == 0
+                else ("read", "SELECT count(*) FROM stopping WHERE value = $1")
+            )
+            answer = self.system.run(caller, text, value, access=access)
+            self.answers.append(answer)
+            if answer.headers.get("connection") == "close" or not answer.status:
+                caller.close()
+                caller = self.connect()
+            stopping.wait(0.005)
+        caller.close()
+
+    def connect(self) -> Caller:
+        """Return a caller of an instance that says it is ready."""
+        while True:
+            caller = Caller(self.random.choice(self.system.proxies))
+            if caller.send("GET", "/readyz", {}).status == OK:
+                return caller
+            caller.close()
+
+
+def has_stopped(system: System, name: str) -> bool:
+    """Return whether an instance has logged its end."""
+    lines = system.log.read_text().splitlines()
+    return any(
+        '"pimentodrift:stopped"' in line and f'"{name}"' in line for line in lines
+    )
+
+
+def test_leaving_replica(system: System) -> None:
+    """Guards against reads at an endpoint that leaves."""
+    primary = system.group(GROUP)["primary"]
+    rows = [row for row in system.endpoints(GROUP) if row["name"] != primary]
+    name = rows[0]["name"]
+    read_everywhere(system)
+    assert system.counts(name)["reads"] > 0  # It served reads before.
+    system.change("endpoint", name, state="leaving")
+    wait_for(
+        lambda: all(sees_leaving(system, row, name) for row in system.line["instances"])
+    )
+    before = system.counts(name).get("reads", 0)
+    read_everywhere(system)
+    assert system.counts(name).get("reads", 0) == before
+    system.change("endpoint", name, state="live")
+
+
+def read_everywhere(system: System) -> None:
+    """Send reads that replicas may serve through all instances."""
+    for number in range(READS):
+        proxy = system.proxies[number % len(system.proxies)]
+        answer = system.run(proxy, "SELECT 1", max_age_ms=None)
+        assert answer.status == OK, answer.body
+
+
+def sees_leaving(system: System, instance: dict[str, Any], endpoint: str) -> bool:
+    """Return whether an instance knows that an endpoint leaves."""
+    row = system.dump(instance["name"])["endpoints"][endpoint]
+    return str(row["presence"]).lower() == "leaving"
+
+
+def test_leaving_primary(system: System) -> None:
+    """Guards against writes at a primary that leaves."""
+    name = system.group(GROUP)["primary"]
+    system.change("endpoint", name, state="leaving")
+    wait_for(lambda: system.group(GROUP)["primary"] != name)
+    wait_for(lambda: system.status(name)[0] == "replica")
+    before = system.counts(name)["writes"]
+    for proxy in system.proxies:
+        answer = system.run(
+            proxy, "INSERT INTO stopping VALUES ('moved')", access="write"
+        )
+        assert answer.status == OK, answer.body
+    assert system.counts(name)["writes"] == before
+    system.change("endpoint", name, state="live")
+
+
+def test_stop_under_load(system: System) -> None:
+    """Guards against requests that a planned stop cuts off or refuses."""
+    stopping = Event()
+    callers = [Obedient(system, Random(number), number) for number in range(CALLERS)]
+    threads = [
+        Thread(target=caller.work, args=(stopping,), daemon=True) for caller in callers
+    ]
+    for thread in threads:
+        thread.start()
+    for row in system.line["instances"][:2]:
+        wait_progress(callers)
+        system.signal(row["pid"], signal.SIGTERM)
+        wait_for(partial(has_stopped, system, row["name"]))
+        wait_progress(callers)
+    stopping.set()
+    for thread in threads:
+        thread.join()
+    answers = [answer for caller in callers for answer in caller.answers]
+    assert [(a.status, a.body) for a in answers if a.status != OK] == []
+
+
+def wait_progress(callers: list[Obedient]) -> None:
+    """Wait until each caller has got some more answers."""
+    before = [len(caller.answers) for caller in callers]
+    wait_for(
+        lambda: all(
+            len(caller.answers) > count + 10
+            for caller, count in zip(callers, before, strict=True)
+        )
+    )
+
+
+def test_stop_with_an_open_transaction(system: System) -> None:
+    """Guards against a stop that rolls back a transaction that is still used."""
+    alive = system.line["instances"][2:]
+    headers = system.headers(MARKET)
+    begun = system.send(
+        alive[0]["url"], f"/v1/groups/{GROUP}/transactions", headers, b""
+    )
+    assert begun.status == OK, begun.body
+    transaction = begun.body["transaction"]
+    owner = owner_of(transaction)
+    entry = next(row["url"] for row in alive if row["name"] != owner)
+    system.signal(system.instance(owner)["pid"], signal.SIGTERM)
+    for number in range(STATEMENTS):
+        answer = system.run(
+            entry,
+            "INSERT INTO stopping VALUES ($1)",
+            f"transaction-{number}",
+            access="write",
+            transaction=transaction,
+        )
+        assert answer.status == OK, (number, answer.body)
+        Event().wait(STATEMENT_PAUSE_S)
+    path = f"/v1/groups/{GROUP}/transactions/{transaction}/commit"
+    assert system.send(entry, path, headers, b"").status == OK
+    wait_for(lambda: has_stopped(system, owner))
+    found = system.values(entry, "stopping")
+    assert sum(value.startswith("transaction-") for value in found) == STATEMENTS
+
+
+def owner_of(transaction: str) -> str:
+    """Return the instance that a transaction's id names."""
+
+    padded = transaction + "=" * (-len(transaction) % 4)
+    name, *_ = msgpack.unpackb(base64.urlsafe_b64decode(padded))
+    return str(name)
