--- a/tests/system_support.py
+++ b/tests/system_support.py
@@ -3,6 +3,7 @@
 The tests wait for conditions with generous limits; no verdict depends on speed.
 """
 
+import base64
 import json
 import os
 import re
@@ -19,6 +20,7 @@
 from typing import Any
 from urllib.parse import urlsplit
 
+import msgpack
 import psycopg
 from attrs import define, field, frozen
 
@@ -487,3 +489,11 @@
     """Run the `publish` command."""
     names = map(str, directories)
     return command("publish", "--platform", system.line["platform"], *names)
+
+
+def owner_of(transaction: str) -> str:
+    """Return the instance that a transaction's id names."""
+
+    padded = transaction + "=" * (-len(transaction) % 4)
+    name, *_ = msgpack.unpackb(base64.urlsafe_b64decode(padded))
+    return str(name)
--- a/tests/test_system_stop.py
+++ b/tests/test_system_stop.py
@@ -1,6 +1,5 @@
 """Requirements 11 and 12 on real processes: leaving endpoints and planned stops."""
 
-import base64
 import signal
 from collections.abc import Iterator
 from functools import partial
@@ -8,7 +7,6 @@
 from threading import Event, Thread
 from typing import Any
 
-import msgpack
 import pytest
 from attrs import define, field
 
@@ -18,6 +16,7 @@
     Answer,
     Caller,
     System,
+    owner_of,
     running_system,
     wait_for,
 )
@@ -186,11 +185,3 @@
     wait_for(lambda: has_stopped(system, owner))
     found = system.values(entry, "stopping")
     assert sum(value.startswith("transaction-") for value in found) == STATEMENTS
-
-
-def owner_of(transaction: str) -> str:
-    """Return the instance that a transaction's id names."""
-
-    padded = transaction + "=" * (-len(transaction) % 4)
-    name, *_ = msgpack.unpackb(base64.urlsafe_b64decode(padded))
-    return str(name)
--- /dev/null
+++ b/tests/test_system_transactions.py
@@ -0,0 +1,182 @@
+"""Requirement 3 on real processes: statements of transactions are never mixed.
+
+Many transactions share one pool of connections. Their callers commit, roll back, leave
+in the middle or lose the owner, and each transaction must be there whole or not at all.
+"""
+
+import signal
+from collections.abc import Iterator
+from random import Random
+from threading import Event, Thread
+
+import pytest
+from attrs import define, field
+
+from .system_support import (
+    OK,
+    Answer,
+    Caller,
+    System,
+    owner_of,
+    running_system,
+    wait_for,
+)
+
+GROUP = "certificates"
+PATH = f"/v1/groups/{GROUP}/transactions"
+ROWS = 4  # Of a transaction; the callers tell them apart by the number of rows.
+# The stand-in has one write lock, which the first write of a transaction takes. Waiting
+# for it occupies one of the owner's three slots, so that more callers would leave none
+# for the holder of the lock.
+CALLERS = 3
+READERS = 3
+ENDS = ("commit", "commit", "rollback", "fail")
+LEAVES_AT = 3  # The transaction that its caller leaves; it holds the lock for 5 s.
+
+
+@pytest.fixture(scope="module")
+def system() -> Iterator[System]:
+    with running_system() as result:
+        result.create("mixed")
+        yield result
+
+
+@define
+class Transactions:
+    """A caller that runs one transaction after another through changing instances."""
+
+    system: System
+    random: Random
+    name: str
+    ends: dict[str, str] = field(factory=dict)
+    mixed: list[str] = field(factory=list)
+    finished: int = 0
+    last: str = ""
+
+    def work(self, stopping: Event) -> None:
+        """Run transactions until stopped."""
+        callers = [Caller(proxy) for proxy in self.system.proxies]
+        count = 0
+        while not stopping.is_set():
+            count += 1
+            tag = f"{self.name}-{count}"
+            end = self.random.choice(ENDS)
+            if count == LEAVES_AT and self.name == "caller0":
+                end = "leave"
+            self.ends[tag] = self.transaction(callers, tag, end)
+            self.finished += self.ends[tag] == "committed"
+        for caller in callers:
+            caller.close()
+
+    def transaction(self, callers: list[Caller], tag: str, end: str) -> str:
+        """Run one transaction and return what its caller knows of it."""
+        caller = self.random.choice(callers)
+        begun = self.system.send(caller, PATH, self.system.headers(), b"")
+        if begun.status != OK:
+            self.drop_dead(callers, caller)
+            return "nothing"
+        transaction = self.last = str(begun.body["transaction"])
+        for row in range(ROWS):
+            caller = self.random.choice(callers)
+            if not self.insert(caller, transaction, tag, row):
+                self.give_up(callers, caller, transaction)
+                return "nothing"
+        if end == "leave":
+            return "nothing"
+        if end == "fail":
+            self.run(caller, transaction, "SELECT nothing FROM nowhere", "read")
+            end = "commit"
+            expected = "nothing"
+        else:
+            expected = "committed" if end == "commit" else "nothing"
+        path = f"{PATH}/{transaction}/{end}"
+        answer = self.system.send(caller, path, self.system.headers(), b"")
+        if answer.outcome == "unknown":
+            return "unknown"
+        return expected if answer.status == OK else "nothing"
+
+    def drop_dead(self, callers: list[Caller], caller: Caller) -> None:
+        """Avoid an instance whose connection was lost."""
+        if caller.connection is None:
+            callers.remove(caller)
+
+    def give_up(self, callers: list[Caller], caller: Caller, transaction: str) -> None:
+        """Roll a transaction back, which may have ended already."""
+        self.drop_dead(callers, caller)
+        path = f"{PATH}/{transaction}/rollback"
+        self.system.send(callers[0], path, self.system.headers(), b"")
+
+    def insert(self, caller: Caller, transaction: str, tag: str, row: int) -> bool:
+        """Insert a row and look for it and for unfinished rows of others."""
+        text = f"INSERT INTO mixed VALUES ('{tag}')"
+        if self.run(caller, transaction, text, "write").status != OK:
+            return False
+        text = "SELECT value, count(*) FROM mixed GROUP BY value"
+        answer = self.run(caller, transaction, text, "read")
+        if answer.status != OK:
+            return False
+        found = dict(answer.body["rows"])
+        if int(found.pop(tag, 0)) != row + 1:
+            self.mixed.append(f"{tag}: own rows {answer.body['rows']}")
+        if {int(number) for number in found.values()} - {ROWS}:
+            self.mixed.append(f"{tag}: rows of unfinished transactions {found}")
+        return True
+
+    def run(self, caller: Caller, transaction: str, text: str, access: str) -> Answer:
+        """Run a statement of a transaction."""
+        return self.system.run(caller, text, access=access, transaction=transaction)
+
+
+def test_transactions_over_one_pool(system: System) -> None:
+    """Guards against connections that carry one transaction's work into another."""
+    stopping = Event()
+    callers = [
+        Transactions(system, Random(number), f"caller{number}")
+        for number in range(CALLERS)
+    ]
+    threads = [
+        Thread(target=caller.work, args=(stopping,), daemon=True) for caller in callers
+    ]
+    # Reads outside transactions use the same pool.
+    seen: list[int] = []
+    threads += [
+        Thread(target=read_until, args=(system, seen, stopping), daemon=True)
+        for _ in range(READERS)
+    ]
+    for thread in threads:
+        thread.start()
+    wait_committed(callers)
+    owner = owner_of(callers[1].last)
+    system.signal(system.instance(owner)["pid"], signal.SIGKILL)
+    wait_committed(callers)
+    stopping.set()
+    for thread in threads:
+        thread.join()
+    assert set(seen) <= {ROWS}
+    assert [text for caller in callers for text in caller.mixed] == []
+    proxy = next(r["url"] for r in system.line["instances"] if r["name"] != owner)
+    found = system.values(proxy, "mixed")
+    for caller in callers:
+        for tag, end in caller.ends.items():
+            allowed = {"committed": {ROWS}, "nothing": {0}, "unknown": {0, ROWS}}[end]
+            assert found.get(tag, 0) in allowed, (tag, end, found.get(tag))
+
+
+def read_until(system: System, seen: list[int], stopping: Event) -> None:
+    """Read the rows of each transaction, outside transactions."""
+    callers = [Caller(proxy) for proxy in system.proxies]
+    count = 0
+    while not stopping.is_set():
+        count += 1
+        text = "SELECT value, count(*) FROM mixed GROUP BY value"
+        answer = system.run(callers[count % len(callers)], text)
+        if answer.status == OK:
+            seen.extend(int(number) for _, number in answer.body["rows"])
+    for caller in callers:
+        caller.close()
+
+
+def wait_committed(callers: list[Transactions], more: int = 20) -> None:
+    """Wait for a number of further committed transactions."""
+    wanted = sum(caller.finished for caller in callers) + more
+    wait_for(lambda: sum(caller.finished for caller in callers) >= wanted)
