--- a/tests/test_system_transactions.py
+++ b/tests/test_system_transactions.py
@@ -78,11 +78,12 @@
         transaction = self.last = str(begun.body["transaction"])
         for row in range(ROWS):
             caller = self.random.choice(callers)
+            # Fewer rows than usual show to whoever gets the connection unfinished.
+            if end == "leave" and row == ROWS - 1:
+                return "nothing"
             if not self.insert(caller, transaction, tag, row):
                 self.give_up(callers, caller, transaction)
                 return "nothing"
-        if end == "leave":
-            return "nothing"
         if end == "fail":
             self.run(caller, transaction, "SELECT nothing FROM nowhere", "read")
             end = "commit"
