--- /dev/null
+++ b/tests/system_writers.py
@@ -0,0 +1,111 @@
+"""Writes values in threads and compares a table with what callers were told."""
+
+from threading import Event, Lock, Thread
+from typing import Any
+
+from attrs import define, field, frozen
+
+from .system_support import OK, Answer, Caller, System, wait_for
+
+
+@frozen
+class Write:
+    """One write of a distinct value and what its caller was told."""
+
+    value: str
+    outcome: str
+    problem: str = ""
+
+
+@define
+class Writers:
+    """Threads that write distinct values, one through each instance, until stopped."""
+
+    system: System
+    table: str
+    with_keys: bool
+    proxies: list[str]
+    group: str = "certificates"
+    pause_s: float = 0.01
+    prefix: str = "v"
+    done: list[Write] = field(factory=list)
+    lock: Any = field(factory=Lock)
+    stopping: Event = field(factory=Event)
+    threads: list[Thread] = field(factory=list)
+
+    def __enter__(self) -> "Writers":
+        for number, proxy in enumerate(self.proxies):
+            thread = Thread(target=self.work, args=(number, proxy), daemon=True)
+            self.threads.append(thread)
+            thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """End the threads after the answers that they wait for."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        self.threads.clear()
+
+    def work(self, number: int, proxy: str) -> None:
+        """Write until stopped; never repeat."""
+        caller = Caller(proxy)
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            value = f"{self.prefix}-{number}-{count}"
+            answer = self.write(caller, value)
+            with self.lock:
+                problem = "" if answer.status == OK else answer.problem
+                self.done.append(Write(value, answer.outcome, problem))
+            self.stopping.wait(self.pause_s if answer.status else 0.1)
+        caller.close()
+
+    def write(self, caller: str | Caller, value: str) -> Answer:
+        """Write one value."""
+        return self.system.run(
+            caller,
+            f"INSERT INTO {self.table} VALUES ($1)",
+            value,
+            access="write",
+            group=self.group,
+            idempotency_key=f"{self.table}-{value}" if self.with_keys else "",
+        )
+
+    def values(self, outcome: str) -> list[str]:
+        """Return the values of the writes with an outcome."""
+        with self.lock:
+            return [write.value for write in self.done if write.outcome == outcome]
+
+    def wait_acknowledged(self, more: int = 30) -> None:
+        """Wait for a number of further acknowledged writes."""
+        wanted = len(self.values("ran")) + more
+        wait_for(lambda: len(self.values("ran")) >= wanted)
+
+
+def assert_outcomes(found: dict[str, int], writers: Writers) -> None:
+    """Assert that the table agrees with what the callers were told."""
+    doubled = {value for value, number in found.items() if number > 1}
+    lost = [value for value in writers.values("ran") if value not in found]
+    wrongly_refused = [value for value in writers.values("not_run") if value in found]
+    assert not doubled, f"written more than once: {sorted(doubled)[:5]}"
+    assert not lost, f"{len(lost)} acknowledged writes are missing: {lost[:5]}"
+    assert not wrongly_refused, f"refused as not run, yet run: {wrongly_refused[:5]}"
+
+
+def find_owner(system: System, writers: Writers, names: list[str]) -> str:
+    """Return the instance that acknowledges most of the writes now."""
+
+    def acknowledged() -> dict[str, int]:
+        return {
+            name: int(system.dump(name)["counters"].get("replication.acknowledged", 0))
+            for name in names
+        }
+
+    before = acknowledged()
+    writers.wait_acknowledged()
+    after = acknowledged()
+    return max(names, key=lambda name: after[name] - before[name])
--- a/tests/test_system_at_most_once.py
+++ b/tests/test_system_at_most_once.py
@@ -11,16 +11,8 @@
 import pytest
 from attrs import define, field
 
-from .system_support import (
-    OK,
-    Caller,
-    System,
-    Writers,
-    assert_outcomes,
-    find_owner,
-    running_system,
-    wait_for,
-)
+from .system_support import OK, Caller, System, running_system, wait_for
+from .system_writers import Writers, assert_outcomes, find_owner
 
 GROUP = "certificates"
 TABLE = "once"
--- a/tests/test_system_replaced_primary.py
+++ b/tests/test_system_replaced_primary.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from .system_support import System, Writers, assert_outcomes, running_system, wait_for
+from .system_support import System, running_system, wait_for
+from .system_writers import Writers, assert_outcomes
 
 # Reserved terms follow the current one closely; this one is above all of them.
 TERM_STEP = 50
