--- a/pimentodrift/draining.py
+++ b/pimentodrift/draining.py
@@ -10,7 +10,7 @@
 from .dispatch import handle, handle_peer
 from .heartbeats import audience
 from .messages import ExitProcess, Leaving, StopRequested
-from .tables import ConnectionPurpose, Presence, State
+from .tables import Presence, State
 
 # The load balancer checks /readyz about once a second.
 MIN_STOP_TIME = timedelta(seconds=1)
@@ -45,11 +45,11 @@
 
 def is_idle(state: State) -> bool:
     """Return whether the instance has nothing left to finish."""
-    if state.pending or any(state.waiting_writes.values()):
-        return False
-    return not any(
-        row.purpose is ConnectionPurpose.WORK and row.batch
-        for row in state.connections.values()
+    return not (
+        state.pending
+        or state.works
+        or state.transactions
+        or any(state.waiting_writes.values())
     )
 
 
--- a/tests/system_support.py
+++ b/tests/system_support.py
@@ -3,8 +3,10 @@
 The tests wait for conditions with generous limits; no verdict depends on speed.
 """
 
+import base64
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -14,14 +16,16 @@
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from tempfile import TemporaryDirectory
-from threading import Event, Lock, Thread
 from typing import Any
 from urllib.parse import urlsplit
 
+import msgpack
 import psycopg
 from attrs import define, field, frozen
 
 from pimentodrift.dump import fetch_dump
+from pimentodrift.keys import digest
+from pimentodrift.local import EXAMPLES
 
 LIMIT_S = 60  # Ends a test that would wait forever; no result depends on it.
 CALL_LIMIT_S = 30  # Above the instances' request timeout of 10 s.
@@ -50,7 +54,9 @@
     @property
     def problem(self) -> str:
         """Return the last part of a refusal's type."""
-        return str(self.body["type"]).rpartition("/")[2] if self.status else ""
+        if self.status in (0, OK):
+            return ""
+        return str(self.body["type"]).rpartition("/")[2]
 
 
 @define
@@ -322,7 +328,7 @@
 
 
 @contextmanager
-def running_system(*arguments: str) -> Iterator[System]:
+def running_system(*arguments: str, **variables: str) -> Iterator[System]:
     """Run `pimentodrift local` and end it, also with processes left stopped."""
     with TemporaryDirectory(prefix="pimentodrift-proofs-") as directory:
         log = Path(directory) / "log"
@@ -331,6 +337,7 @@
                 [sys.executable, "-m", "pimentodrift", "local", *arguments],
                 stdout=subprocess.PIPE,
                 stderr=output,
+                env={**os.environ, **variables},
             )
         assert process.stdout is not None
         try:
@@ -358,104 +365,31 @@
         process.wait()
 
 
-@frozen
-class Write:
-    """One write of a distinct value and what its caller was told."""
-
-    value: str
-    outcome: str
-    problem: str = ""
-
-
-@define
-class Writers:
-    """Threads that write distinct values, one through each instance, until stopped."""
-
-    system: System
-    table: str
-    with_keys: bool
-    proxies: list[str]
-    group: str = "certificates"
-    pause_s: float = 0.01
-    prefix: str = "v"
-    done: list[Write] = field(factory=list)
-    lock: Any = field(factory=Lock)
-    stopping: Event = field(factory=Event)
-    threads: list[Thread] = field(factory=list)
-
-    def __enter__(self) -> "Writers":
-        for number, proxy in enumerate(self.proxies):
-            thread = Thread(target=self.work, args=(number, proxy), daemon=True)
-            self.threads.append(thread)
-            thread.start()
-        return self
-
-    def __exit__(self, *error: object) -> None:
-        self.stop()
-
-    def stop(self) -> None:
-        """End the threads after the answers that they wait for."""
-        self.stopping.set()
-        for thread in self.threads:
-            thread.join()
-        self.threads.clear()
-
-    def work(self, number: int, proxy: str) -> None:
-        """Write until stopped; never repeat."""
-        caller = Caller(proxy)
-        count = 0
-        while not self.stopping.is_set():
-            count += 1
-            value = f"{self.prefix}-{number}-{count}"
-            answer = self.write(caller, value)
-            with self.lock:
-                problem = "" if answer.status == OK else answer.problem
-                self.done.append(Write(value, answer.outcome, problem))
-            self.stopping.wait(self.pause_s if answer.status else 0.1)
-        caller.close()
-
-    def write(self, caller: str | Caller, value: str) -> Answer:
-        """Write one value."""
-        return self.system.run(
-            caller,
-            f"INSERT INTO {self.table} VALUES ($1)",
-            value,
-            access="write",
-            group=self.group,
-            idempotency_key=f"{self.table}-{value}" if self.with_keys else "",
-        )
-
-    def values(self, outcome: str) -> list[str]:
-        """Return the values of the writes with an outcome."""
-        with self.lock:
-            return [write.value for write in self.done if write.outcome == outcome]
-
-    def wait_acknowledged(self, more: int = 30) -> None:
-        """Wait for a number of further acknowledged writes."""
-        wanted = len(self.values("ran")) + more
-        wait_for(lambda: len(self.values("ran")) >= wanted)
+def write_files(system: System, directory: Path, keys: dict[str, str]) -> list[Path]:
+    """Write the example files with the digests of the running keys, or of others."""
+    current = {**system.line["keys"], **keys}
+    services = []
+    for source in sorted((EXAMPLES / "kanitli").glob("*")):
+        text = (source / "workspaces.yaml").read_text()
+        for name, key in current.items():
+            pattern = rf"(\n  {name}:\n(?:.*\n)*?    keys:\n      - )[0-9a-f]{{64}}"
+            text = re.sub(pattern, rf"\g<1>{digest(key)}", text)
+        target = directory / source.name
+        target.mkdir(parents=True, exist_ok=True)
+        (target / "workspaces.yaml").write_text(text)
+        services.append(target)
+    return services
 
 
-def assert_outcomes(found: dict[str, int], writers: Writers) -> None:
-    """Assert that the table agrees with what the callers were told."""
-    doubled = {value for value, number in found.items() if number > 1}
-    lost = [value for value in writers.values("ran") if value not in found]
-    wrongly_refused = [value for value in writers.values("not_run") if value in found]
-    assert not doubled, f"written more than once: {sorted(doubled)[:5]}"
-    assert not lost, f"{len(lost)} acknowledged writes are missing: {lost[:5]}"
-    assert not wrongly_refused, f"refused as not run, yet run: {wrongly_refused[:5]}"
+def publish(system: System, *directories: Path) -> "subprocess.CompletedProcess[str]":
+    """Run the `publish` command."""
+    names = map(str, directories)
+    return command("publish", "--platform", system.line["platform"], *names)
 
 
-def find_owner(system: System, writers: Writers, names: list[str]) -> str:
-    """Return the instance that acknowledges most of the writes now."""
-
-    def acknowledged() -> dict[str, int]:
-        return {
-            name: int(system.dump(name)["counters"].get("replication.acknowledged", 0))
-            for name in names
-        }
+def owner_of(transaction: str) -> str:
+    """Return the instance that a transaction's id names."""
 
-    before = acknowledged()
-    writers.wait_acknowledged()
-    after = acknowledged()
-    return max(names, key=lambda name: after[name] - before[name])
+    padded = transaction + "=" * (-len(transaction) % 4)
+    name, *_ = msgpack.unpackb(base64.urlsafe_b64decode(padded))
+    return str(name)
