Move rows of rates and failover into modules of their own; deny tokens by what waits

Ruled out: denying never, since a flood would then hold its refusals for 1.5 s. Change: rate_rows and failover_rows; the allocator denies when more waits than the level and 250 ms of refill can serve.

--- a/bench/slopes_core.py
+++ b/bench/slopes_core.py
@@ -16,7 +16,8 @@
     ShareReport,
     StoreObject,
 )
-from pimentodrift.tables import ClaimRow, State, SubscriberRow
+from pimentodrift.rate_rows import ClaimRow
+from pimentodrift.tables import State, SubscriberRow
 
 from . import slopes_world as world
 from .slopes_measure import MICROSECOND, Row, allocated, sweep
--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -29,6 +29,7 @@
     ShareRenew,
     ShareReport,
 )
+from .rate_rows import AllocationRow, HoldingRow
 from .rates import LEASE
 from .share_moves import (
     EPSILON,
@@ -41,12 +42,7 @@
     serve_need,
     target_rates,
 )
-from .tables import (
-    AllocationRow,
-    HoldingRow,
-    State,
-    WorkspaceRow,
-)
+from .tables import State, WorkspaceRow
 
 BALANCE_INTERVAL = timedelta(milliseconds=100)
 # Twice the lease, so that a holder's clock may run at half speed.
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -14,13 +14,10 @@
     ShareRenew,
     StoreObject,
 )
+from .rate_rows import AllocationRow, ClaimRow
 from .rates import holds_all, is_usable
 from .store_writes import StoreOutcome, write, write_ended
-from .tables import (
-    AllocationRow,
-    ClaimRow,
-    State,
-)
+from .tables import State
 
 CLAIM_TIMEOUT = timedelta(seconds=3)
 # Up to this many workspaces are examined for a vacancy at each tick; more are examined
--- a/pimentodrift/clock.py
+++ b/pimentodrift/clock.py
@@ -4,6 +4,9 @@
 from time import monotonic
 from typing import Protocol
 
+# Before any monotonic time: the time of what has not happened yet.
+NEVER = timedelta(days=-1)
+
 
 class Clock(Protocol):
     """Tell wall-clock and monotonic time."""
--- a/pimentodrift/detection.py
+++ b/pimentodrift/detection.py
@@ -9,10 +9,11 @@
 
 from . import peers
 from .dispatch import handle_peer
+from .failover_rows import ProbeRow
 from .membership import contact, group_endpoints, owns, usable
 from .messages import GroupChanged, ProbeQuery, ProbeReport
 from .reservations import own_term
-from .tables import GroupRow, Presence, ProbeRow, State
+from .tables import GroupRow, Presence, State
 
 MILLISECOND = timedelta(milliseconds=1)
 # A silent primary may be back after a stall, and its replacement has a price too.
--- a/pimentodrift/failover.py
+++ b/pimentodrift/failover.py
@@ -22,6 +22,7 @@
 )
 from .detection import TAKEOVER_INTERVAL, is_own_turn
 from .dispatch import handle, handle_peer
+from .failover_rows import Channel, FailoverRow, Stage
 from .heartbeats import audience
 from .membership import group_endpoints, learn_primary
 from .messages import Durability, GroupChanged, PrimaryChanged
@@ -29,14 +30,7 @@
 from .rejoining import follow, rejoin_row
 from .replication import required
 from .reservations import own_term
-from .tables import (
-    Channel,
-    FailoverRow,
-    GroupRow,
-    Presence,
-    Stage,
-    State,
-)
+from .tables import GroupRow, Presence, State
 
 MILLISECOND = timedelta(milliseconds=1)
 # A new connection and a round trip between regions take less than 100 ms.
--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from .dispatch import handle, handle_peer
+from .failover_rows import ContactRow
 from .membership import contact, hear, heard, owned, recheck, suspect, usable
 from .messages import (
     ClosePeer,
@@ -18,7 +19,7 @@
     SendPeer,
 )
 from .rejoining import is_readable
-from .tables import ContactRow, EndpointRow, InstanceRow, State
+from .tables import EndpointRow, InstanceRow, State
 
 MILLISECOND = timedelta(milliseconds=1)
 PING_INTERVAL = timedelta(milliseconds=200)
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -7,7 +7,9 @@
 
 from datetime import timedelta
 
+from .clock import NEVER
 from .dispatch import handle
+from .failover_rows import ContactRow
 from .messages import PrimaryChanged, StoreObject
 from .rendezvous import (
     first,
@@ -20,17 +22,7 @@
     stands,
     usable,
 )
-from .tables import (
-    NEVER,
-    ContactRow,
-    EndpointRow,
-    GroupRow,
-    Index,
-    InstanceRow,
-    Presence,
-    Ranking,
-    State,
-)
+from .tables import EndpointRow, GroupRow, Index, InstanceRow, Presence, Ranking, State
 
 __all__ = [
     "apply",
--- a/pimentodrift/monitoring.py
+++ b/pimentodrift/monitoring.py
@@ -13,6 +13,7 @@
 from .connections import close_connection, open_connection, run_batch
 from .database_group import MalformedAnswer
 from .dispatch import handle
+from .failover_rows import Channel, MonitorRow
 from .messages import (
     MonitorAnswered,
     MonitorConnectionLost,
@@ -21,7 +22,7 @@
     Statement,
     StatementResult,
 )
-from .tables import Channel, ConnectionPurpose, MonitorRow, State
+from .tables import ConnectionPurpose, State
 
 # Ten status intervals; shorter times would reopen connections at brief stalls.
 IDLE_TIME = timedelta(seconds=1)
--- a/pimentodrift/probes.py
+++ b/pimentodrift/probes.py
@@ -17,11 +17,12 @@
     replicas_statement,
     status_statement,
 )
+from .failover_rows import Channel, ProbeRow
 from .membership import owned, owns, watchers
 from .messages import Position, Rows, Statement
 from .monitoring import Batch, Results, job_ended, rows_of
 from .rejoining import examine, rejoin_row
-from .tables import Channel, EndpointRow, GroupRow, ProbeRow, State
+from .tables import EndpointRow, GroupRow, State
 
 PROBE_INTERVAL = timedelta(milliseconds=100)
 PROBE_TIMEOUT = timedelta(milliseconds=300)
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -26,7 +26,8 @@
     ShareRenew,
     ShareReport,
 )
-from .tables import ShareRow, State, WaitingRequest
+from .rate_rows import ShareRow, WaitingRequest
+from .tables import State
 
 LEASE = timedelta(seconds=2)
 REPORT_INTERVAL = timedelta(milliseconds=500)
--- a/pimentodrift/rejoining.py
+++ b/pimentodrift/rejoining.py
@@ -13,6 +13,7 @@
 from attrs import frozen
 
 from . import monitoring
+from .clock import NEVER
 from .database_group import (
     DroppedEntry,
     EndpointStatus,
@@ -22,10 +23,11 @@
     parse_dropped,
     parse_follow,
 )
+from .failover_rows import Channel, RejoinRow
 from .messages import StoreObject
 from .monitoring import Batch, Results, job_ended, rows_of
 from .store_writes import StoreOutcome, write, write_ended
-from .tables import NEVER, Channel, EndpointRow, GroupRow, RejoinRow, State
+from .tables import EndpointRow, GroupRow, State
 
 # Longer than a command and a status reading take, so that attempts do not overlap.
 ATTEMPT_INTERVAL = timedelta(milliseconds=500)
--- a/pimentodrift/rendezvous.py
+++ b/pimentodrift/rendezvous.py
@@ -13,16 +13,8 @@
 
 import xxhash
 
-from .tables import (
-    NEVER,
-    Candidate,
-    Index,
-    InstanceRow,
-    Presence,
-    Ranking,
-    State,
-    Winner,
-)
+from .clock import NEVER
+from .tables import Candidate, Index, InstanceRow, Presence, Ranking, State, Winner
 
 WEIGHT_CACHE = 2**16  # Entries, for 8 instances and some thousand keys.
 # How often unusable instances are looked at, which bounds the cost when many are.
--- a/pimentodrift/replication.py
+++ b/pimentodrift/replication.py
@@ -20,10 +20,11 @@
 )
 from .dispatch import handle
 from .errors import Problem, unknown
+from .failover_rows import Channel, WaitingWrite
 from .membership import group_endpoints
 from .messages import Durability, Position, WriteAcknowledged, WriteUnconfirmed
 from .monitoring import Batch, Results, job_ended, rows_of
-from .tables import Channel, State, WaitingWrite
+from .tables import State
 
 # A reading takes one round trip; a primary that is slower than this is not usable.
 READING_TIMEOUT = timedelta(milliseconds=500)
--- a/pimentodrift/reservations.py
+++ b/pimentodrift/reservations.py
@@ -11,10 +11,11 @@
 
 from attrs import frozen
 
+from .failover_rows import GroupWrite, Stage
 from .membership import usable
 from .messages import StoreObject
 from .store_writes import StoreOutcome, write, write_ended
-from .tables import GroupRow, GroupWrite, Presence, Stage, State
+from .tables import GroupRow, Presence, State
 
 RESERVED_TERMS = 2
 RETRY_INTERVAL = timedelta(milliseconds=500)
--- a/pimentodrift/share_moves.py
+++ b/pimentodrift/share_moves.py
@@ -13,13 +13,9 @@
     ShareLower,
     ShareRaise,
 )
-from .tables import (
-    AllocationRow,
-    HoldingRow,
-    Presence,
-    State,
-    WorkspaceRow,
-)
+from .rate_rows import AllocationRow, HoldingRow
+from .rates import REFILL_WAIT
+from .tables import Presence, State, WorkspaceRow
 
 RESEND_INTERVAL = timedelta(milliseconds=200)
 # Demand is met with this factor before the remainder is spread evenly.
@@ -141,10 +137,13 @@
         key=lambda holding: holding.tokens,
         reverse=True,
     )
-    # A workspace that is owed a token is inside its rate: its requests wait for the
-    # shares to follow the demand, whatever the buckets hold.
-    if row.level < 1:
-        retry_ms = int(1000 * (1 - row.level) / workspace.rate) + 1
+    # A workspace that is owed its tokens is inside its rate: its requests wait for the
+    # shares to follow the demand, whatever the buckets hold, and as long as a holder
+    # would let them wait for its own share to refill.
+    wanted = sum(holding.tokens_needed for holding in row.holdings.values())
+    owed = row.level + workspace.rate * REFILL_WAIT.total_seconds()
+    if wanted > owed:
+        retry_ms = int(1000 * (wanted - row.level) / workspace.rate) + 1
         message = ShareDenied(row.workspace, row.epoch, min(retry_ms, 1000))
         peers.send(needy.instance, message, state)
         return
--- a/pimentodrift/store_writes.py
+++ b/pimentodrift/store_writes.py
@@ -11,6 +11,7 @@
 
 from . import view
 from .dispatch import handle
+from .failover_rows import StoreWrite
 from .messages import (
     StoreConflict,
     StoreFailed,
@@ -18,7 +19,7 @@
     StoreWritten,
     WriteStore,
 )
-from .tables import State, StoreWrite
+from .tables import State
 
 
 class StoreOutcome(StrEnum):
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -11,27 +11,32 @@
 
 from attrs import define, field
 
-from .clock import Clock
-from .database_group import FenceAnswer
+from .clock import NEVER, Clock
 from .errors import Failure
+from .failover_rows import (
+    Channel,
+    ContactRow,
+    FailoverRow,
+    GroupWrite,
+    MonitorRow,
+    ProbeRow,
+    RejoinRow,
+    StoreWrite,
+    WaitingWrite,
+)
 from .messages import (
     Access,
     Action,
     Durability,
-    Epoch,
     Forward,
     Position,
     Rows,
-    ShareLower,
-    ShareLowered,
-    ShareRaise,
     Statement,
     StoreObject,
 )
+from .rate_rows import AllocationRow, ClaimRow, ShareRow
 from .settings import Settings
 
-NEVER = timedelta(days=-1)
-
 
 class Presence(StrEnum):
     """Whether an instance or endpoint may receive new work."""
@@ -355,215 +360,6 @@
     batch: int = 0
 
 
-# --- rates
-
-
-@define
-class WaitingRequest:
-    """A request that waits for a token."""
-
-    request: int
-    since: timedelta
-    deadline: timedelta
-
-
-@define
-class ShareRow:
-    """This instance's share of a workspace's rate (requests/s) and burst (requests)."""
-
-    workspace: str
-    epoch: Epoch = Epoch(0, "")
-    rate: float = 0.0
-    burst: float = 0.0
-    tokens: float = 0.0
-    refilled_at: timedelta = NEVER
-    renewed_at: timedelta = NEVER
-    last_number: int = 0  # Of the last share operation applied in this epoch.
-    last_lowered: ShareLowered | None = None
-    waiting: deque[WaitingRequest] = field(factory=deque)
-    arrivals: int = 0
-    admitted: int = 0
-    demand: float = 0.0  # Requests/s, moving average.
-    measured_at: timedelta = NEVER
-    denied_until: timedelta = NEVER
-    report_at: timedelta = NEVER
-    reports_sent: dict[int, timedelta] = field(factory=dict)
-
-
-@define
-class HoldingRow:
-    """What the allocator knows of a holder's share."""
-
-    instance: str
-    rate: float = 0.0
-    burst: float = 0.0
-    tokens: float = 0.0
-    demand: float = 0.0
-    tokens_needed: float = 0.0
-    admitted: int | None = None  # None before the first report.
-    heard_at: timedelta = NEVER
-    # The share operation without an answer so far, sent again until answered.
-    operation: ShareLower | ShareRaise | None = None
-    operation_sent_at: timedelta = NEVER
-
-
-@define
-class AllocationRow:
-    """The ledger of the allocator of a workspace.
-
-    `locked_*` is what holders may have that have not reported to this epoch.
-    """
-
-    workspace: str
-    epoch: Epoch
-    taken_at: timedelta
-    store_version: int  # Of the store's object with this epoch.
-    locked_rate: float = 0.0
-    locked_burst: float = 0.0
-    free_tokens: float = 0.0
-    holdings: dict[str, HoldingRow] = field(factory=dict)
-    predecessor: str = ""
-    balance_at: timedelta = NEVER
-    # The bucket as it would be in one place: what the workspace is still owed.
-    level: float = 0.0
-    level_at: timedelta = NEVER
-
-
-@define
-class ClaimRow:
-    """A conditional update by which this instance wants to become the allocator."""
-
-    workspace: str
-    epoch: Epoch
-    predecessor: str
-    sent_at: timedelta
-
-
-# --- heartbeats, monitoring, replication, failover
-
-
-@define
-class ContactRow:
-    """An instance that this one has a reason to talk to."""
-
-    name: str
-    used_at: timedelta = NEVER
-    pinged_at: timedelta = NEVER
-    unanswered: int = 0
-
-
-class Channel(StrEnum):
-    """What a monitoring connection carries."""
-
-    STATUS = "status"
-    ACKNOWLEDGMENT = "acknowledgment"
-    COMMAND = "command"
-
-
-@define
-class MonitorRow:
-    """A monitoring connection and the job that waits for its answer."""
-
-    endpoint: str
-    channel: Channel
-    connection: int = 0
-    job: object | None = None
-    segments: tuple[tuple[Statement, ...], ...] = ()
-    deadline: timedelta = NEVER
-    used_at: timedelta = NEVER
-    refused: bool = False  # The last job ended because the endpoint refused it.
-
-
-@define
-class WaitingWrite:
-    """A committed write whose replication is not confirmed yet."""
-
-    work: int
-    endpoint: str
-    position: Position
-    durability: Durability
-    deadline: timedelta
-    number: int  # Only readings with a higher number can confirm it.
-
-
-@define
-class ProbeRow:
-    """How the primary of a group's current term looks from here."""
-
-    group: str
-    term: int
-    failing_since: timedelta | None = None
-    refused_since: timedelta | None = None  # Its machine refuses connections.
-    queried_at: timedelta = NEVER
-    # Of other instances: when the report came, and whether their failure lasts enough.
-    reports: dict[str, tuple[timedelta, bool]] = field(factory=dict)
-    established_at: timedelta | None = None
-    retry_at: timedelta = NEVER  # After a failed attempt of this instance.
-
-
-class Stage(StrEnum):
-    """A stage of a change of primary, in this order."""
-
-    NOTICING = "noticing"
-    FENCING = "fencing"
-    CHOOSING = "choosing"
-    PROMOTING = "promoting"
-    FOLLOWING = "following"
-    RECORDING = "recording"
-
-
-@define
-class FailoverRow:
-    """A change of primary that this instance coordinates."""
-
-    group: str
-    old_term: int
-    old_primary: str
-    planned: bool
-    started_at: timedelta = NEVER
-    stage: Stage = Stage.NOTICING
-    stage_started: dict[Stage, timedelta] = field(factory=dict)
-    term: int = 0
-    fences: dict[str, FenceAnswer] = field(factory=dict)
-    outstanding: set[str] = field(factory=set)  # Endpoints that have yet to answer.
-    chosen: str = ""
-    following: set[str] = field(factory=set)
-    completed_at: timedelta = NEVER
-
-
-@define
-class RejoinRow:
-    """The return of an endpoint to its group."""
-
-    endpoint: str
-    attempted_at: timedelta = NEVER
-    # The last term up to which its log is surely part of the group's log.
-    lineage_term: int | None = None
-    checked_term: int = 0  # Its dropped entries are stored up to this term.
-    writes: set[str] = field(factory=set)  # Names of objects to be stored.
-    # Since when it cannot return to the group's term and needs a new one.
-    ahead_since: timedelta | None = None
-
-
-@define
-class StoreWrite:
-    """A conditional update that has not been answered."""
-
-    call: int
-    kind: str
-    name: str
-    purpose: object
-
-
-@define
-class GroupWrite:
-    """The writing of a group's object by this instance."""
-
-    in_flight: bool = False
-    retry_at: timedelta = NEVER
-    behind_since: timedelta | None = None
-
-
 # --- the state
 
 
--- a/tests/test_failover_basic.py
+++ b/tests/test_failover_basic.py
@@ -11,8 +11,9 @@
 
 from pimentodrift import rejoining
 from pimentodrift.database_group import DroppedEntry
+from pimentodrift.failover_rows import Stage
 from pimentodrift.messages import StopRequested
-from pimentodrift.tables import Presence, Stage
+from pimentodrift.tables import Presence
 
 from .fakes import Fleet
 
--- a/tests/test_failover_replication.py
+++ b/tests/test_failover_replication.py
@@ -9,7 +9,8 @@
 from pimentodrift import messages as m
 from pimentodrift.dispatch import handle
 from pimentodrift.errors import Outcome
-from pimentodrift.tables import Channel, EndpointRow, GroupRow, State
+from pimentodrift.failover_rows import Channel
+from pimentodrift.tables import EndpointRow, GroupRow, State
 
 from .support import ManualClock, make_state
 
