Let an instance be assembled from edges; age promises on a clock that counts suspension

Cause: the shell knew its four edges by name, so a platform with another protocol had no place to attach, and a suspended machine's monotonic clock stood still, which let leases outlive it. Change: edges.EdgeShell carries out the core's messages through edges that register their types; http_connections holds the one HTTP client. SystemClock reads CLOCK_BOOTTIME.

--- a/pimentodrift/clock.py
+++ b/pimentodrift/clock.py
@@ -1,7 +1,7 @@
 """The clock interface that the decision core receives instead of reading time."""
 
 from datetime import UTC, datetime, timedelta
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Protocol
 
 # Before any monotonic time: the time of what has not happened yet.
@@ -26,5 +26,8 @@
         return datetime.now(UTC)
 
     def monotonic(self) -> timedelta:
-        """Return the operating system's monotonic time."""
-        return timedelta(seconds=monotonic())
+        """Return the time since the machine started, suspensions included.
+
+        A lease or a confirmation must not outlive a suspension of the machine.
+        """
+        return timedelta(seconds=clock_gettime(CLOCK_BOOTTIME))
--- a/pimentodrift/endpoint_connections.py
+++ b/pimentodrift/endpoint_connections.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 from psycopg import Error, pq
 
+from .edges import Performers
 from .endpoint_results import (
     ABORTED,
     encode_statement,
@@ -233,6 +234,18 @@
         if connection is not None:
             connection.close()
 
+    def performers(self) -> Performers:
+        """Return what the edge carries out."""
+        return {
+            OpenEndpoint: self.open,
+            RunBatch: self.run,
+            CloseEndpoint: self.close_one,
+        }
+
+    def gauges(self) -> dict[str, int]:
+        """Return the sizes of what the edge keeps."""
+        return {"endpoints.connections": len(self.connections)}
+
     def close(self) -> None:
         """Close everything."""
         for connection in list(self.connections.values()):
--- a/pimentodrift/http_server.py
+++ b/pimentodrift/http_server.py
@@ -12,6 +12,7 @@
 
 from attrs import define, field
 
+from .edges import Performers
 from .errors import Failure, Problem, not_run, unknown
 from .http_answers import date_header, problem_body, render
 from .http_requests import ParsedRequest, RequestParser
@@ -255,6 +256,17 @@
         for number in list(self.slots):
             self.answer(CallerAnswer(number, status, headers, body))
 
+    def performers(self) -> Performers:
+        """Return what the edge carries out."""
+        return {CallerAnswer: self.answer}
+
+    def gauges(self) -> dict[str, int]:
+        """Return the sizes of what the edge keeps."""
+        return {
+            "http.connections": len(self.connections),
+            "http.requests": len(self.slots),
+        }
+
     def close(self) -> None:
         """Close everything."""
         for connection in list(self.connections):
--- a/pimentodrift/peer_streams.py
+++ b/pimentodrift/peer_streams.py
@@ -13,6 +13,7 @@
 from attrs import define, field
 
 from .dump import DumpRequest, dump_reply
+from .edges import Performers
 from .errors import Problem, unknown
 from .listeners import listen
 from .messages import (
@@ -212,6 +213,14 @@
             if peer is not None:
                 peer.stream.fail()
 
+    def performers(self) -> Performers:
+        """Return what the edge carries out."""
+        return {SendPeer: self.send, ClosePeer: self.close_peer}
+
+    def gauges(self) -> dict[str, int]:
+        """Return the sizes of what the edge keeps."""
+        return {"peers.streams": len(self.dialed) + len(self.accepted)}
+
     def close(self) -> None:
         """Close everything."""
         self.listener.close()
--- a/pimentodrift/store_client.py
+++ b/pimentodrift/store_client.py
@@ -1,15 +1,16 @@
 """Calls of the platform's object API: one connection for the watch, one for writes."""
 
 import socket
-from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 from urllib.parse import quote, urlsplit
 
-import httptools
 import orjson
 from attrs import define, field
 
+from .edges import Performers
+from .http_connections import Call, HttpConnection, http_request
 from .messages import (
     ObjectsReceived,
     StoreConflict,
@@ -19,11 +20,10 @@
     WatchStore,
     WriteStore,
 )
-from .sockets import Poller, Stream, Timer, connect
+from .sockets import Poller
 from .tables import State
 
 CALL_TIMEOUT_S = 2.0  # Beyond the time for which a watch may wait.
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 DEFAULT_PORT = 80
 OK = 200
 CREATED = 201
@@ -31,155 +31,6 @@
 CONFLICT_STATUSES = frozenset({404, 409, 412})
 
 
-@define(eq=False)
-class Call:
-    """A request to the store and what to do with its response."""
-
-    number: int
-    request: bytes
-    convert: Callable[[int, Any], object]
-    timer: Timer | None = None
-
-
-class StoreConnection:
-    """A keep-alive connection that carries one call after the other."""
-
-    def __init__(self, client: "StoreClient") -> None:
-        self.client = client
-        self.calls: deque[Call] = deque()
-        self.is_sent = False  # The first call is on its way.
-        self.stream: Stream | None = None
-        self.reset_response()
-
-    def reset_response(self) -> None:
-        """Prepare for the next response."""
-        self.body: list[bytes] = []
-        self.size = 0
-        self.complete = False
-        self.keep_alive = False
-        self.status = 0
-        self.parser: Any = httptools.HttpResponseParser(self)
-
-    def add(self, call: Call, timeout_s: float) -> None:
-        """Queue a call."""
-        self.client.state.counters["store.calls"] += 1
-        call.timer = self.client.poller.timers.later(
-            timeout_s, lambda: self.time_out(call)
-        )
-        self.calls.append(call)
-        self.send_next()
-
-    def send_next(self) -> None:
-        """Send the first call if none is on its way."""
-        if self.is_sent or not self.calls:
-            return
-        if self.stream is None:
-            try:
-                self.stream = connect(self.client.poller, self.client.address, self)
-            except OSError as error:
-                self.fail_first(str(error))
-                return
-        self.reset_response()
-        self.is_sent = True
-        self.stream.write(self.calls[0].request)
-
-    def fail_first(self, detail: str) -> None:
-        """Fail the first call and go on with the next."""
-        call = self.calls.popleft()
-        self.is_sent = False
-        self.end(call, StoreFailed(call.number, detail))
-
-    def end(self, call: Call, message: object) -> None:
-        """Report a call and go on with the next."""
-        if call.timer is not None:
-            call.timer.cancel()
-        if isinstance(message, StoreFailed):
-            self.client.state.counters["store.failed"] += 1
-        self.client.deliver_all([message])
-        self.send_next()
-
-    def time_out(self, call: Call) -> None:
-        """Give up a call; its late response must not be taken for the next."""
-        if call not in self.calls:
-            return
-        if call is self.calls[0]:
-            self.disconnect()
-            self.fail_first("timeout")
-        else:
-            self.calls.remove(call)
-            self.end(call, StoreFailed(call.number, "timeout"))
-
-    def disconnect(self) -> None:
-        """Close the connection."""
-        if self.stream is not None:
-            self.stream.close()
-            self.stream = None
-
-    def abandon(self) -> None:
-        """Drop the calls without a report."""
-        for call in self.calls:
-            if call.timer is not None:
-                call.timer.cancel()
-        self.calls.clear()
-        self.is_sent = False
-        self.disconnect()
-
-    def on_connected(self) -> None:
-        """Do nothing; the request is queued."""
-
-    def on_drained(self) -> None:
-        """Do nothing; requests are sent one at a time."""
-
-    def on_data(self, data: bytes) -> None:
-        """Parse the response."""
-        self.size += len(data)
-        if not self.is_sent or self.size > MAX_RESPONSE_BYTES:
-            self.drop("unexpected or too large response")
-            return
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.drop(f"bad response: {error}")
-            return
-        if self.complete:
-            self.respond()
-
-    def on_body(self, data: bytes) -> None:
-        """Collect a part of the body."""
-        self.body.append(data)
-
-    def on_message_complete(self) -> None:
-        """Note the end of the response; the parser forgets its state afterwards."""
-        self.complete = True
-        self.keep_alive = self.parser.should_keep_alive()
-        self.status = self.parser.get_status_code()
-
-    def respond(self) -> None:
-        """Report the first call."""
-        call = self.calls.popleft()
-        self.is_sent = False
-        if not self.keep_alive:
-            self.disconnect()
-        try:
-            value = orjson.loads(b"".join(self.body) or b"null")
-            message = call.convert(self.status, value)
-        except (ValueError, KeyError, TypeError) as error:
-            message = StoreFailed(call.number, f"bad response: {error!r}")
-        self.end(call, message)
-
-    def drop(self, detail: str) -> None:
-        """Close the connection and fail its call."""
-        self.disconnect()
-        if self.is_sent:
-            self.fail_first(detail)
-
-    def on_closed(self) -> None:
-        """Fail the call on its way; an idle connection is opened again on demand."""
-        self.stream = None
-        if self.is_sent:
-            self.fail_first("connection closed")
-
-
 @define(eq=False)
 class StoreClient:
     """The connections of an instance to the store."""
@@ -190,8 +41,8 @@
     address: str = field(init=False)
     host: str = field(init=False)
     prefix: str = field(init=False)
-    watching: StoreConnection = field(init=False)
-    writing: StoreConnection = field(init=False)
+    watching: HttpConnection = field(init=False)
+    writing: HttpConnection = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Resolve the platform's name once, before the loop runs; raise OSError."""
@@ -201,15 +52,21 @@
         self.address = f"{found[0][4][0]!s}:{port}"
         self.host = url.netloc
         self.prefix = url.path.rstrip("/")
-        self.watching = StoreConnection(self)
-        self.writing = StoreConnection(self)
+        self.watching = self.connection()
+        self.writing = self.connection()
+
+    def connection(self) -> HttpConnection:
+        """Return a connection to the store."""
+        return HttpConnection(
+            "store", self.address, self.state, self.poller, self.deliver_all
+        )
 
     def watch(self, message: WatchStore) -> None:
         """Ask for changes, in place of an earlier watch."""
         if self.watching.calls:
             self.watching.abandon()
         path = f"/v1/objects?after={message.version}&wait_ms={message.wait_ms}"
-        call = Call(0, self.request("GET", path), watch_result)
+        call = Call(self.request("GET", path), watch_result, partial(StoreFailed, 0))
         self.watching.add(call, message.wait_ms / 1000 + CALL_TIMEOUT_S)
 
     def write(self, message: WriteStore) -> None:
@@ -223,18 +80,22 @@
         body = orjson.dumps(message.value)
         request = self.request("PUT", path, condition, body)
         convert = write_result(message)
-        self.writing.add(Call(message.call, request, convert), CALL_TIMEOUT_S)
+        fail = partial(StoreFailed, message.call)
+        self.writing.add(Call(request, convert, fail), CALL_TIMEOUT_S)
 
     def request(
         self, method: str, path: str, headers: str = "", body: bytes = b""
     ) -> bytes:
         """Return the bytes of a request."""
-        if body:
-            headers += (
-                f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
-            )
-        head = f"{method} {self.prefix}{path} HTTP/1.1\r\nHost: {self.host}\r\n"
-        return f"{head}{headers}\r\n".encode() + body
+        return http_request(method, self.host, self.prefix + path, headers, body)
+
+    def performers(self) -> Performers:
+        """Return what the edge carries out."""
+        return {WatchStore: self.watch, WriteStore: self.write}
+
+    def gauges(self) -> dict[str, int]:
+        """Return the sizes of what the edge keeps."""
+        return {}
 
     def close(self) -> None:
         """Close everything."""
