--- /dev/null
+++ b/packaging/select_requirements.py
@@ -0,0 +1,55 @@
+"""Writes the part of requirements.lock that an instance on the platform needs.
+
+Run in the virtual environment: the dependencies of the packages named in
+deploy/requirements.in are read from what is installed.
+"""
+
+import re
+from importlib.metadata import requires
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+ENTRY = re.compile(r"^(?P<name>[A-Za-z0-9._-]+)==", re.MULTILINE)
+
+
+def normal(name: str) -> str:
+    """Return the normalised name of a package."""
+    return re.sub(r"[-_.]+", "-", name).lower()
+
+
+def closure(names: list[str]) -> set[str]:
+    """Return the packages with everything they require."""
+    found: set[str] = set()
+    while names:
+        name = normal(names.pop())
+        if name in found:
+            continue
+        found.add(name)
+        for line in requires(name) or ():
+            if "extra ==" not in line and "python_version <" not in line:
+                names.append(re.split(r"[^A-Za-z0-9._-]", line, maxsplit=1)[0])
+    return found
+
+
+def main() -> None:
+    """Write deploy/requirements.txt."""
+    lock = (ROOT / "requirements.lock").read_text()
+    starts = [match.start() for match in ENTRY.finditer(lock)]
+    ends = [*starts[1:], len(lock)]
+    lines = (ROOT / "deploy/requirements.in").read_text().splitlines()
+    wanted = closure([line for line in lines if line and not line.startswith("#")])
+    parts = []
+    for start, end in zip(starts, ends, strict=True):
+        match = ENTRY.match(lock, start)
+        if match is not None and normal(match["name"]) in wanted:
+            kept = [
+                line
+                for line in lock[start:end].splitlines()
+                if not line.lstrip().startswith("#")
+            ]
+            parts.append("\n".join(kept).rstrip())
+    (ROOT / "deploy/requirements.txt").write_text("\n".join(parts) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/pimentodrift/admission.py
+++ b/pimentodrift/admission.py
@@ -10,17 +10,15 @@
 
 from expression import Error, Ok, Result
 
-from . import rates, routing, tokens, view
+from . import rate_waiters, rates, routing, tokens, view
 from .answers import answer, refuse_request
 from .caller_requests import Target, Work, read_target, read_work
 from .dispatch import handle
 from .errors import Failure, Problem, not_run
 from .messages import (
     Access,
-    Admitted,
     CallerGone,
     CallerRequest,
-    Refused,
     Statement,
 )
 from .tables import KeyRow, OpenRoute, PendingRequest, State, WorkspaceRow
@@ -188,18 +186,15 @@
     rates.wait(pending.workspace, pending.request, pending.deadline, state)
 
 
-@handle.register
-def _(message: Admitted, state: State) -> None:
-    pending = state.pending.get(message.request)
-    if pending is not None and not pending.admitted:
-        routing.start(pending, state)
+@rate_waiters.admitted.register
+def _(row: PendingRequest, state: State) -> None:
+    if not row.admitted:
+        routing.start(row, state)
 
 
-@handle.register
-def _(message: Refused, state: State) -> None:
-    pending = state.pending.get(message.request)
-    if pending is not None:
-        routing.finish_failure(pending, message.failure, state)
+@rate_waiters.refused.register
+def _(row: PendingRequest, failure: Failure, state: State) -> None:
+    routing.finish_failure(row, failure, state)
 
 
 @handle.register
--- a/pimentodrift/core.py
+++ b/pimentodrift/core.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from datetime import timedelta
 
 from . import (
     admission,
@@ -28,8 +27,7 @@
 )
 from .dispatch import handle
 from .tables import State
-
-TICK = timedelta(milliseconds=20)
+from .ticks import TICK, take_outbox
 
 # In the order of a tick: knowledge first, then the decisions that rest on it.
 SYSTEMS: tuple[Callable[[State], None], ...] = (
@@ -65,9 +63,3 @@
     """Run every system once."""
     for system in SYSTEMS:
         system(state)
-
-
-def take_outbox(state: State) -> list[object]:
-    """Remove and return the messages for the shell."""
-    messages, state.outbox = state.outbox, []
-    return messages
--- /dev/null
+++ b/pimentodrift/kind_watch.py
@@ -0,0 +1,296 @@
+"""Follows a store that lists and watches its objects by kind.
+
+Each kind is listed once and then watched from the revision of the list; when the store
+has dropped that history, it is listed again. What the entries mean is decided by the
+type of their content: the modules that own the rows register `apply` and `remove`.
+
+The configuration counts as current from the moment a list or watch was sent, never
+from the arrival of its answer, which may have waited in a network buffer.
+"""
+
+from datetime import timedelta
+from enum import StrEnum
+from functools import singledispatch
+
+from attrs import define, field, frozen
+
+from . import view
+from .clock import NEVER
+from .dispatch import handle
+from .messages import StoreObject
+from .tables import State
+
+
+class WatchedKind(StrEnum):
+    """What an instance follows."""
+
+    CONFIGURATION = "configuration"
+    REGISTRY = "registry"
+    OWN = "own"  # Objects of the product itself.
+
+
+# A watch of the configuration ends this often, which confirms that it is current.
+CONFIGURATION_WAIT = timedelta(seconds=1)
+# Nothing ages with the other kinds, so their watches wait long.
+LONG_WAIT = timedelta(seconds=20)
+FIRST_PAUSE = timedelta(milliseconds=100)
+LONGEST_PAUSE = timedelta(milliseconds=500)
+
+
+@frozen
+class Gone:
+    """The object was deleted."""
+
+
+@frozen
+class Unreadable:
+    """The object's content is not of the expected form."""
+
+    detail: str
+
+
+@frozen
+class Entry:
+    """An object of a kind at a revision of the store."""
+
+    name: str
+    revision: int
+    content: object
+
+
+@frozen
+class ListKind:
+    """Ask for the objects of a kind whose names follow `after`."""
+
+    kind: WatchedKind
+    after: str
+
+
+@frozen
+class WatchKind:
+    """Ask for the changes of a kind after a revision, waiting for one."""
+
+    kind: WatchedKind
+    revision: int
+    wait: timedelta
+
+
+@frozen
+class KindListed:
+    """A part of a kind's objects; `revision` is the store's at that time."""
+
+    kind: WatchedKind
+    entries: tuple[Entry, ...]
+    revision: int
+    has_more: bool
+
+
+@frozen
+class KindChanged:
+    """All changes of a kind up to a revision."""
+
+    kind: WatchedKind
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+@frozen
+class KindExpired:
+    """The store has dropped the history that a watch asked for."""
+
+    kind: WatchedKind
+
+
+@frozen
+class KindFailed:
+    """A list or watch had no usable answer."""
+
+    kind: WatchedKind
+    detail: str
+
+
+@define
+class KindRow:
+    """The copy of a kind; `revision` is 0 until a list is complete."""
+
+    kind: WatchedKind
+    revision: int = 0
+    known: dict[str, Entry] = field(factory=dict)
+    sent_at: timedelta | None = None  # Of the call in progress.
+    next_at: timedelta = NEVER
+    failures: int = 0
+    listed: set[str] = field(factory=set)  # Names of the list in progress.
+    listed_after: str = ""
+    list_began_at: timedelta = NEVER
+    list_revision: int = 0  # Of the first part of the list.
+    is_lost: bool = False
+    regained_at: timedelta = NEVER
+
+
+@singledispatch
+def apply(content: object, entry: Entry, state: State) -> None:
+    """Take over an object's new content."""
+    raise TypeError(f"no handler for {type(content).__name__}")
+
+
+@singledispatch
+def remove(content: object, entry: Entry, state: State) -> None:
+    """Take over that an object with this content is gone."""
+    raise TypeError(f"no handler for {type(content).__name__}")
+
+
+@apply.register
+def _(content: StoreObject, entry: Entry, state: State) -> None:
+    view.apply((content,), state)
+
+
+@remove.register
+def _(content: StoreObject, entry: Entry, state: State) -> None:
+    gone = StoreObject(content.kind, content.name, entry.revision, None)
+    view.apply((gone,), state)
+
+
+@remove.register
+def _(content: Unreadable, entry: Entry, state: State) -> None:
+    """Ignore the end of an object that was never used."""
+
+
+def row_of(kind: WatchedKind, state: State) -> KindRow:
+    """Return the copy of a kind."""
+    row = state.kinds.get(kind)
+    if row is None:
+        row = state.kinds[kind] = KindRow(kind)
+    return row
+
+
+def is_complete(state: State) -> bool:
+    """Return whether every kind has been listed since the start."""
+    return all(row_of(kind, state).revision for kind in WatchedKind)
+
+
+def run(state: State) -> None:
+    """Keep one call in progress for each kind."""
+    now = state.clock.monotonic()
+    for kind in WatchedKind:
+        row = row_of(kind, state)
+        if row.sent_at is not None or now < row.next_at:
+            continue
+        row.sent_at = now
+        if row.revision:
+            is_configuration = kind is WatchedKind.CONFIGURATION
+            wait = CONFIGURATION_WAIT if is_configuration else LONG_WAIT
+            state.outbox.append(WatchKind(kind, row.revision, wait))
+        else:
+            if not row.listed_after:
+                row.list_began_at = now
+                row.listed.clear()
+            state.outbox.append(ListKind(kind, row.listed_after))
+
+
+def take(entry: Entry, row: KindRow, state: State) -> None:
+    """Take over an entry unless a newer one is known."""
+    known = row.known.get(entry.name)
+    if known is not None and known.revision >= entry.revision:
+        return
+    if isinstance(entry.content, Gone):
+        if known is not None:
+            del row.known[entry.name]
+            remove(known.content, entry, state)
+        return
+    row.known[entry.name] = entry
+    if isinstance(entry.content, Unreadable):
+        note_unreadable(entry, row, state)
+        if known is not None:
+            remove(known.content, entry, state)
+        return
+    apply(entry.content, entry, state)
+
+
+def note_unreadable(entry: Entry, row: KindRow, state: State) -> None:
+    """Count and log an object that cannot be used."""
+    state.counters[f"store.unreadable.{row.kind}"] += 1
+    fields: dict[str, object] = {
+        "kind": row.kind,
+        "name": entry.name,
+        "revision": entry.revision,
+        "detail": str(entry.content),
+    }
+    state.events.append(("object_unreadable", fields))
+
+
+def succeed(row: KindRow, state: State) -> timedelta:
+    """Note an answer of the store and return when its question was sent."""
+    now = state.clock.monotonic()
+    sent_at = now if row.sent_at is None else row.sent_at
+    row.sent_at = None
+    row.failures = 0
+    row.next_at = now
+    if row.is_lost:
+        row.is_lost = False
+        row.regained_at = now
+        state.events.append(("store_regained", {"kind": row.kind}))
+    return sent_at
+
+
+def confirm(row: KindRow, since: timedelta, state: State) -> None:
+    """Record that the copy of a kind was current at `since`."""
+    if row.kind is WatchedKind.CONFIGURATION:
+        view.confirm(since, state)
+    if row.kind is WatchedKind.OWN:
+        state.view.version = max(state.view.version, row.revision)
+
+
+@handle.register
+def _(message: KindListed, state: State) -> None:
+    row = row_of(message.kind, state)
+    succeed(row, state)
+    if not row.listed_after:
+        row.list_revision = message.revision
+    for entry in message.entries:
+        row.listed.add(entry.name)
+        take(entry, row, state)
+    if message.has_more and message.entries:
+        row.listed_after = message.entries[-1].name
+        return
+    row.listed_after = ""
+    # Changes made while the parts were read are watched from the first part on.
+    row.revision = row.list_revision
+    for name in [name for name in row.known if name not in row.listed]:
+        take(Entry(name, message.revision, Gone()), row, state)
+    confirm(row, row.list_began_at, state)
+
+
+@handle.register
+def _(message: KindChanged, state: State) -> None:
+    row = row_of(message.kind, state)
+    sent_at = succeed(row, state)
+    row.revision = max(row.revision, message.revision)
+    for entry in message.entries:
+        take(entry, row, state)
+    confirm(row, sent_at, state)
+
+
+@handle.register
+def _(message: KindExpired, state: State) -> None:
+    row = row_of(message.kind, state)
+    succeed(row, state)
+    row.revision = 0
+    row.listed_after = ""
+    state.events.append(("store_history_gone", {"kind": row.kind}))
+
+
+@handle.register
+def _(message: KindFailed, state: State) -> None:
+    row = row_of(message.kind, state)
+    now = state.clock.monotonic()
+    row.sent_at = None
+    row.listed_after = ""
+    row.failures += 1
+    pause = min(FIRST_PAUSE * 2 ** min(row.failures, 6), LONGEST_PAUSE)
+    # Spreads the return of many instances after an outage.
+    row.next_at = now + pause * state.random.uniform(0.5, 1.0)
+    state.counters["store.watch_failures"] += 1
+    if not row.is_lost:
+        row.is_lost = True
+        fields: dict[str, object] = {"kind": row.kind, "detail": message.detail}
+        state.events.append(("store_lost", fields))
--- /dev/null
+++ b/pimentodrift/operation_ends.py
@@ -0,0 +1,154 @@
+"""How a statement ends: its answer or refusal, and what becomes of its transaction."""
+
+from datetime import timedelta
+
+from . import pools, view
+from .dispatch import handle
+from .session_messages import (
+    AnswerStatement,
+    ApplyStep,
+    BeginWork,
+    Commit,
+    EndWork,
+    Fault,
+    Phase,
+    Refusal,
+    RefuseStatement,
+    RunSteps,
+    StatementEnded,
+    StepAnswered,
+)
+from .session_rows import OperationRow, PooledRow, Route, SessionRow, Stage
+from .tables import State
+
+MILLISECOND = timedelta(milliseconds=1)
+# A configuration is confirmed each second while the store is reachable.
+UNCONFIRMED_RETRY_AFTER = timedelta(seconds=1)
+# How long a statement may take from its answer's point of view before a line is kept.
+SLOW_FACTOR = 1.0  # Of the route's objective.
+
+
+def denial(session: SessionRow, route: Route, state: State) -> Refusal | None:
+    """Return why a session's statements must not run now, or None."""
+    if not view.is_fresh(state):
+        detail = "the configuration is not confirmed"
+        return Refusal(Fault.OVERLOADED, detail, UNCONFIRMED_RETRY_AFTER)
+    if route.is_open:
+        return None
+    key = state.configuration.keys.get(session.key_digest)
+    if key is None or key.workspace != session.workspace:
+        return Refusal(Fault.KEY_INVALID, "the key is unknown or withdrawn")
+    return None
+
+
+def answer(operation: OperationRow, message: StepAnswered, state: State) -> None:
+    """Give the database's result to the client."""
+    session = state.sessions[operation.session]
+    state.outbox.append(
+        AnswerStatement(
+            session.session,
+            session.phase,
+            message.rows,
+            message.signature,
+            message.position,
+        )
+    )
+    state.counters["operations.answered"] += 1
+    note_answer(operation, state)
+    end(operation, state)
+
+
+def note_answer(operation: OperationRow, state: State) -> None:
+    """Log an answer that came later than its route's objective."""
+    took = state.clock.monotonic() - operation.arrived_at
+    if took <= operation.route.objective * SLOW_FACTOR:
+        return
+    state.counters["operations.late"] += 1
+    state.events.append(("statement_late", fields_of(operation, state)))
+
+
+def fields_of(operation: OperationRow, state: State) -> dict[str, object]:
+    """Return what explains the way of a statement."""
+    now = state.clock.monotonic()
+    return {
+        "request": operation.statement_id,
+        "session": operation.session,
+        "workspace": operation.workspace,
+        "database": operation.route.database,
+        "group": operation.route.group,
+        "endpoint": operation.endpoint,
+        "access": operation.access,
+        "stage": operation.stage,
+        "stage_ms": (now - operation.staged_at) // MILLISECOND,
+        "total_ms": (now - operation.arrived_at) // MILLISECOND,
+        "attempts": operation.attempts,
+        "configuration": state.configuration.version,
+        "configuration_age_ms": view.age(state) // MILLISECOND,
+    }
+
+
+def refuse(operation: OperationRow, refusal: Refusal, state: State) -> None:
+    """Tell the client that a statement has no result; its transaction is over."""
+    session = state.sessions.get(operation.session)
+    state.counters[f"operations.refused.{refusal.fault}"] += 1
+    fields = fields_of(operation, state)
+    fields |= {"fault": refusal.fault, "detail": refusal.detail}
+    if refusal.retry_after is not None:
+        fields["retry_after_ms"] = refusal.retry_after // MILLISECOND
+    state.events.append(("statement_refused", fields))
+    if session is not None:
+        end_transaction(session, state)
+        if session.phase is Phase.OPEN:
+            ended = isinstance(operation.command, Commit)
+            session.phase = Phase.IDLE if ended else Phase.FAILED
+        state.outbox.append(RefuseStatement(session.session, session.phase, refusal))
+    end(operation, state)
+
+
+def end(operation: OperationRow, state: State) -> None:
+    """Forget a statement and let its session go on."""
+    state.operations.pop(operation.operation, None)
+    connection = state.pooled.get(operation.connection)
+    if connection is not None and connection.operation == operation.operation:
+        connection.operation = 0
+    session = state.sessions.get(operation.session)
+    if session is not None and session.operation == operation.operation:
+        session.operation = 0
+        session.used_at = state.clock.monotonic()
+        handle(StatementEnded(session.session), state)
+
+
+def send(connection: PooledRow, steps: list[ApplyStep], state: State) -> None:
+    """Send steps on a connection."""
+    now = state.clock.monotonic()
+    connection.steps.extend((step, now) for step in steps)
+    state.outbox.append(RunSteps(connection.connection, tuple(steps)))
+
+
+def end_transaction(session: SessionRow, state: State) -> None:
+    """Roll back the session's transaction at the database and free its connection."""
+    connection = state.pooled.get(session.connection)
+    session.connection = 0
+    if connection is None:
+        return
+    send(connection, [EndWork()], state)
+    pools.release(connection, state)
+
+
+def abandon(operation: OperationRow, session: SessionRow, state: State) -> None:
+    """Forget a statement whose client has gone."""
+    state.operations.pop(operation.operation, None)
+    connection = state.pooled.get(operation.connection)
+    if connection is None or operation.stage not in (Stage.BEGINNING, Stage.RUNNING):
+        pools.withdraw(operation, state)
+        return
+    session.connection = 0
+    is_committing = isinstance(operation.command, Commit) and (
+        operation.stage is Stage.RUNNING
+    )
+    is_open = connection.session or any(
+        isinstance(step, BeginWork) for step, _ in connection.steps
+    )
+    if is_open and not is_committing:
+        send(connection, [EndWork()], state)
+    pools.release(connection, state)
--- /dev/null
+++ b/pimentodrift/operation_steps.py
@@ -0,0 +1,369 @@
+"""A statement on its pooled connection: what is sent and what the answers mean.
+
+A statement that a database certainly did not run is placed again; one that may have
+run is repeated only if it is a read outside a transaction.
+"""
+
+from datetime import timedelta
+
+from . import leadership, pools, restoration
+from .dispatch import handle
+from .messages import Access, Position
+from .operation_ends import answer, denial, end_transaction, refuse, send
+from .session_messages import (
+    NOT_RUN,
+    ApplyStep,
+    BeginWork,
+    Commit,
+    CommitWork,
+    ConnectionAssigned,
+    EndWork,
+    Fault,
+    OperationLost,
+    Phase,
+    Placed,
+    Refusal,
+    RunPrepared,
+    RunStatement,
+    StepAnswered,
+    TransactionLost,
+)
+from .session_rows import OperationRow, PooledRow, SessionRow, Stage
+from .tables import State
+
+MAX_ATTEMPTS = 4
+# A replica whose log was behind is left alone for this long.
+BEHIND_PAUSE = timedelta(milliseconds=150)
+SERVICE_WEIGHT = 0.1  # Of the newest value in the moving average.
+# Beginning a transaction takes no slot, so its answer takes a round trip.
+BEGIN_TIMEOUT = timedelta(seconds=1)
+RETRY_AFTER = timedelta(milliseconds=200)
+
+
+def set_stage(operation: OperationRow, stage: Stage, state: State) -> None:
+    """Record how far a statement has come."""
+    operation.stage = stage
+    operation.staged_at = state.clock.monotonic()
+
+
+# --- Sending
+
+
+@handle.register
+def _(message: ConnectionAssigned, state: State) -> None:
+    operation = state.operations[message.operation]
+    connection = state.pooled[message.connection]
+    session = state.sessions[operation.session]
+    refusal = denial(session, operation.route, state)
+    if refusal is not None:
+        refuse(operation, refusal, state)
+        pools.release(connection, state)
+        return
+    operation.connection = connection.connection
+    begin_on(operation, session, connection, state)
+
+
+def begin_on(
+    operation: OperationRow, session: SessionRow, connection: PooledRow, state: State
+) -> None:
+    """Send the first steps of a statement on a fresh connection."""
+    steps = restoration.value_steps(session, connection)
+    # Without a position, only a transaction that may write proves that a read is
+    # served by the primary.
+    is_guarded = operation.access is Access.READ and operation.minimum is None
+    if session.phase is Phase.OPEN:
+        session.connection = connection.connection
+        connection.session = session.session
+        is_replica_work = session.read_only and operation.minimum is not None
+        steps.append(BeginWork(is_replica_work, operation.minimum))
+    elif is_guarded:
+        steps.append(BeginWork())
+    else:
+        send_statement(operation, connection, steps, operation.minimum, state)
+        return
+    set_stage(operation, Stage.BEGINNING, state)
+    send(connection, steps, state)
+
+
+def send_statement(
+    operation: OperationRow,
+    connection: PooledRow,
+    steps: list[ApplyStep],
+    minimum: Position | None,
+    state: State,
+) -> None:
+    """Send the client's statement behind the steps that prepare it."""
+    if operation.shape is not None:
+        steps += restoration.shape_steps(operation.shape, connection)
+    steps.append(statement_step(operation, connection, minimum))
+    set_stage(operation, Stage.RUNNING, state)
+    send(connection, steps, state)
+
+
+def statement_step(
+    operation: OperationRow, connection: PooledRow, minimum: Position | None
+) -> ApplyStep:
+    """Return the step that carries a client's statement."""
+    if isinstance(operation.command, Commit):
+        return CommitWork(operation.statement_id)
+    shape = operation.shape
+    if shape is not None:
+        name = connection.shapes[shape.access, shape.shape]
+        return RunPrepared(operation.statement_id, name, operation.text, minimum)
+    return RunStatement(operation.statement_id, operation.text, minimum)
+
+
+def continue_transaction(
+    operation: OperationRow, session: SessionRow, state: State
+) -> None:
+    """Send a statement on the connection of its transaction."""
+    refusal = denial(session, operation.route, state)
+    if refusal is not None:
+        refuse(operation, refusal, state)
+        return
+    connection = state.pooled[session.connection]
+    connection.operation = operation.operation
+    operation.connection = connection.connection
+    operation.endpoint = connection.endpoint
+    steps = restoration.value_steps(session, connection)
+    send_statement(operation, connection, steps, None, state)
+
+
+# --- Answers
+
+
+@handle.register
+def _(message: StepAnswered, state: State) -> None:
+    connection = state.pooled.get(message.connection)
+    if connection is None:
+        return
+    if not connection.steps:
+        break_connection(connection, state)
+        return
+    step, sent_at = connection.steps.popleft()
+    pool = state.pools.get(connection.endpoint)
+    if pool is not None:
+        pool.answered_at = state.clock.monotonic()
+    operation = state.operations.get(connection.operation)
+    match step:
+        case BeginWork():
+            if message.fault is None and not step.read_only:
+                prove(connection, message, sent_at, state)
+            if operation is not None:
+                on_begun(connection, operation, message, state)
+        case RunStatement() | RunPrepared() | CommitWork():
+            if operation is not None:
+                on_ran(connection, operation, sent_at, message, state)
+        case EndWork():
+            pass  # Nothing was open if it is refused.
+        case _ if message.fault is not None:
+            break_connection(connection, state)
+            return
+    if connection.releasing and not connection.steps:
+        pools.release(connection, state)
+
+
+def prove(
+    connection: PooledRow, message: StepAnswered, sent_at: timedelta, state: State
+) -> None:
+    """Record that the endpoint led its group after the question was sent."""
+    leadership.proved(
+        connection.group, connection.endpoint, message.position, sent_at, state
+    )
+
+
+def break_connection(connection: PooledRow, state: State) -> None:
+    """Close a connection whose state is not known any more."""
+    state.counters["pools.broken"] += 1
+    pools.close(connection, state)
+    pools.tell_users(connection, state)
+
+
+def on_begun(
+    connection: PooledRow,
+    operation: OperationRow,
+    message: StepAnswered,
+    state: State,
+) -> None:
+    """Go on with the statement once its transaction is open."""
+    session = state.sessions[operation.session]
+    if message.fault is not None:
+        try_elsewhere(operation, connection, message, state)
+        return
+    refusal = denial(session, operation.route, state)
+    if refusal is not None:
+        if not connection.session:
+            send(connection, [EndWork()], state)
+            pools.release(connection, state)
+        refuse(operation, refusal, state)
+        return
+    send_statement(operation, connection, [], None, state)
+    if not connection.session:
+        send(connection, [EndWork()], state)
+
+
+def on_ran(
+    connection: PooledRow,
+    operation: OperationRow,
+    sent_at: timedelta,
+    message: StepAnswered,
+    state: State,
+) -> None:
+    """Answer a statement, or place it again if it certainly did not run."""
+    if message.fault is not None:
+        on_fault(connection, operation, message, state)
+        return
+    measure(operation, sent_at, state)
+    session = state.sessions[operation.session]
+    is_commit = isinstance(operation.command, Commit)
+    is_write = operation.access is Access.WRITE
+    if connection.session and not is_commit:
+        session.wrote = session.wrote or is_write
+        session.ran = True
+        answer(operation, message, state)
+        return
+    if session.wrote if is_commit else is_write:
+        prove(connection, message, sent_at, state)
+        if message.position is not None:
+            session.writes[connection.group] = message.position
+    if is_commit:
+        session.phase = Phase.IDLE
+        session.connection = 0
+    # The connection is free before the session's next statement asks for one.
+    pools.release(connection, state)
+    answer(operation, message, state)
+
+
+def measure(operation: OperationRow, sent_at: timedelta, state: State) -> None:
+    """Update the moving average of a statement's time at an endpoint."""
+    pool = state.pools.get(operation.endpoint)
+    if pool is None:
+        return
+    now = state.clock.monotonic()
+    took = max(timedelta(0), now - sent_at - (pool.round_trip or timedelta(0)))
+    pool.service += (took - pool.service) * SERVICE_WEIGHT
+    pool.service_at = now
+
+
+def on_fault(
+    connection: PooledRow,
+    operation: OperationRow,
+    message: StepAnswered,
+    state: State,
+) -> None:
+    """Place a statement again, or tell the client what the database said."""
+    session = state.sessions[operation.session]
+    fault = message.fault or Fault.FAILED
+    is_first = not connection.session or not (session.ran or session.wrote)
+    if is_first and fault in NOT_RUN and operation.attempts < MAX_ATTEMPTS:
+        try_elsewhere(operation, connection, message, state)
+        return
+    note_fault(connection, fault, state)
+    if not connection.session:
+        pools.release(connection, state)
+    refuse(operation, Refusal(fault, message.detail, RETRY_AFTER), state)
+
+
+def note_fault(connection: PooledRow, fault: Fault, state: State) -> None:
+    """Record what a refusal tells about its endpoint."""
+    state.counters[f"endpoints.{fault}"] += 1
+    pool = state.pools.get(connection.endpoint)
+    if fault is Fault.READ_ONLY:
+        leadership.denied(connection.group, connection.endpoint, state)
+    if fault is Fault.BEHIND and pool is not None:
+        pool.behind_until = state.clock.monotonic() + BEHIND_PAUSE
+
+
+def try_elsewhere(
+    operation: OperationRow,
+    connection: PooledRow,
+    message: StepAnswered,
+    state: State,
+) -> None:
+    """Place a statement again that certainly did not run."""
+    fault = message.fault or Fault.FAILED
+    note_fault(connection, fault, state)
+    operation.tried.add(connection.endpoint)
+    operation.connection = 0
+    session = state.sessions[operation.session]
+    if connection.session:
+        end_transaction(session, state)
+    else:
+        pools.release(connection, state)
+    if operation.attempts >= MAX_ATTEMPTS:
+        refuse(operation, Refusal(fault, message.detail, RETRY_AFTER), state)
+        return
+    handle(Placed(operation.operation), state)
+
+
+# --- Losses
+
+
+@handle.register
+def _(message: OperationLost, state: State) -> None:
+    operation = state.operations.get(message.operation)
+    if operation is None:
+        return
+    session = state.sessions[operation.session]
+    session.connection = 0
+    operation.connection = 0
+    if operation.stage is not Stage.RUNNING:
+        place_again(operation, state)
+        return
+    in_transaction = session.phase is Phase.OPEN
+    if not in_transaction and operation.access is Access.READ:
+        place_again(operation, state)
+        return
+    refuse(operation, loss(operation, session), state)
+
+
+def place_again(operation: OperationRow, state: State) -> None:
+    """Place a statement again whose endpoint was lost."""
+    operation.tried.add(operation.endpoint)
+    if operation.attempts >= MAX_ATTEMPTS:
+        detail = "the connections to the endpoints were lost"
+        refuse(operation, Refusal(Fault.OVERLOADED, detail, RETRY_AFTER), state)
+        return
+    handle(Placed(operation.operation), state)
+
+
+def loss(operation: OperationRow, session: SessionRow) -> Refusal:
+    """Return what is certain about a statement whose connection was lost."""
+    detail = f"the connection to {operation.endpoint} was lost"
+    if operation.timed_out:
+        detail = f"{operation.endpoint} did not answer in time"
+    if session.phase is not Phase.OPEN:
+        is_timeout = operation.timed_out
+        return Refusal(Fault.TIMED_OUT if is_timeout else Fault.IN_DOUBT, detail)
+    if isinstance(operation.command, Commit) and session.wrote:
+        return Refusal(Fault.IN_DOUBT, detail)
+    return Refusal(Fault.ABORTED, detail, RETRY_AFTER)
+
+
+@handle.register
+def _(message: TransactionLost, state: State) -> None:
+    session = state.sessions.get(message.session)
+    if session is not None:
+        session.connection = 0
+        session.phase = Phase.FAILED
+        state.counters["sessions.transactions_lost"] += 1
+
+
+def check_time(operation: OperationRow, state: State) -> None:
+    """Give up a connection whose endpoint does not answer within the route's limit."""
+    now = state.clock.monotonic()
+    timeout = operation.route.timeout
+    if operation.stage is Stage.BEGINNING:
+        timeout = min(timeout, BEGIN_TIMEOUT)
+    if now - operation.staged_at <= timeout:
+        return
+    connection = state.pooled.get(operation.connection)
+    if connection is None:
+        return
+    operation.timed_out = True
+    state.counters["operations.timed_out"] += 1
+    pool = state.pools.get(connection.endpoint)
+    if pool is not None and pool.answered_at < operation.staged_at:
+        pools.fail(pool, Fault.TIMED_OUT, state)
+    pools.close(connection, state)
+    pools.tell_users(connection, state)
--- /dev/null
+++ b/pimentodrift/operations.py
@@ -0,0 +1,253 @@
+"""The way of one statement of a session: rate, endpoint, connection, answer.
+
+A statement that a database certainly did not run is tried elsewhere; one that may have
+run is repeated only if it is a read. What cannot be served soon is refused at once,
+with the time after which the client should come back.
+"""
+
+from datetime import timedelta
+
+from . import leadership, operation_steps, placement, pools, rates, registry
+from .dispatch import handle
+from .errors import Failure
+from .messages import Position
+from .operation_ends import denial, refuse
+from .rate_waiters import admitted, refused
+from .session_messages import EndpointFailed, Fault, Placed, Refusal
+from .session_rows import (
+    Consistency,
+    OperationRow,
+    PoolRow,
+    RegistryRow,
+    Stage,
+)
+from .tables import State
+
+# A read whose sample is nearly too old goes to the primary, as its way takes time too.
+SAMPLE_MARGIN = timedelta(milliseconds=50)
+# Without a primary, a new one leads within detection and promotion; until then the
+# statement is held, because a client that comes back sooner would not be served either.
+HOLD_LIMIT = timedelta(milliseconds=3500)
+# Part of the objective after which a statement that waits for a connection is refused.
+QUEUE_PART = 0.5
+MIN_RETRY_AFTER = timedelta(milliseconds=100)
+# From another region, before a connection has measured it.
+DISTANT_ROUND_TRIP = timedelta(milliseconds=40)
+NEAR_ROUND_TRIP = timedelta(milliseconds=1)
+# An average that was not renewed for this long says nothing about now.
+SERVICE_LIFETIME = timedelta(seconds=2)
+TYPICAL_SERVICE = timedelta(milliseconds=20)
+
+
+# --- Start
+
+
+def start(operation: OperationRow, state: State) -> None:
+    """Begin with a statement; the first of a transaction is charged for all."""
+    session = state.sessions[operation.session]
+    if session.connection:
+        operation_steps.continue_transaction(operation, session, state)
+        return
+    if not operation.workspace or rates.take(operation.workspace, state):
+        place(operation, state)
+        return
+    operation_steps.set_stage(operation, Stage.RATE, state)
+    # The rate decides by its own time limits.
+    deadline = operation.arrived_at + operation.route.timeout
+    rates.wait(operation.workspace, operation.operation, deadline, state)
+
+
+@admitted.register
+def _(row: OperationRow, state: State) -> None:
+    if row.stage is Stage.RATE:
+        place(row, state)
+
+
+@refused.register
+def _(row: OperationRow, failure: Failure, state: State) -> None:
+    detail = "the workspace is over its rate"
+    refuse(row, Refusal(Fault.OVERLOADED, detail, failure.retry_after), state)
+
+
+# --- Placement
+
+
+def place(operation: OperationRow, state: State) -> None:
+    """Send a statement to the pool of an endpoint, or hold or refuse it."""
+    refusal = denial(state.sessions[operation.session], operation.route, state)
+    if refusal is not None:
+        refuse(operation, refusal, state)
+        return
+    target = choose(operation, state)
+    if target is None:
+        hold(operation, state)
+        return
+    pool = state.pools[target.name]
+    wait = expected_wait(pool, state)
+    allowed = operation.route.objective * QUEUE_PART
+    if wait > allowed:
+        state.counters["operations.refused_on_arrival"] += 1
+        detail = f"the queue of {target.name} takes longer than the objective allows"
+        after = max(MIN_RETRY_AFTER, wait - allowed)
+        refuse(operation, Refusal(Fault.OVERLOADED, detail, after), state)
+        return
+    operation.endpoint = target.name
+    operation.attempts += 1
+    operation_steps.set_stage(operation, Stage.QUEUED, state)
+    pools.submit(operation, pool, state)
+
+
+def expected_wait(pool: PoolRow, state: State) -> timedelta:
+    """Return how long a new statement would wait for a connection."""
+    in_use = len(pool.connections) or 1
+    ahead = pools.waiting(pool)
+    return service(pool, state) * (ahead / in_use)
+
+
+def service(pool: PoolRow, state: State) -> timedelta:
+    """Return the moving average of a statement, or what is typical."""
+    age = state.clock.monotonic() - pool.service_at
+    return pool.service if age <= SERVICE_LIFETIME else TYPICAL_SERVICE
+
+
+def choose(operation: OperationRow, state: State) -> RegistryRow | None:
+    """Return the endpoint for a statement; None if there is none now."""
+    group = operation.route.group
+    operation.minimum = None
+    if not operation.primary_only:
+        operation.minimum = minimum_position(operation, state)
+    if operation.minimum is None:
+        return usable_primary(group, operation, state)
+    rows = [
+        row
+        for row in registry.members(group, state)
+        if is_candidate(row, operation, state)
+    ]
+    best = placement.choose(candidate(row, operation, state) for row in rows)
+    return state.registry[best.endpoint] if best is not None else None
+
+
+def usable_primary(
+    group: str, operation: OperationRow, state: State
+) -> RegistryRow | None:
+    """Return the primary if it can be given work now."""
+    row = leadership.primary(group, state)
+    if row is None or not registry.takes_work(row, True, state):
+        return None
+    return row if pools.is_available(state.pools[row.name], state) else None
+
+
+def is_candidate(row: RegistryRow, operation: OperationRow, state: State) -> bool:
+    """Return whether an endpoint may serve a read that names its position."""
+    pool = state.pools[row.name]
+    if row.name in operation.tried or not pools.is_available(pool, state):
+        return False
+    is_primary = leadership.row_of(row.entry.group, state).primary == row.name
+    if not is_primary and state.clock.monotonic() < pool.behind_until:
+        return False
+    return registry.takes_work(row, False, state)
+
+
+def candidate(
+    row: RegistryRow, operation: OperationRow, state: State
+) -> placement.Candidate:
+    """Return what placement needs to know of an endpoint."""
+    pool = state.pools[row.name]
+    near = row.entry.data_centre == state.settings.data_centre
+    assumed = NEAR_ROUND_TRIP if near else DISTANT_ROUND_TRIP
+    trip = pool.round_trip or assumed
+    has_idle = any(
+        connection.workspace == operation.workspace
+        for connection in pools.idle(pool, state)
+    )
+    connecting = timedelta(0) if has_idle else 2 * trip
+    return placement.Candidate(
+        row.name,
+        min(trip, assumed),
+        connecting,
+        service(pool, state),
+        pools.busy(pool, state),
+        row.entry.slots,
+    )
+
+
+def minimum_position(operation: OperationRow, state: State) -> Position | None:
+    """Return the position that a read's log must have; None if it is not known."""
+    route = operation.route
+    since = operation.aged_from - route.max_staleness + SAMPLE_MARGIN
+    known = leadership.sample(route.group, since, state)
+    session = state.sessions.get(operation.session)
+    if known is None or session is None:
+        return None
+    own = session.writes.get(route.group)
+    if route.consistency is Consistency.OWN_WRITES and own is not None:
+        # A later term's position covers what was kept of the earlier terms.
+        return max(known, own)
+    return known
+
+
+def hold(operation: OperationRow, state: State) -> None:
+    """Keep a statement until an endpoint can serve it."""
+    if operation.stage is not Stage.HELD:
+        operation_steps.set_stage(operation, Stage.HELD, state)
+        state.counters["operations.held"] += 1
+
+
+@handle.register
+def _(message: Placed, state: State) -> None:
+    operation = state.operations.get(message.operation)
+    if operation is not None:
+        place(operation, state)
+
+
+@handle.register
+def _(message: EndpointFailed, state: State) -> None:
+    pool = state.pools.get(message.endpoint)
+    if pool is None:
+        return
+    queues, pool.waiting = pool.waiting, {}
+    for queue in queues.values():
+        for number in queue:
+            operation = state.operations[number]
+            operation.tried.add(message.endpoint)
+            place(operation, state)
+
+
+# --- Each tick
+
+
+def run(state: State) -> None:
+    """Place what is held and end what has waited too long."""
+    for operation in list(state.operations.values()):
+        if operation.operation not in state.operations:
+            continue
+        match operation.stage:
+            case Stage.HELD:
+                check_held(operation, state)
+            case Stage.QUEUED:
+                check_queued(operation, state)
+            case Stage.BEGINNING | Stage.RUNNING:
+                operation_steps.check_time(operation, state)
+
+
+def check_held(operation: OperationRow, state: State) -> None:
+    """Place a held statement if it can be served now; refuse it after a while."""
+    if choose(operation, state) is not None:
+        place(operation, state)
+        return
+    if state.clock.monotonic() - operation.staged_at > HOLD_LIMIT:
+        detail = "no endpoint of the group can serve the statement"
+        refusal = Refusal(Fault.OVERLOADED, detail, MIN_RETRY_AFTER)
+        refuse(operation, refusal, state)
+
+
+def check_queued(operation: OperationRow, state: State) -> None:
+    """Refuse a statement that got no connection in time."""
+    waited = state.clock.monotonic() - operation.staged_at
+    if waited <= operation.route.objective * QUEUE_PART:
+        return
+    pools.withdraw(operation, state)
+    pool = state.pools[operation.endpoint]
+    wait = max(MIN_RETRY_AFTER, expected_wait(pool, state))
+    detail = f"no connection to {operation.endpoint} became free"
+    refuse(operation, Refusal(Fault.OVERLOADED, detail, wait), state)
--- a/pimentodrift/process.py
+++ b/pimentodrift/process.py
@@ -3,7 +3,6 @@
 circuits events are used at the edges only: signals, start and stop.
 """
 
-import gc
 from random import Random, SystemRandom
 from resource import RLIMIT_NOFILE, getrlimit
 from typing import Any
@@ -15,14 +14,11 @@
 from .messages import StopRequested
 from .metrics import PERIOD_S, Metrics
 from .settings import Settings
+from .runtime import SEED_BITS, tune_garbage_collection
 from .shell import SECOND, Shell
 from .sockets import Poller
 from .tables import State
 
-SEED_BITS = 64
-# Measured at 3,800 connections and 16,000 requests/s: the longest pause was 4 ms, and
-# 26 ms with the defaults. Reference counts free what requests leave behind.
-GC_THRESHOLDS = (10_000, 20, 50)
 # For peers, endpoints, the store and the process itself.
 OTHER_DESCRIPTORS = 512
 # The core ends a stop in time by itself; this is the bound if it fails to.
@@ -117,13 +113,6 @@
     return 0 if instance.has_stopped else 1
 
 
-def tune_garbage_collection() -> None:
-    """Make full collections rare: each scans all rows and connections at once."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-
-
 def check_descriptor_limit(settings: Settings) -> None:
     """Log when the process may not open as many connections as are configured."""
     limit = getrlimit(RLIMIT_NOFILE)[0]
--- /dev/null
+++ b/pimentodrift/rate_waiters.py
@@ -0,0 +1,34 @@
+"""Tells what waits for a token of its workspace's rate how the wait has ended."""
+
+from functools import singledispatch
+
+from .dispatch import handle
+from .errors import Failure
+from .messages import Admitted, Refused
+from .tables import State
+
+
+@singledispatch
+def admitted(row: object, state: State) -> None:
+    """Go on with what waited."""
+    raise TypeError(f"no handler for {type(row).__name__}")
+
+
+@singledispatch
+def refused(row: object, failure: Failure, state: State) -> None:
+    """End what waited."""
+    raise TypeError(f"no handler for {type(row).__name__}")
+
+
+@handle.register
+def _(message: Admitted, state: State) -> None:
+    row = state.pending.get(message.request) or state.operations.get(message.request)
+    if row is not None:
+        admitted(row, state)
+
+
+@handle.register
+def _(message: Refused, state: State) -> None:
+    row = state.pending.get(message.request) or state.operations.get(message.request)
+    if row is not None:
+        refused(row, message.failure, state)
--- /dev/null
+++ b/pimentodrift/registration.py
@@ -0,0 +1,48 @@
+"""Lists this instance in the store, where the others find its address."""
+
+from datetime import timedelta
+
+from attrs import frozen
+
+from . import kind_watch
+from .kind_watch import WatchedKind
+from .messages import StoreObject
+from .store_writes import StoreOutcome, write, write_ended
+from .tables import Presence, State
+
+RETRY_INTERVAL = timedelta(seconds=1)
+
+
+@frozen
+class Registration:
+    """The purpose of a write of this instance's own object."""
+
+
+def run(state: State) -> None:
+    """Write this instance's object when it is missing or has another address."""
+    now = state.clock.monotonic()
+    if state.stopping or now < state.registration_at:
+        return
+    if not kind_watch.row_of(WatchedKind.OWN, state).revision:
+        return
+    settings = state.settings
+    value = {
+        "address": settings.peer_listen,
+        "region": settings.region,
+        "data_centre": settings.data_centre,
+        "state": Presence.LIVE.value,
+    }
+    known = state.view.objects.get(("instance", settings.name))
+    if known is not None and known.value == value:
+        return
+    state.registration_at = now + RETRY_INTERVAL
+    target = known or StoreObject("instance", settings.name, 0, None)
+    if target.value is None:
+        target = StoreObject("instance", settings.name, 0, None)
+    write(target, value, Registration(), state)
+
+
+@write_ended.register
+def _(purpose: Registration, outcome: StoreOutcome, state: State) -> None:
+    """Leave the next attempt to the next run; the view shows what is stored."""
+    state.events.append(("instance_listed", {"outcome": outcome}))
--- /dev/null
+++ b/pimentodrift/registry.py
@@ -0,0 +1,106 @@
+"""Endpoints from a registry that the databases write themselves.
+
+An entry may lapse while its database lives, so an endpoint is used for a while after
+its entry has gone. A database that starts again under its name has lost everything it
+knew; its connections are closed and what was learned about it is forgotten.
+"""
+
+from datetime import timedelta
+
+from . import leadership, pools
+from .kind_watch import Entry, apply, remove
+from .session_rows import EndpointRole, PoolRow, RegisteredEndpoint, RegistryRow
+from .tables import State
+
+# Entries that lapsed during an outage are back about two seconds after its end.
+LAPSE_GRACE = timedelta(milliseconds=2500)
+# A leaving primary is used until another one leads, but not for longer than this.
+LEAVING_PRIMARY_USE = timedelta(seconds=4)
+
+
+@apply.register
+def _(content: RegisteredEndpoint, entry: Entry, state: State) -> None:
+    now = state.clock.monotonic()
+    known = state.registry.get(entry.name)
+    if known is not None and is_reborn(known.entry, content):
+        forget(known, "restarted", state)
+        known = None
+    row = known
+    if row is None:
+        row = RegistryRow(entry.name, content, entry.revision)
+        state.registry[entry.name] = row
+        state.pools.setdefault(entry.name, PoolRow(entry.name, content.group))
+    before = known.entry if known is not None else None
+    row.entry = content
+    row.revision = entry.revision
+    row.missing_since = None
+    if not content.is_leaving:
+        row.leaving_since = None
+    elif row.leaving_since is None:
+        row.leaving_since = now
+    if before is None or (before.role, before.is_leaving) != (
+        content.role,
+        content.is_leaving,
+    ):
+        note(row, state)
+    if content.role is EndpointRole.PRIMARY:
+        leadership.claimed(content.group, entry.name, state)
+
+
+def is_reborn(before: RegisteredEndpoint, after: RegisteredEndpoint) -> bool:
+    """Return whether an entry is of another process than the one before."""
+    return (before.incarnation, before.address, before.group) != (
+        after.incarnation,
+        after.address,
+        after.group,
+    )
+
+
+def note(row: RegistryRow, state: State) -> None:
+    """Log what an endpoint says of itself."""
+    fields: dict[str, object] = {
+        "endpoint": row.name,
+        "group": row.entry.group,
+        "role": row.entry.role,
+        "leaving": row.entry.is_leaving,
+        "revision": row.revision,
+    }
+    state.events.append(("endpoint_registered", fields))
+
+
+@remove.register
+def _(content: RegisteredEndpoint, entry: Entry, state: State) -> None:
+    row = state.registry.get(entry.name)
+    if row is not None and row.missing_since is None:
+        row.missing_since = state.clock.monotonic()
+        fields: dict[str, object] = {"endpoint": row.name, "revision": entry.revision}
+        state.events.append(("endpoint_unregistered", fields))
+
+
+def forget(row: RegistryRow, reason: str, state: State) -> None:
+    """Drop an endpoint with its connections."""
+    state.registry.pop(row.name, None)
+    pools.drop(row.name, state)
+    fields: dict[str, object] = {"endpoint": row.name, "reason": reason}
+    state.events.append(("endpoint_dropped", fields))
+
+
+def run(state: State) -> None:
+    """Drop the endpoints whose entries did not come back."""
+    now = state.clock.monotonic()
+    for row in list(state.registry.values()):
+        if row.missing_since is not None and now - row.missing_since > LAPSE_GRACE:
+            forget(row, "gone", state)
+
+
+def members(group: str, state: State) -> list[RegistryRow]:
+    """Return the endpoints of a group."""
+    return [row for row in state.registry.values() if row.entry.group == group]
+
+
+def takes_work(row: RegistryRow, as_primary: bool, state: State) -> bool:
+    """Return whether an endpoint may be given new work."""
+    if row.leaving_since is None:
+        return True
+    used = state.clock.monotonic() - row.leaving_since
+    return as_primary and used <= LEAVING_PRIMARY_USE
--- /dev/null
+++ b/pimentodrift/route_configuration.py
@@ -0,0 +1,88 @@
+"""Puts a configuration in force that is one versioned object of the store.
+
+It names routes by the database that clients ask for, workspaces with keys and rates,
+and limits. Only a higher version is taken over, so a configuration never reverts.
+"""
+
+from datetime import timedelta
+from hashlib import sha256
+
+from attrs import frozen
+
+from .configuration import KEY_ID_LENGTH
+from .kind_watch import Entry, apply, remove
+from .session_rows import Route, SessionLimits
+from .tables import Configuration, KeyRow, State, WorkspaceRow
+
+MIN_RATE = 0.001  # Operations/s; a rate of 0 would divide by zero in the shares.
+
+
+@frozen
+class DeclaredWorkspace:
+    """A workspace of the configuration; `rate` in operations/s, `burst` in operations.
+
+    Keys are in the clear here and kept as digests only.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    rate: float
+    burst: float
+    priority: int = 0
+
+
+@frozen
+class RouteConfiguration:
+    """Everything that the operators declare."""
+
+    version: int
+    routes: tuple[Route, ...]
+    workspaces: tuple[DeclaredWorkspace, ...]
+    connections: dict[str, int]  # Of an endpoint, by group.
+    transaction_idle: timedelta
+
+
+def key_digest(key: str) -> str:
+    """Return the digest under which a key is looked up."""
+    return sha256(key.encode()).hexdigest()
+
+
+def build(declared: RouteConfiguration) -> Configuration:
+    """Return the workspaces and keys that the core works with."""
+    result = Configuration(publication=str(declared.version), version=declared.version)
+    for workspace in declared.workspaces:
+        rate = max(MIN_RATE, workspace.rate)
+        result.workspaces[workspace.name] = WorkspaceRow(
+            workspace.name, rate, workspace.burst
+        )
+        for key in workspace.keys:
+            digest = key_digest(key)
+            key_id = digest[:KEY_ID_LENGTH]
+            result.keys[digest] = KeyRow(digest, key_id, workspace.name)
+    result.key_ids = frozenset(row.key_id for row in result.keys.values())
+    return result
+
+
+@apply.register
+def _(content: RouteConfiguration, entry: Entry, state: State) -> None:
+    if content.version <= state.configuration.version:
+        return
+    state.configuration = build(content)
+    state.routes = {route.database: route for route in content.routes}
+    state.session_limits = SessionLimits(
+        content.transaction_idle, dict(content.connections)
+    )
+    state.counters["configuration.applied"] += 1
+    fields: dict[str, object] = {
+        "version": content.version,
+        "revision": entry.revision,
+        "routes": len(content.routes),
+        "workspaces": len(content.workspaces),
+    }
+    state.events.append(("configuration_applied", fields))
+
+
+@remove.register
+def _(content: RouteConfiguration, entry: Entry, state: State) -> None:
+    """Keep a configuration whose object is gone; nothing newer was declared."""
+    state.events.append(("configuration_missing", {"revision": entry.revision}))
--- /dev/null
+++ b/pimentodrift/session_core.py
@@ -0,0 +1,69 @@
+"""The systems of an instance whose clients hold sessions on connections.
+
+`core` has those of the HTTP interface in front of PostgreSQL. Both use the same
+handlers, rates, heartbeats and store writes.
+"""
+
+from collections.abc import Callable
+
+from . import (
+    allocation,
+    draining,
+    heartbeats,
+    kind_watch,
+    membership,
+    operation_steps,
+    operations,
+    peers,
+    pools,
+    rates,
+    registration,
+    registry,
+    route_configuration,
+    session_draining,
+    sessions,
+)
+from .dispatch import handle
+from .tables import State
+from .ticks import TICK, take_outbox
+from .view import is_fresh
+
+# In the order of a tick: knowledge first, then the decisions that rest on it.
+SYSTEMS: tuple[Callable[[State], None], ...] = (
+    kind_watch.run,
+    registration.run,
+    membership.run,
+    heartbeats.run,
+    registry.run,
+    allocation.run,
+    rates.run,
+    pools.run,
+    operations.run,
+    sessions.run,
+    session_draining.run,
+)
+
+__all__ = [
+    "SYSTEMS",
+    "TICK",
+    "draining",  # Imported for their handlers.
+    "handle",
+    "is_ready",
+    "operation_steps",
+    "peers",
+    "route_configuration",
+    "take_outbox",
+    "tick",
+]
+
+
+def tick(state: State) -> None:
+    """Run every system once."""
+    for system in SYSTEMS:
+        system(state)
+
+
+def is_ready(state: State) -> bool:
+    """Return whether the load balancer should send clients here."""
+    is_known = kind_watch.is_complete(state) and state.configuration.version > 0
+    return is_known and is_fresh(state) and not state.stopping
--- /dev/null
+++ b/pimentodrift/session_draining.py
@@ -0,0 +1,50 @@
+"""The graceful shutdown of an instance whose sessions are connections.
+
+The load balancer needs a while to send new clients elsewhere; then idle sessions are
+closed. Open transactions may end until half of the time for the stop is over.
+"""
+
+from datetime import timedelta
+
+from . import sessions
+from .messages import ExitProcess
+from .operation_ends import end_transaction
+from .session_messages import Phase
+from .tables import State
+
+# The load balancer asks once a second and gives up after two misses.
+UNLISTED_AFTER = timedelta(milliseconds=2200)
+TRANSACTION_PART = 0.5  # Of the time that a stop may take.
+
+
+def run(state: State) -> None:
+    """Close what is idle, and end the process when nothing is left."""
+    if state.stop_requested_at is None or state.exit_sent:
+        return
+    waited = state.clock.monotonic() - state.stop_requested_at
+    if waited >= state.settings.stop_timeout * TRANSACTION_PART:
+        end_transactions(state)
+    if waited >= UNLISTED_AFTER:
+        close_idle(state)
+    is_over = waited >= state.settings.stop_timeout
+    if is_over or (waited >= UNLISTED_AFTER and not state.sessions):
+        state.exit_sent = True
+        fields: dict[str, object] = {"sessions": len(state.sessions)}
+        state.events.append(("stop_complete", fields))
+        state.outbox.append(ExitProcess())
+
+
+def end_transactions(state: State) -> None:
+    """Roll back the transactions in which no statement is running."""
+    for session in state.sessions.values():
+        if session.phase is Phase.OPEN and not session.operation:
+            end_transaction(session, state)
+            session.phase = Phase.FAILED
+
+
+def close_idle(state: State) -> None:
+    """Close the sessions that wait for nothing."""
+    for session in list(state.sessions.values()):
+        is_busy = session.operation or session.waiting
+        if session.phase is Phase.IDLE and not is_busy:
+            sessions.end_session(session, state)
--- /dev/null
+++ b/pimentodrift/session_process.py
@@ -0,0 +1,121 @@
+"""Runs an instance whose clients hold sessions on connections, until it has stopped.
+
+The edges are given by the assembly, so that the same loop runs in front of every
+platform that offers them. circuits events are used for signals and start only.
+"""
+
+import signal
+from collections.abc import Callable, Sequence
+from random import Random, SystemRandom
+from types import FrameType
+from typing import Any
+
+from circuits import BaseComponent, handler
+
+from . import session_core
+from .clock import SystemClock
+from .edges import DeliverAll, Edge, EdgeShell
+from .logs import log_event, start_logging, write_events
+from .messages import StopRequested
+from .peer_streams import PeerStreams
+from .runtime import SEED_BITS, tune_garbage_collection
+from .session_messages import SessionClosed, SessionOpened, SessionStatement
+from .settings import Settings
+from .sockets import Poller
+from .tables import State
+
+EdgeFactory = Callable[[State, Poller, DeliverAll], Edge]
+Reload = Callable[[], Settings | None]
+# What was written last reaches its clients before the process ends.
+EXIT_FLUSH_S = 0.1
+
+
+class SessionShell(EdgeShell):
+    """The edges of an instance around the core of sessions."""
+
+    def __init__(
+        self,
+        state: State,
+        poller: Poller,
+        exit_process: Callable[[], None],
+        factories: Sequence[EdgeFactory],
+    ) -> None:
+        super().__init__(state, poller, exit_process, session_core, session_core.TICK)
+        self.add(PeerStreams(state, poller, self.deliver_all))
+        for factory in factories:
+            self.add(factory(state, poller, self.deliver_all))
+
+    def give_up(self, message: object) -> None:
+        """Close the session of a client whose message failed inside."""
+        if isinstance(message, SessionOpened | SessionStatement):
+            self.deliver_all([SessionClosed(message.session)])
+
+
+class SessionInstance(BaseComponent):
+    """The root component of an instance."""
+
+    channel = "instance"
+
+    def __init__(
+        self, state: State, factories: Sequence[EdgeFactory], reload: Reload
+    ) -> None:
+        super().__init__()
+        self.state = state
+        self.reload = reload
+        self.has_stopped = False
+        self.poller = Poller().register(self)
+        self.shell = SessionShell(state, self.poller, self.begin_exit, factories)
+        signal.signal(signal.SIGHUP, self.on_hangup)
+
+    @handler("started", channel="*")  # type: ignore[untyped-decorator]
+    def _on_started(self, *_: Any) -> None:
+        settings = self.state.settings
+        log_event("started", instance=settings.name, listen=settings.listen)
+
+    @handler("signal", channel="*")  # type: ignore[untyped-decorator]
+    def _on_signal(self, *_: Any) -> None:
+        self.shell.deliver_all([StopRequested()])
+
+    def on_hangup(self, number: int, frame: FrameType | None) -> None:
+        """Take over settings that have changed, between two turns of the loop."""
+        self.poller.timers.later(0.0, self.reload_settings)
+
+    def reload_settings(self) -> None:
+        """Read the settings again; an unreadable file leaves them as they are."""
+        settings = self.reload()
+        changed = settings is not None and settings != self.state.settings
+        if settings is not None:
+            self.state.settings = settings
+        log_event(
+            "settings_reloaded",
+            instance=self.state.settings.name,
+            readable=settings is not None,
+            changed=changed,
+        )
+
+    def begin_exit(self) -> None:
+        """Stop the loop after the last answers were flushed."""
+        self.poller.timers.later(EXIT_FLUSH_S, self.end)
+
+    def end(self) -> None:
+        """Close all sockets and stop the loop."""
+        self.shell.close()
+        log_event("stopped", instance=self.state.settings.name)
+        self.has_stopped = True
+        self.stop()
+
+
+def run(settings: Settings, factories: Sequence[EdgeFactory], reload: Reload) -> int:
+    """Run an instance until it has stopped; return the exit status."""
+    start_logging()
+    seed = SystemRandom().getrandbits(SEED_BITS)
+    state = State(settings, SystemClock(), Random(seed))
+    try:
+        instance = SessionInstance(state, factories, reload)
+    except OSError as error:
+        log_event("start_failed", instance=settings.name, error=str(error))
+        return 1
+    tune_garbage_collection()
+    instance.run()
+    write_events(state)
+    return 0 if instance.has_stopped else 1
--- /dev/null
+++ b/pimentodrift/sessions.py
@@ -0,0 +1,326 @@
+"""Sessions that are connections: their state, and the statements answered here.
+
+Values, prepared statements and the beginning and rolling back of transactions need no
+database: they take effect on whatever pooled connection runs the next statement.
+"""
+
+from functools import singledispatch
+
+from . import operations, rates
+from .dispatch import handle
+from .messages import Access
+from .operation_ends import (
+    UNCONFIRMED_RETRY_AFTER,
+    abandon,
+    denial,
+    end_transaction,
+)
+from .route_configuration import key_digest
+from .session_messages import (
+    AcceptSession,
+    AnswerStatement,
+    Begin,
+    Commit,
+    Deallocate,
+    EndSession,
+    Execute,
+    Fault,
+    Phase,
+    Prepare,
+    Refusal,
+    RefuseSession,
+    RefuseStatement,
+    Rollback,
+    Run,
+    SessionClosed,
+    SessionOpened,
+    SessionStatement,
+    SetValue,
+    StatementEnded,
+    Unreadable,
+)
+from .session_rows import Consistency, OperationRow, Route, SessionRow, Stage
+from .tables import State
+from .view import is_fresh
+
+MAX_WAITING = 16  # Statements that a client may send ahead of the answers.
+MAX_VALUES = 64  # Values and prepared statements of a session, each.
+
+
+@handle.register
+def _(message: SessionOpened, state: State) -> None:
+    state.counters["sessions.opened"] += 1
+    digest = key_digest(message.key)
+    refusal = opening_refusal(message.database, digest, state)
+    if refusal is not None:
+        state.counters[f"sessions.refused.{refusal.fault}"] += 1
+        fields: dict[str, object] = {
+            "session": message.session,
+            "database": message.database,
+            "fault": refusal.fault,
+            "detail": refusal.detail,
+            "configuration": state.configuration.version,
+        }
+        state.events.append(("session_refused", fields))
+        state.outbox.append(RefuseSession(message.session, refusal))
+        return
+    route = state.routes[message.database]
+    key = state.configuration.keys.get(digest)
+    workspace = key.workspace if key is not None else ""
+    state.sessions[message.session] = SessionRow(
+        message.session,
+        message.database,
+        "" if route.is_open and key is None else workspace,
+        digest,
+        state.clock.monotonic(),
+    )
+    state.outbox.append(AcceptSession(message.session))
+
+
+def opening_refusal(database: str, digest: str, state: State) -> Refusal | None:
+    """Return why a session cannot be opened, or None."""
+    if not is_fresh(state):
+        detail = "the configuration is not confirmed"
+        return Refusal(Fault.OVERLOADED, detail, UNCONFIRMED_RETRY_AFTER)
+    route = state.routes.get(database)
+    if route is None:
+        return Refusal(Fault.DATABASE_UNKNOWN, "there is no such database")
+    if not route.is_open and digest not in state.configuration.keys:
+        return Refusal(Fault.KEY_INVALID, "the key is unknown or withdrawn")
+    return None
+
+
+@handle.register
+def _(message: SessionClosed, state: State) -> None:
+    session = state.sessions.pop(message.session, None)
+    if session is None:
+        return
+    operation = state.operations.get(session.operation)
+    if operation is None:
+        end_transaction(session, state)
+        return
+    if operation.stage is Stage.RATE:
+        rates.forget(operation.workspace, operation.operation, state)
+    abandon(operation, session, state)
+
+
+@handle.register
+def _(message: SessionStatement, state: State) -> None:
+    session = state.sessions.get(message.session)
+    if session is None:
+        return
+    session.used_at = state.clock.monotonic()
+    if session.operation or session.waiting:
+        if len(session.waiting) >= MAX_WAITING:
+            end_session(session, state)
+            return
+        session.waiting.append(message)
+        return
+    carry_out(message.command, message, session, state)
+
+
+@handle.register
+def _(message: StatementEnded, state: State) -> None:
+    session = state.sessions.get(message.session)
+    while session is not None and session.waiting and not session.operation:
+        statement = session.waiting.popleft()
+        carry_out(statement.command, statement, session, state)
+
+
+def end_session(session: SessionRow, state: State) -> None:
+    """Close a session from this side."""
+    handle(SessionClosed(session.session), state)
+    state.outbox.append(EndSession(session.session))
+
+
+def done(session: SessionRow, state: State) -> None:
+    """Answer a statement that needed no database."""
+    state.outbox.append(AnswerStatement(session.session, session.phase))
+
+
+def fail(session: SessionRow, fault: Fault, detail: str, state: State) -> None:
+    """Refuse a statement that needs no database to be refused."""
+    state.counters[f"sessions.failed.{fault}"] += 1
+    refusal = Refusal(fault, detail)
+    state.outbox.append(RefuseStatement(session.session, session.phase, refusal))
+
+
+@singledispatch
+def carry_out(
+    command: object, message: SessionStatement, session: SessionRow, state: State
+) -> None:
+    """Carry out a statement of a session."""
+    raise TypeError(f"no handler for {type(command).__name__}")
+
+
+@carry_out.register
+def _(
+    command: Unreadable, message: SessionStatement, session: SessionRow, state: State
+) -> None:
+    fail(session, Fault.MALFORMED, command.detail, state)
+
+
+@carry_out.register
+def _(
+    command: SetValue, message: SessionStatement, session: SessionRow, state: State
+) -> None:
+    if session.phase is Phase.FAILED:
+        fail(session, Fault.ABORTED, "the transaction was rolled back", state)
+        return
+    if len(session.values) >= MAX_VALUES and command.name not in session.values:
+        fail(session, Fault.FAILED, f"a session has {MAX_VALUES} values", state)
+        return
+    session.values[command.name] = command.value
+    done(session, state)
+
+
+@carry_out.register
+def _(
+    command: Prepare, message: SessionStatement, session: SessionRow, state: State
+) -> None:
+    if session.phase is Phase.FAILED:
+        fail(session, Fault.ABORTED, "the transaction was rolled back", state)
+        return
+    if len(session.prepared) >= MAX_VALUES and command.name not in session.prepared:
+        detail = f"a session has {MAX_VALUES} prepared statements"
+        fail(session, Fault.FAILED, detail, state)
+        return
+    session.prepared[command.name] = command
+    done(session, state)
+
+
+@carry_out.register
+def _(
+    command: Deallocate, message: SessionStatement, session: SessionRow, state: State
+) -> None:
+    if session.prepared.pop(command.name, None) is None:
+        fail(session, Fault.STATEMENT_UNKNOWN, "no such prepared statement", state)
+        return
+    done(session, state)
+
+
+@carry_out.register
+def _(
+    command: Begin, message: SessionStatement, session: SessionRow, state: State
+) -> None:
+    if session.phase is not Phase.IDLE:
+        fail(session, Fault.MALFORMED, "a transaction is open", state)
+        return
+    route = state.routes.get(session.database)
+    if route is None:
+        fail(session, Fault.DATABASE_UNKNOWN, "there is no such database", state)
+        return
+    refusal = denial(session, route, state)
+    if refusal is not None:
+        state.outbox.append(RefuseStatement(session.session, session.phase, refusal))
+        return
+    session.phase = Phase.OPEN
+    session.read_only = command.read_only
+    session.began_at = state.clock.monotonic()
+    session.route = route
+    session.wrote = session.ran = False
+    done(session, state)
+
+
+@carry_out.register
+def _(
+    command: Rollback, message: SessionStatement, session: SessionRow, state: State
+) -> None:
+    if session.phase is Phase.IDLE:
+        fail(session, Fault.MALFORMED, "no transaction is open", state)
+        return
+    end_transaction(session, state)
+    session.phase = Phase.IDLE
+    done(session, state)
+
+
+@carry_out.register
+def _(
+    command: Commit, message: SessionStatement, session: SessionRow, state: State
+) -> None:
+    if session.phase is Phase.IDLE:
+        fail(session, Fault.MALFORMED, "no transaction is open", state)
+        return
+    if session.phase is Phase.FAILED:
+        session.phase = Phase.IDLE
+        fail(session, Fault.ABORTED, "the transaction was rolled back", state)
+        return
+    access = Access.WRITE if session.wrote else Access.READ
+    begin(message, session, access, "", None, state)
+
+
+@carry_out.register
+def _(
+    command: Run, message: SessionStatement, session: SessionRow, state: State
+) -> None:
+    begin(message, session, command.access, command.text, None, state)
+
+
+@carry_out.register
+def _(
+    command: Execute, message: SessionStatement, session: SessionRow, state: State
+) -> None:
+    shape = session.prepared.get(command.name)
+    if shape is None:
+        fail(session, Fault.STATEMENT_UNKNOWN, "no such prepared statement", state)
+        return
+    begin(message, session, shape.access, command.arguments, shape, state)
+
+
+def begin(
+    message: SessionStatement,
+    session: SessionRow,
+    access: Access,
+    text: str,
+    shape: Prepare | None,
+    state: State,
+) -> None:
+    """Start the operation of a statement that a database has to run."""
+    if session.phase is Phase.FAILED:
+        fail(session, Fault.ABORTED, "the transaction was rolled back", state)
+        return
+    in_transaction = session.phase is Phase.OPEN
+    route = session.route if in_transaction else state.routes.get(session.database)
+    if route is None:
+        fail(session, Fault.DATABASE_UNKNOWN, "there is no such database", state)
+        return
+    now = state.clock.monotonic()
+    row = OperationRow(
+        state.number(),
+        session.session,
+        message.statement_id,
+        message.command,
+        route,
+        session.workspace,
+        access,
+        text,
+        arrived_at=now,
+        aged_from=session.began_at if in_transaction else now,
+        primary_only=needs_primary(session, route, access),
+        staged_at=now,
+        shape=shape,
+    )
+    state.operations[row.operation] = row
+    session.operation = row.operation
+    operations.start(row, state)
+
+
+def needs_primary(session: SessionRow, route: Route, access: Access) -> bool:
+    """Return whether only the primary may run a statement or its transaction."""
+    if route.consistency is Consistency.PRIMARY:
+        return True
+    if session.phase is Phase.OPEN:
+        return not session.read_only
+    return access is Access.WRITE
+
+
+def run(state: State) -> None:
+    """End transactions that were left idle."""
+    now = state.clock.monotonic()
+    limit = state.session_limits.transaction_idle
+    for session in list(state.sessions.values()):
+        is_idle = session.connection and not session.operation
+        if is_idle and now - session.used_at > limit:
+            end_transaction(session, state)
+            session.phase = Phase.FAILED
+            state.counters["sessions.transactions_idle"] += 1
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from enum import StrEnum
 from random import Random
+from typing import Any
 
 from attrs import define, field
 
@@ -35,6 +36,16 @@
     StoreObject,
 )
 from .rate_rows import AllocationRow, ClaimRow, ShareRow
+from .session_rows import (
+    LeadershipRow,
+    OperationRow,
+    PooledRow,
+    PoolRow,
+    RegistryRow,
+    Route,
+    SessionLimits,
+    SessionRow,
+)
 from .settings import Settings
 
 
@@ -424,6 +435,19 @@
     # Moving average of slot time (seconds) by workspace and access.
     costs: dict[tuple[str, Access], float] = field(factory=dict)
 
+    # Sessions that are connections, and the pools behind them.
+    registration_at: timedelta = NEVER  # No write of the own object before.
+    kinds: dict[str, Any] = field(factory=dict)  # Copies of the store's kinds.
+    routes: dict[str, Route] = field(factory=dict)  # By database.
+    session_limits: SessionLimits = field(factory=SessionLimits)
+    sessions: dict[int, SessionRow] = field(factory=dict)
+    operations: dict[int, OperationRow] = field(factory=dict)
+    pools: dict[str, PoolRow] = field(factory=dict)  # By endpoint.
+    pooled: dict[int, PooledRow] = field(factory=dict)
+    pools_checked_at: timedelta = NEVER
+    registry: dict[str, RegistryRow] = field(factory=dict)  # By endpoint.
+    leaderships: dict[str, LeadershipRow] = field(factory=dict)  # By group.
+
     def number(self) -> int:
         """Return a number unused so far by this instance."""
         self.next_number += 1
