Replace a group's primary by a call to the platform with a fencing token

Cause: no primary was replaced on the platform; a crashed or leaving one ended all writes of its group. Ruled out: replacing on one instance's word, because some disturbances cut a primary from a part of the instances only. Change: reports go to a coordinator, a majority decides, a conditional update gives the token, the longest log is chosen by the position that an opened connection names.

--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -36,7 +36,7 @@
 BEHIND_PAUSE = timedelta(milliseconds=150)
 SERVICE_WEIGHT = 0.1  # Of the newest value in the moving average.
 # Beginning a transaction takes no slot, so its answer takes a round trip.
-BEGIN_TIMEOUT = timedelta(seconds=1)
+BEGIN_TIMEOUT = timedelta(milliseconds=500)
 RETRY_AFTER = timedelta(milliseconds=200)
 
 
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -183,6 +183,13 @@
     )
 
 
+def probe(pool: PoolRow, state: State) -> None:
+    """Open a connection to learn whether an endpoint answers, and its position."""
+    workspace = next(iter(state.configuration.workspaces), "")
+    open_one(workspace, pool, state)
+    state.counters["pools.probes"] += 1
+
+
 def release(row: PooledRow, state: State) -> None:
     """Make a connection idle once its steps are answered."""
     row.operation = 0
@@ -247,6 +254,7 @@
         taken if before is None else before + (taken - before) * ROUND_TRIP_WEIGHT
     )
     pool.answered_at = now
+    pool.position, pool.position_at = message.position, now
     recover(pool, state)
     serve(pool, state)
 
--- a/pimentodrift/process.py
+++ b/pimentodrift/process.py
@@ -13,8 +13,8 @@
 from .logs import log_event, start_logging, write_events
 from .messages import StopRequested
 from .metrics import PERIOD_S, Metrics
-from .settings import Settings
 from .runtime import SEED_BITS, tune_garbage_collection
+from .settings import Settings
 from .shell import SECOND, Shell
 from .sockets import Poller
 from .tables import State
--- /dev/null
+++ b/pimentodrift/promotion.py
@@ -0,0 +1,393 @@
+"""Replaces a group's primary by a call to the platform, with a fencing token.
+
+Each instance that cannot reach a primary for a while reports it to the group's
+coordinator, which asks the others. When the primary fails for a majority, or is
+leaving, the coordinator takes the next token by a conditional update of the group's
+`promotion` object and asks the platform to promote the replica with the longest log.
+A token serves one decision of one holder; the platform refuses older ones.
+"""
+
+from datetime import timedelta
+from enum import StrEnum
+
+from attrs import frozen
+
+from . import leadership, membership, peers, pools, registry, view
+from .dispatch import handle, handle_peer
+from .messages import PeerMessage, Position, StoreObject
+from .session_rows import PromotionRow, RegistryRow
+from .store_writes import StoreOutcome, write, write_ended
+from .tables import State
+
+# A primary that fails for this long is reported; a shorter stall heals by itself.
+FAILING_AFTER = timedelta(milliseconds=500)
+# A group in whose registry no endpoint calls itself primary for this long has none.
+MISSING_AFTER = timedelta(milliseconds=1500)
+REPORT_INTERVAL = timedelta(milliseconds=200)
+REPORT_LIFETIME = timedelta(seconds=1)
+PROBE_INTERVAL = timedelta(milliseconds=300)
+# An endpoint that answered this recently is known to live.
+ANSWER_LIFETIME = timedelta(milliseconds=300)
+# How long the coordinator waits for the replicas' positions.
+CHOICE_TIME = timedelta(milliseconds=400)
+# A promotion shows in the registry within this time, or is decided anew.
+SETTLE_TIME = timedelta(seconds=3)
+RETRY_TIME = timedelta(milliseconds=300)
+# Another instance's decision stands for this long, unless that instance has ended.
+HOLDER_TIME = timedelta(seconds=5)
+# A coordinator has the store; its heartbeats tell the age of its configuration.
+STORE_FRESH = timedelta(seconds=3)
+HEARD = timedelta(seconds=1)
+
+
+@frozen
+class PrimaryQuery(PeerMessage):
+    """Ask whether a group's primary answers the receiver."""
+
+    group: str
+    endpoint: str
+
+
+@frozen
+class PrimaryReport(PeerMessage):
+    """Tell whether a group's primary fails for the sender."""
+
+    group: str
+    endpoint: str
+    is_failing: bool
+
+
+@frozen
+class PromoteEndpoint:
+    """Ask the platform to make an endpoint the primary of its group."""
+
+    call: int
+    group: str
+    endpoint: str
+    holder: str
+    token: int
+
+
+class PromoteOutcome(StrEnum):
+    """What the platform made of a call."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"  # A higher token was seen, or the endpoint is not running.
+    NOT_DONE = "not-done"  # The platform was busy.
+    UNCLEAR = "unclear"  # It may still take effect.
+
+
+@frozen
+class PromoteEnded:
+    """A call of the platform has ended."""
+
+    call: int
+    outcome: PromoteOutcome
+    detail: str = ""
+
+
+@frozen
+class TokenWrite:
+    """The purpose of the write that takes a token."""
+
+    group: str
+    token: int
+    target: str
+
+
+def row_of(group: str, state: State) -> PromotionRow:
+    """Return the row of a group."""
+    row = state.promotions.get(group)
+    if row is None:
+        row = state.promotions[group] = PromotionRow(group)
+    return row
+
+
+def run(state: State) -> None:
+    """Watch the primaries and replace those that have failed."""
+    if state.stopping or not view.is_fresh(state):
+        return
+    for group in {member.entry.group for member in state.registry.values()}:
+        watch(row_of(group, state), state)
+
+
+def watch(row: PromotionRow, state: State) -> None:
+    """Look at one group's primary."""
+    primary = leadership.primary(row.group, state)
+    note_missing(row, primary, state)
+    note_token(row, state)
+    failing = is_failing(row, primary, state)
+    answer_askers(row, primary, failing, state)
+    is_leaving = primary is not None and primary.leaving_since is not None
+    if primary is not None and failing is not False and not is_leaving:
+        probe(row, primary, state)
+    if not failing and not is_leaving and not row.reports:
+        row.choosing_since = None
+        return
+    leader = coordinator(row.group, state)
+    if leader != state.settings.name:
+        if failing:
+            report(row, primary, leader, state)
+        return
+    if is_leaving or is_agreed(row, primary, failing, state):
+        replace(row, primary, state)
+
+
+def note_missing(row: PromotionRow, primary: RegistryRow | None, state: State) -> None:
+    """Remember since when no endpoint calls itself primary."""
+    if primary is not None:
+        row.missing_since = None
+    elif row.missing_since is None:
+        row.missing_since = state.clock.monotonic()
+
+
+def note_token(row: PromotionRow, state: State) -> None:
+    """Remember when the newest token was first seen."""
+    token = stored(row.group, state)[0]
+    if token > row.seen_token:
+        row.seen_token = token
+        row.seen_at = state.clock.monotonic()
+
+
+def stored(group: str, state: State) -> tuple[int, str]:
+    """Return the newest token of a group and its holder."""
+    item = state.view.objects.get(("promotion", group))
+    if item is None or item.value is None:
+        return 0, ""
+    return int(item.value["token"]), str(item.value["holder"])
+
+
+def is_failing(
+    row: PromotionRow, primary: RegistryRow | None, state: State
+) -> bool | None:
+    """Return whether the primary fails here; None if that is not known."""
+    now = state.clock.monotonic()
+    if primary is None:
+        since = row.missing_since
+        return since is not None and now - since >= MISSING_AFTER
+    pool = state.pools[primary.name]
+    if pool.failing_since is not None:
+        return now - pool.failing_since >= FAILING_AFTER or None
+    return False if now - pool.answered_at <= ANSWER_LIFETIME else None
+
+
+def probe(row: PromotionRow, primary: RegistryRow, state: State) -> None:
+    """Find out whether the primary answers, if anybody wants to know."""
+    now = state.clock.monotonic()
+    pool = state.pools[primary.name]
+    if pool.failing_since is None and not row.askers:
+        return
+    if now - row.probed_at < PROBE_INTERVAL:
+        return
+    if all(state.pooled[number].is_open for number in pool.connections):
+        row.probed_at = now
+        pools.probe(pool, state)
+
+
+def answer_askers(
+    row: PromotionRow,
+    primary: RegistryRow | None,
+    failing: bool | None,
+    state: State,
+) -> None:
+    """Answer the instances that asked, once it is known."""
+    if failing is None or not row.askers:
+        return
+    name = primary.name if primary is not None else ""
+    for asker in row.askers:
+        peers.send(asker, PrimaryReport(row.group, name, failing), state)
+    row.askers.clear()
+
+
+def coordinator(group: str, state: State) -> str:
+    """Return the instance that decides: the first that lives and has the store."""
+    now = state.clock.monotonic()
+    own = state.settings.name
+    rows = [
+        row
+        for row in state.instances.values()
+        if row.name == own
+        or (
+            membership.usable(row, state)
+            and now - row.last_heard <= HEARD
+            and row.store_age is not None
+            and row.store_age <= STORE_FRESH
+        )
+    ]
+    ranked = membership.ranked(f"promotion/{group}", rows)
+    return ranked[0].name if ranked else own
+
+
+def report(
+    row: PromotionRow, primary: RegistryRow | None, leader: str, state: State
+) -> None:
+    """Tell the coordinator that the primary fails here."""
+    now = state.clock.monotonic()
+    if now - row.reported_at < REPORT_INTERVAL:
+        return
+    row.reported_at = now
+    name = primary.name if primary is not None else ""
+    peers.send(leader, PrimaryReport(row.group, name, True), state)
+
+
+def is_agreed(
+    row: PromotionRow,
+    primary: RegistryRow | None,
+    failing: bool | None,
+    state: State,
+) -> bool:
+    """Return whether the primary fails for a majority; ask those not heard from."""
+    now = state.clock.monotonic()
+    for name in [
+        name for name, (at, _) in row.reports.items() if now - at > REPORT_LIFETIME
+    ]:
+        del row.reports[name]
+    live = [item for item in state.instances.values() if membership.usable(item, state)]
+    count = int(bool(failing)) + sum(is_bad for _, is_bad in row.reports.values())
+    if count * 2 > len(live):
+        return True
+    if count and primary is not None and now - row.queried_at >= REPORT_INTERVAL:
+        row.queried_at = now
+        if failing is None:
+            row.askers.add(state.settings.name)
+        for item in live:
+            if item.name != state.settings.name:
+                peers.send(item.name, PrimaryQuery(row.group, primary.name), state)
+    return False
+
+
+@handle_peer.register
+def _(message: PrimaryQuery, sender: str, state: State) -> None:
+    primary = leadership.primary(message.group, state)
+    if primary is not None and primary.name == message.endpoint:
+        row_of(message.group, state).askers.add(sender)
+
+
+@handle_peer.register
+def _(message: PrimaryReport, sender: str, state: State) -> None:
+    primary = leadership.primary(message.group, state)
+    name = primary.name if primary is not None else ""
+    if name == message.endpoint:
+        now = state.clock.monotonic()
+        reports = row_of(message.group, state).reports
+        reports[sender] = (now, message.is_failing)
+
+
+# --- The coordinator's decision
+
+
+def replace(row: PromotionRow, primary: RegistryRow | None, state: State) -> None:
+    """Choose a replica and take the token for its promotion."""
+    now = state.clock.monotonic()
+    if now < row.next_at or row.call or row.is_writing:
+        return
+    token, holder = stored(row.group, state)
+    other = holder not in ("", state.settings.name)
+    if other and holder not in state.ended and now - row.seen_at < HOLDER_TIME:
+        return
+    old = primary.name if primary is not None else ""
+    rows = [
+        member
+        for member in registry.members(row.group, state)
+        if member.name != old
+        and member.leaving_since is None
+        and member.missing_since is None
+    ]
+    if not rows:
+        return
+    if row.choosing_since is None:
+        row.choosing_since = now
+        for member in rows:
+            pools.probe(state.pools[member.name], state)
+    target = choose(row, rows, state)
+    if target is None:
+        return
+    row.choosing_since = None
+    row.is_writing = True
+    row.old_primary = old
+    value = {"token": token + 1, "holder": state.settings.name, "target": target}
+    item = state.view.objects.get(("promotion", row.group))
+    known = item or StoreObject("promotion", row.group, 0, None)
+    write(known, value, TokenWrite(row.group, token + 1, target), state)
+
+
+def choose(row: PromotionRow, rows: list[RegistryRow], state: State) -> str | None:
+    """Return the replica with the longest log, once enough positions are known."""
+    since = row.choosing_since
+    if since is None:
+        return None
+    found: dict[str, Position] = {}
+    for member in rows:
+        pool = state.pools[member.name]
+        is_new = pool.position_at >= since and pool.position is not None
+        if is_new and member.name not in row.rejected and pool.position is not None:
+            found[member.name] = pool.position
+    waited = state.clock.monotonic() - since
+    if len(found) < len(rows) and waited < CHOICE_TIME:
+        return None
+    if not found:
+        row.choosing_since = None
+        row.rejected.clear()
+        return None
+    return max(found, key=lambda name: (found[name], name))
+
+
+@write_ended.register
+def _(purpose: TokenWrite, outcome: StoreOutcome, state: State) -> None:
+    row = row_of(purpose.group, state)
+    now = state.clock.monotonic()
+    row.is_writing = False
+    fields: dict[str, object] = {
+        "group": purpose.group,
+        "token": purpose.token,
+        "target": purpose.target,
+        "old_primary": row.old_primary,
+        "reports": len(row.reports),
+        "outcome": outcome,
+    }
+    state.events.append(("promotion_decided", fields))
+    if outcome is not StoreOutcome.WRITTEN:
+        row.next_at = now + RETRY_TIME
+        return
+    row.token, row.target = purpose.token, purpose.target
+    call(row, state)
+
+
+def call(row: PromotionRow, state: State) -> None:
+    """Ask the platform to promote the chosen endpoint."""
+    row.call = state.number()
+    row.called_at = state.clock.monotonic()
+    state.counters["promotion.calls"] += 1
+    state.outbox.append(
+        PromoteEndpoint(row.call, row.group, row.target, state.settings.name, row.token)
+    )
+
+
+@handle.register
+def _(message: PromoteEnded, state: State) -> None:
+    rows = state.promotions.values()
+    row = next((row for row in rows if row.call == message.call), None)
+    if row is None:
+        return
+    now = state.clock.monotonic()
+    row.call = 0
+    fields: dict[str, object] = {
+        "group": row.group,
+        "token": row.token,
+        "target": row.target,
+        "outcome": message.outcome,
+        "detail": message.detail,
+        "took_ms": (now - row.called_at) // timedelta(milliseconds=1),
+    }
+    state.events.append(("promotion_ended", fields))
+    match message.outcome:
+        case PromoteOutcome.ACCEPTED:
+            row.rejected.clear()
+            row.next_at = now + SETTLE_TIME
+        case PromoteOutcome.REFUSED:
+            row.rejected.add(row.target)
+            row.next_at = now + RETRY_TIME
+        case PromoteOutcome.NOT_DONE:
+            row.next_at = now + RETRY_TIME
+        case PromoteOutcome.UNCLEAR:
+            row.next_at = now + SETTLE_TIME
--- a/pimentodrift/session_messages.py
+++ b/pimentodrift/session_messages.py
@@ -296,9 +296,10 @@
 
 @frozen
 class PooledOpened:
-    """A pooled connection is ready."""
+    """A pooled connection is ready; `position` is the end of the endpoint's log."""
 
     connection: int
+    position: Position | None = None
 
 
 @frozen
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -136,6 +136,8 @@
     retry_at: timedelta = NEVER
     answered_at: timedelta = NEVER
     behind_until: timedelta = NEVER
+    position: Position | None = None  # Of its log, when a connection was opened.
+    position_at: timedelta = NEVER
     round_trip: timedelta | None = None  # Measured by opening connections.
     service: timedelta = timedelta(milliseconds=20)  # Moving average of a statement.
     service_at: timedelta = NEVER
@@ -185,3 +187,28 @@
     position: Position | None = None
     sampled_at: timedelta = NEVER
     denied: dict[str, timedelta] = field(factory=dict)  # Endpoints that lost the lead.
+
+
+@define
+class PromotionRow:
+    """How a group's primary looks to this instance, and its part in replacing it."""
+
+    group: str
+    # Of other instances: when the report came, and whether the primary fails there.
+    reports: dict[str, tuple[timedelta, bool]] = field(factory=dict)
+    reported_at: timedelta = NEVER
+    queried_at: timedelta = NEVER
+    askers: set[str] = field(factory=set)  # Instances that wait for a report.
+    probed_at: timedelta = NEVER
+    missing_since: timedelta | None = None  # No endpoint calls itself primary.
+    choosing_since: timedelta | None = None
+    is_writing: bool = False  # The token's write is on its way.
+    next_at: timedelta = NEVER  # No decision before.
+    rejected: set[str] = field(factory=set)  # Endpoints that could not be promoted.
+    old_primary: str = ""
+    target: str = ""
+    token: int = 0
+    call: int = 0  # On its way, or 0.
+    called_at: timedelta = NEVER
+    seen_token: int = 0  # The highest in the store, and when it was first seen.
+    seen_at: timedelta = NEVER
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -41,6 +41,7 @@
     OperationRow,
     PooledRow,
     PoolRow,
+    PromotionRow,
     RegistryRow,
     Route,
     SessionLimits,
@@ -447,6 +448,7 @@
     pools_checked_at: timedelta = NEVER
     registry: dict[str, RegistryRow] = field(factory=dict)  # By endpoint.
     leaderships: dict[str, LeadershipRow] = field(factory=dict)  # By group.
+    promotions: dict[str, PromotionRow] = field(factory=dict)  # By group.
 
     def number(self) -> int:
         """Return a number unused so far by this instance."""
