--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -47,8 +47,9 @@
 BALANCE_INTERVAL = timedelta(milliseconds=100)
 # Twice the lease, so that a holder's clock may run at half speed.
 SILENCE_LIMIT = 2 * LEASE
-# A successor also waits until its predecessor can no longer renew leases.
-TAKEOVER_LIMIT = 2 * (LEASE + view.FRESH)
+# A successor also waits until its predecessor can no longer renew leases; the factor
+# allows for clocks that drift.
+TAKEOVER_LIMIT = 1.1 * (LEASE + view.FRESH)
 
 
 def has_authority(state: State) -> bool:
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -29,10 +29,14 @@
     OWN = "own"  # Objects of the product itself.
 
 
-# A watch of the configuration ends this often, which confirms that it is current.
-CONFIGURATION_WAIT = timedelta(seconds=1)
-# Nothing ages with the other kinds, so their watches wait long.
+# The watches of the configuration and of the own objects end this often, which
+# confirms that keys and allocators are current.
+CONFIRMING_WAIT = timedelta(milliseconds=1300)
+# Nothing ages with the registry, so its watch waits long.
 LONG_WAIT = timedelta(seconds=20)
+# After a failure, the first watch only asks whether the store is back.
+RETURN_WAIT = timedelta(0)
+CONFIRMING = (WatchedKind.CONFIGURATION, WatchedKind.OWN)
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(milliseconds=500)
 
@@ -123,6 +127,7 @@
     listed_after: str = ""
     list_began_at: timedelta = NEVER
     list_revision: int = 0  # Of the first part of the list.
+    confirmed_at: timedelta = NEVER
     is_lost: bool = False
     regained_at: timedelta = NEVER
 
@@ -177,9 +182,7 @@
             continue
         row.sent_at = now
         if row.revision:
-            is_configuration = kind is WatchedKind.CONFIGURATION
-            wait = CONFIGURATION_WAIT if is_configuration else LONG_WAIT
-            state.outbox.append(WatchKind(kind, row.revision, wait))
+            state.outbox.append(WatchKind(kind, row.revision, wait_of(row)))
         else:
             if not row.listed_after:
                 row.list_began_at = now
@@ -187,6 +190,13 @@
             state.outbox.append(ListKind(kind, row.listed_after))
 
 
+def wait_of(row: KindRow) -> timedelta:
+    """Return how long the next watch may wait."""
+    if row.failures:
+        return RETURN_WAIT
+    return CONFIRMING_WAIT if row.kind in CONFIRMING else LONG_WAIT
+
+
 def take(entry: Entry, row: KindRow, state: State) -> None:
     """Take over an entry unless a newer one is known."""
     known = row.known.get(entry.name)
@@ -233,11 +243,15 @@
 
 
 def confirm(row: KindRow, since: timedelta, state: State) -> None:
-    """Record that the copy of a kind was current at `since`."""
-    if row.kind is WatchedKind.CONFIGURATION:
-        view.confirm(since, state)
+    """Record that the copy of a kind was current at `since`.
+
+    The view is as old as the older of the configuration and the product's objects.
+    """
+    row.confirmed_at = max(row.confirmed_at, since)
     if row.kind is WatchedKind.OWN:
         state.view.version = max(state.view.version, row.revision)
+    ages = [row_of(kind, state).confirmed_at for kind in CONFIRMING]
+    view.confirm(min(ages), state)
 
 
 @handle.register
--- a/pimentodrift/messages.py
+++ b/pimentodrift/messages.py
@@ -532,6 +532,16 @@
     value: dict[str, Any] = field(factory=dict)
 
 
+@frozen
+class DeleteStore:
+    """Delete an object if its version is still `version`."""
+
+    call: int
+    kind: str
+    name: str
+    version: int
+
+
 @frozen
 class ExitProcess:
     """The graceful shutdown is complete."""
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -25,8 +25,10 @@
 from .tables import State
 
 OPEN_TIMEOUT = timedelta(seconds=1)
-IDLE_BEYOND_PART = timedelta(milliseconds=500)
-IDLE_WITHIN_PART = timedelta(seconds=8)
+# An idle connection serves one workspace only and takes a place from the other
+# instances, so few are kept and not for long.
+IDLE_BEYOND_PART = timedelta(milliseconds=250)
+IDLE_WITHIN_PART = timedelta(seconds=3)
 IDLE_CHECK = timedelta(milliseconds=100)
 FULL_PAUSE = timedelta(milliseconds=150)
 FIRST_BACKOFF = timedelta(milliseconds=100)
@@ -336,6 +338,6 @@
     is_leaving = leaving is None or leaving.leaving_since is not None
     part = even_part(pool, state)
     for row in idle(pool, state):
-        beyond = len(pool.connections) > part or is_leaving
+        beyond = len(pool.connections) * 2 > part or is_leaving
         if now - row.idle_since > (IDLE_BEYOND_PART if beyond else IDLE_WITHIN_PART):
             close(row, state)
--- a/pimentodrift/store_writes.py
+++ b/pimentodrift/store_writes.py
@@ -13,6 +13,7 @@
 from .dispatch import handle
 from .failover_rows import StoreWrite
 from .messages import (
+    DeleteStore,
     StoreConflict,
     StoreFailed,
     StoreObject,
@@ -46,6 +47,14 @@
     state.counters["store.writes"] += 1
 
 
+def delete(item: StoreObject, purpose: object, state: State) -> None:
+    """Delete an object if its version is still that of `item`."""
+    call = state.number()
+    state.store_writes[call] = StoreWrite(call, item.kind, item.name, purpose)
+    state.outbox.append(DeleteStore(call, item.kind, item.name, item.version))
+    state.counters["store.deletes"] += 1
+
+
 def end(call: int, outcome: StoreOutcome, state: State) -> bool:
     """Hand over the outcome of a write; return False if the call is another's."""
     row = state.store_writes.pop(call, None)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -438,6 +438,8 @@
 
     # Sessions that are connections, and the pools behind them.
     registration_at: timedelta = NEVER  # No write of the own object before.
+    removal_at: timedelta = NEVER  # No search for lost instances before.
+    silent_since: dict[str, timedelta] = field(factory=dict)  # By instance.
     kinds: dict[str, Any] = field(factory=dict)  # Copies of the store's kinds.
     routes: dict[str, Route] = field(factory=dict)  # By database.
     session_limits: SessionLimits = field(factory=SessionLimits)
