--- a/pimentodrift/dispatch.py
+++ b/pimentodrift/dispatch.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatch
 
-from .messages import PeerMessage, PeerReceived
+from .messages import Notice, PeerMessage, PeerReceived
 from .tables import State
 
 
@@ -12,6 +12,11 @@
     raise TypeError(f"no handler for {type(message).__name__}")
 
 
+@handle.register
+def _(message: Notice, state: State) -> None:
+    """Do nothing; no system of this assembly needs to know."""
+
+
 @singledispatch
 def handle_peer(message: PeerMessage, sender: str, state: State) -> None:
     """Apply a message of another instance to the state."""
--- a/pimentodrift/messages.py
+++ b/pimentodrift/messages.py
@@ -550,6 +550,11 @@
 # --- Inside the core
 
 
+@frozen
+class Notice:
+    """Base of what is told to whoever needs it; an assembly may have nobody."""
+
+
 @frozen
 class Admitted:
     """The rate of its workspace admits a waiting request."""
@@ -639,19 +644,19 @@
 
 
 @frozen
-class PrimaryChanged:
+class PrimaryChanged(Notice):
     """A group has a new term."""
 
     group: str
 
 
 @frozen
-class ConfigurationChanged:
+class ConfigurationChanged(Notice):
     """Another publication is in force; keys may have been withdrawn."""
 
 
 @frozen
-class InstanceDown:
+class InstanceDown(Notice):
     """An instance is suspected: its stream closed or it does not answer.
 
     `unsent` has the numbers of requests of which no byte reached it.
