Confirm the configuration by a short question instead of the end of a watch

A watch that waits 1.3 s confirms the moment at which it was sent, so the copy was already 1.3 to 2.6 s old when the outage began. Ruled out: a longer lease alone (5 s is the bound for withdrawn keys, less a deaf second). Change: watches wait 20 s and bring news; each 0.7 s a question without a wait confirms the configuration, and the own objects too when the store's revision has not changed.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -50,7 +50,7 @@
 SILENCE_LIMIT = 2 * LEASE
 # A successor also waits until its predecessor can no longer renew leases; the factor
 # allows for clocks that drift.
-TAKEOVER_LIMIT = 1.1 * (LEASE + view.FRESH)
+DRIFT = 1.1
 
 
 def has_authority(state: State) -> bool:
@@ -79,7 +79,8 @@
         return
     expected = {name for name in state.instances} | {row.predecessor}
     missing = expected - row.holdings.keys() - state.ended
-    waited = state.clock.monotonic() - row.taken_at > TAKEOVER_LIMIT
+    limit = DRIFT * (LEASE + state.settings.configuration_lease)
+    waited = state.clock.monotonic() - row.taken_at > limit
     if missing and not (waited and view.hears_majority(state)):
         return
     row.locked_rate = 0.0
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -29,13 +29,13 @@
     OWN = "own"  # Objects of the product itself.
 
 
-# The watches of the configuration and of the own objects end this often, which
-# confirms that keys and allocators are current.
-CONFIRMING_WAIT = timedelta(milliseconds=1300)
-# Nothing ages with the registry, so its watch waits long.
+# Watches bring the news; each end of one is a call, so they wait long.
 LONG_WAIT = timedelta(seconds=20)
 # After a failure, the first watch only asks whether the store is back.
 RETURN_WAIT = timedelta(0)
+# A question without a wait confirms that the copies are current. An outage is borne for
+# the configuration's lease less the age of the last confirmation.
+CHECK_INTERVAL = timedelta(milliseconds=700)
 CONFIRMING = (WatchedKind.CONFIGURATION, WatchedKind.OWN)
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(milliseconds=500)
@@ -98,6 +98,31 @@
     revision: int
 
 
+@frozen
+class CheckKind:
+    """Ask for the changes of a kind after a revision, without waiting for one."""
+
+    kind: WatchedKind
+    revision: int
+
+
+@frozen
+class KindChecked:
+    """All changes of a kind up to a revision, the store's at that time."""
+
+    kind: WatchedKind
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+@frozen
+class CheckFailed:
+    """A check had no usable answer."""
+
+    kind: WatchedKind
+    detail: str
+
+
 @frozen
 class KindExpired:
     """The store has dropped the history that a watch asked for."""
@@ -128,6 +153,8 @@
     list_began_at: timedelta = NEVER
     list_revision: int = 0  # Of the first part of the list.
     confirmed_at: timedelta = NEVER
+    checked_at: timedelta | None = None  # When the check in progress was sent.
+    check_after: timedelta = NEVER  # No check before.
     is_lost: bool = False
     regained_at: timedelta = NEVER
 
@@ -188,13 +215,21 @@
                 row.list_began_at = now
                 row.listed.clear()
             state.outbox.append(ListKind(kind, row.listed_after))
+    check(row_of(WatchedKind.CONFIGURATION, state), state)
+
+
+def check(row: KindRow, state: State) -> None:
+    """Ask whether a kind is current, if it is time and no answer is awaited."""
+    now = state.clock.monotonic()
+    if row.checked_at is None and row.revision and now >= row.check_after:
+        row.checked_at = now
+        row.check_after = now + CHECK_INTERVAL
+        state.outbox.append(CheckKind(row.kind, row.revision))
 
 
 def wait_of(row: KindRow) -> timedelta:
     """Return how long the next watch may wait."""
-    if row.failures:
-        return RETURN_WAIT
-    return CONFIRMING_WAIT if row.kind in CONFIRMING else LONG_WAIT
+    return RETURN_WAIT if row.failures else LONG_WAIT
 
 
 def take(entry: Entry, row: KindRow, state: State) -> None:
@@ -284,6 +319,35 @@
     confirm(row, sent_at, state)
 
 
+@handle.register
+def _(message: KindChecked, state: State) -> None:
+    row = row_of(message.kind, state)
+    sent_at, row.checked_at = row.checked_at, None
+    for entry in message.entries:
+        take(entry, row, state)
+    if sent_at is None or not row.revision:
+        return
+    row.revision = max(row.revision, message.revision)
+    confirm(row, sent_at, state)
+    for kind in CONFIRMING:
+        other = row_of(kind, state)
+        if other.revision >= message.revision:
+            # The store has not changed at all since this copy.
+            confirm(other, sent_at, state)
+        elif other is not row:
+            other.check_after = NEVER
+            check(other, state)
+
+
+@handle.register
+def _(message: CheckFailed, state: State) -> None:
+    row = row_of(message.kind, state)
+    row.checked_at = None
+    pause = LONGEST_PAUSE * state.random.uniform(0.5, 1.0)
+    row.check_after = state.clock.monotonic() + pause
+    state.counters["store.check_failures"] += 1
+
+
 @handle.register
 def _(message: KindExpired, state: State) -> None:
     row = row_of(message.kind, state)
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -182,6 +182,11 @@
         validator=Between(timedelta(seconds=1), timedelta(minutes=10)),
         metadata=described("Time that a graceful shutdown may take."),
     )
+    configuration_lease: timedelta = field(
+        default=timedelta(milliseconds=3500),
+        validator=Between(timedelta(seconds=1), timedelta(minutes=1)),
+        metadata=described("Age of the configuration at which requests are refused."),
+    )
     heartbeat_interval: timedelta = field(
         default=timedelta(milliseconds=200),
         validator=Between(timedelta(milliseconds=50), timedelta(seconds=2)),
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -26,7 +26,8 @@
 from .rendezvous import newest_version
 from .tables import InstanceRow, State, SubscriberRow
 
-# An instance whose copy is older refuses keyed requests, except in an outage.
+# The default of the setting: an instance whose copy is older refuses keyed requests,
+# except in an outage.
 FRESH = timedelta(milliseconds=3500)
 # A peer whose copy is older counts as having no store. It is lower than FRESH because
 # the ages of two instances that lose the store together differ by up to 1.5 s.
@@ -72,7 +73,7 @@
 
 def is_fresh(state: State) -> bool:
     """Return whether the store has confirmed the copy recently."""
-    return age(state) <= FRESH
+    return age(state) <= state.settings.configuration_lease
 
 
 def judges(state: State) -> list[InstanceRow]:
--- a/tests/session_support.py
+++ b/tests/session_support.py
@@ -8,8 +8,11 @@
 
 from pimentodrift import session_core
 from pimentodrift.kind_watch import (
+    CheckFailed,
+    CheckKind,
     Entry,
     KindChanged,
+    KindChecked,
     KindFailed,
     KindListed,
     ListKind,
@@ -183,7 +186,7 @@
 
     def carry_out(self, message: object) -> None:
         match message:
-            case ListKind() | WatchKind():
+            case ListKind() | WatchKind() | CheckKind():
                 self.answer_store(message)
             case WriteStore():
                 self.answer_write(message)
@@ -205,12 +208,15 @@
 
     # --- The store
 
-    def answer_store(self, message: ListKind | WatchKind) -> None:
-        if not self.store_is_up:
+    def answer_store(self, message: ListKind | WatchKind | CheckKind) -> None:
+        if isinstance(message, CheckKind):
+            up = KindChecked(message.kind, (), self.revision)
+            self.later(up if self.store_is_up else CheckFailed(message.kind, "down"))
+        elif not self.store_is_up:
             self.later(KindFailed(message.kind, "down"))
         elif isinstance(message, ListKind):
             self.later(KindListed(message.kind, (), self.revision, False))
-        else:
+        elif not message.wait:
             self.later(KindChanged(message.kind, (), self.revision))
 
     def later(self, message: object) -> None:
