--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	MYPYPATH=platform:. $(BIN)/mypy --package adapter
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m bench.run
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,276 @@
+"""The translation between the users' platform and the product."""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.append(str(ROOT / "platform"))
+
+from adapter import contents, databases, lines, objects, settings  # noqa: E402
+
+from pimentodrift import session_messages as m  # noqa: E402
+from pimentodrift.kind_watch import (  # noqa: E402
+    CheckFailed,
+    Gone,
+    KindChanged,
+    KindChecked,
+    KindExpired,
+    KindFailed,
+    KindListed,
+    Unreadable,
+    WatchedKind,
+)
+from pimentodrift.messages import (  # noqa: E402
+    Access,
+    Position,
+    StoreConflict,
+    StoreFailed,
+    StoreObject,
+    StoreWritten,
+    WriteStore,
+)
+from pimentodrift.session_rows import Consistency, EndpointRole  # noqa: E402
+
+SERVER = {
+    "upstream": "g",
+    "address": "10.0.0.1:1",
+    "zone": "z",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "dbRole": "replica",
+    "sequence": 4,
+    "born": 17,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "db",
+            "routeKind": "bounded_staleness",
+            "timeoutMs": 2000,
+            "targetLatencyMs": 1000,
+            "priority": 2,
+            "upstream": "g",
+            "maxStalenessMs": 1500,
+            "public": False,
+        }
+    ],
+    "upstreams": [{"name": "g", "maxConns": 23}],
+    "limits": {"txIdleMs": 3000},
+    "tenants": [{"name": "t", "apiKeys": ["k"], "ratePerS": 65, "burst": 60}],
+}
+SETTINGS: dict[str, Any] = {
+    "node": "front-1",
+    "region": "r",
+    "zone": "z",
+    "ip": "127.0.0.1",
+    "portRange": [7560, 7575],
+    "listen": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+    "platform": {"address": "127.0.0.1:3"},
+    "cloudApi": {"address": "127.0.0.1:4"},
+    "limits": {"maxFds": 4200},
+    "bounds": {"graceS": 6, "revokeMs": 5000, "configApplyMs": 4000},
+}
+
+
+@pytest.mark.parametrize(
+    ("text", "command"),
+    [
+        ("BEGIN", m.Begin()),
+        ("BEGIN READ", m.Begin(read_only=True)),
+        ("COMMIT", m.Commit()),
+        ("ROLLBACK", m.Rollback()),
+        ("READ 1a4", m.Run(Access.READ, "READ 1a4")),
+        ("WRITE 1a4 a b", m.Run(Access.WRITE, "WRITE 1a4 a b")),
+        ("SET tz utc +1", m.SetValue("tz", "utc +1")),
+        ("PREPARE s1 WRITE q2c", m.Prepare("s1", Access.WRITE, "q2c")),
+        ("EXECUTE s1 1a4 x", m.Execute("s1", "1a4 x")),
+        ("CLOSE s1", m.Deallocate("s1")),
+    ],
+)
+def test_commands(text: str, command: m.Command) -> None:
+    """Guards against a statement that is taken for another."""
+    assert lines.parse_command(text) == command
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "BEGIN WRITE",
+        "COMMIT now",
+        "READ",
+        "READ a b",
+        "WRITE a",
+        "PREPARE s ALTER x",
+        "PREPARE s READ",
+        "EXECUTE s",
+        "AFTER 3.1 READ x",
+        "STATUS",
+        "RESET",
+        "read x",
+    ],
+)
+def test_unknown_commands(text: str) -> None:
+    """Guards against statements that only this system may send."""
+    assert isinstance(lines.parse_command(text), m.Unreadable)
+
+
+def test_lines_in_pieces() -> None:
+    """Guards against a line that is split by the network."""
+    reader = lines.LineReader()
+    parts = b"QUERY 1 READ \xc3\xa9\r\nTERMIN", b"ATE\r", b"\n"
+    assert [line for part in parts for line in reader.feed(part)] == [
+        "QUERY 1 READ é",
+        "TERMINATE",
+    ]
+
+
+@pytest.mark.parametrize(
+    "data", [b"x" * (lines.MAX_LINE_BYTES + 1), b"READ \xff\xfe\r\n"]
+)
+def test_unusable_bytes(data: bytes) -> None:
+    """Guards against a client that fills the memory, and bytes that are no text."""
+    with pytest.raises(lines.LineError):
+        list(lines.LineReader().feed(data))
+
+
+@pytest.mark.parametrize(
+    ("text", "position"),
+    [("3.12", Position(3, 12)), ("-", None), ("3", None), ("3.x", None), ("", None)],
+)
+def test_positions(text: str, position: Position | None) -> None:
+    """Guards against a position that is guessed."""
+    assert lines.parse_position(text) == position
+
+
+@pytest.mark.parametrize(
+    ("step", "text"),
+    [
+        (m.BeginWork(), "BEGIN"),
+        (m.BeginWork(True, Position(3, 4)), "AFTER 3.4 BEGIN READ"),
+        (m.EndWork(), "ROLLBACK"),
+        (m.CommitWork("i"), "COMMIT"),
+        (m.ResetSession(), "RESET"),
+        (m.ApplyValue("a", "b c"), "SET a b c"),
+        (m.PrepareShape("p1", Access.READ, "q"), "PREPARE p1 READ q"),
+        (m.RunPrepared("i", "p1", "x y"), "EXECUTE p1 x y"),
+        (m.RunStatement("i", "READ x", Position(3, 4)), "AFTER 3.4 READ x"),
+    ],
+)
+def test_steps(step: m.ApplyStep, text: str) -> None:
+    """Guards against a text that a database does not know."""
+    assert databases.step_text(step) == text
+    own = isinstance(step, m.CommitWork | m.RunPrepared | m.RunStatement)
+    assert databases.step_id(step) == ("i" if own else "-")
+
+
+def decode_server(**changes: Any) -> object:
+    value = {"meta": {"name": "i"}, "spec": {**SERVER, **changes}}
+    return contents.decode_content(WatchedKind.REGISTRY, "i", 1, value)
+
+
+def test_registered_endpoint() -> None:
+    """Guards against a field that is read as another."""
+    endpoint = contents.decode_endpoint(SERVER)
+    assert endpoint.group == "g" and endpoint.data_centre == "z"
+    assert endpoint.role is EndpointRole.REPLICA and endpoint.incarnation == 17
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"upstream": None},
+        {"address": 7},
+        {"slots": "3"},
+        {"slots": True},
+        {"state": "resting"},
+        {"dbRole": "leader"},
+        {"sequence": None},
+        {"born": 1.5},
+    ],
+)
+def test_entries_of_other_writers(changes: dict[str, Any]) -> None:
+    """Guards against an entry that names no database."""
+    assert isinstance(decode_server(**changes), Unreadable)
+
+
+@pytest.mark.parametrize("spec", [None, "text", [], {}, 5])
+def test_entries_that_cannot_be_read(spec: Any) -> None:
+    """Guards against an entry that stops the watch."""
+    value = {"meta": {"name": "i"}, "spec": spec}
+    for kind in WatchedKind:
+        content = contents.decode_content(kind, "main", 1, value)
+        assert isinstance(content, Unreadable) or (
+            kind is WatchedKind.OWN and spec == {}
+        )
+
+
+def test_configuration() -> None:
+    """Guards against a limit that is read as another."""
+    configuration = contents.decode_configuration(CONFIGURATION)
+    route = configuration.routes[0]
+    assert route.database == "db" and route.consistency is Consistency.BOUNDED
+    assert route.max_staleness.total_seconds() == 1.5
+    assert route.timeout.total_seconds() == 2
+    assert route.objective.total_seconds() == 1
+    assert configuration.connections == {"g": 23}
+    assert configuration.workspaces[0].keys == ("k",)
+
+
+def test_settings() -> None:
+    """Guards against an address that is used for another purpose."""
+    read = settings.decode(SETTINGS)
+    assert read.clients == "127.0.0.1:1" and read.readiness == "127.0.0.1:2"
+    assert read.instance.peer_listen == "127.0.0.1:7560"
+    assert read.instance.configuration_lease.total_seconds() == 3.9
+    assert read.instance.stop_timeout.total_seconds() < 6
+
+
+def body(revision: int = 4) -> dict[str, Any]:
+    meta = {"name": "allocator.w", "revision": revision}
+    return {"meta": meta, "spec": {"epoch": 1}, "status": None}
+
+
+WRITE = WriteStore(3, "allocator", "w", 2, {"epoch": 1})
+OBJECT = StoreObject("allocator", "w", 4, {"epoch": 1})
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "expected"),
+    [
+        (200, body(), StoreWritten(3, OBJECT)),
+        (201, body(), StoreWritten(3, OBJECT)),
+        (409, body(), StoreConflict(3, OBJECT)),
+        (404, None, StoreConflict(3, None)),
+        (503, None, StoreFailed(3, "status 503")),
+        (429, None, StoreFailed(3, "status 429")),
+    ],
+)
+def test_written(status: int, value: Any, expected: object) -> None:
+    """Guards against a write that is taken for another outcome."""
+    assert objects.written(WRITE, status, value) == expected
+
+
+def test_lists_and_watches() -> None:
+    """Guards against an answer that means something else to the core."""
+    own = WatchedKind.OWN
+    page = {"items": [body()], "hasMore": True, "currentRev": 9}
+    listed = objects.listed(own, 200, page)
+    assert isinstance(listed, KindListed) and listed.has_more
+    assert listed.entries[0].content == OBJECT
+    events = [{"object": body(8), "deleted": True}]
+    news = {"events": events, "currentRev": 9}
+    changed = objects.changed(own, 200, news)
+    assert isinstance(changed, KindChanged)
+    assert changed.entries[0].content == Gone()
+    assert objects.changed(own, 410, None) == KindExpired(own)
+    assert objects.changed(own, 429, None) == KindFailed(own, "status 429")
+    assert isinstance(objects.checked(own, 200, news), KindChecked)
+    assert isinstance(objects.checked(own, 410, None), CheckFailed)
