Test the platform's assembly as real processes on stand-ins of its protocol

Two instances, a store, three databases and the promote call over loopback: sessions, withdrawn keys, a crashed primary, a planned stop, a restart after a kill, bad input.

--- /dev/null
+++ b/tests/test_platform_system.py
@@ -0,0 +1,291 @@
+"""Real processes on the users' platform: the adapter and the product end to end."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from attrs import define, field
+
+from .platform_standins import Group, LineDatabase, Loop, Store
+
+ROOT = Path(__file__).resolve().parent.parent
+WAIT_S = 30.0
+STEP_S = 0.05
+KEY = "key-1"
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+@define
+class Client:
+    """A client of the line protocol, one statement at a time."""
+
+    connection: socket.socket
+    file: Any
+    count: int = 0
+
+    @classmethod
+    def open(cls, port: int, database: str = "db", key: str = KEY) -> "Client":
+        connection = socket.create_connection(("127.0.0.1", port), WAIT_S)
+        client = cls(connection, connection.makefile("rb"))
+        client.send(f"STARTUP {database} {key}")
+        return client
+
+    def send(self, line: str) -> None:
+        self.connection.sendall(line.encode() + b"\r\n")
+
+    def line(self) -> str:
+        return str(self.file.readline().decode().rstrip("\r\n"))
+
+    def ask(self, text: str) -> list[str]:
+        """Send a statement and return its answer's lines without the last one."""
+        self.count += 1
+        self.send(f"QUERY {id(self):x}{self.count} {text}")
+        return self.answer()
+
+    def answer(self) -> list[str]:
+        lines = []
+        while not (line := self.line()).startswith("READY"):
+            if not line:
+                return [*lines, "closed"]
+            lines.append(line)
+        return lines
+
+
+@define
+class System:
+    """Instances, a store and a group of three databases."""
+
+    folder: Path
+    loop: Loop = field(factory=Loop)
+    store: Store = field(init=False)
+    group: Group = field(init=False)
+    processes: list[subprocess.Popen[bytes]] = field(factory=list)
+    ports: list[tuple[int, int]] = field(factory=list)  # Clients, readiness.
+
+    def start(self, count: int) -> None:
+        self.store = self.loop.call(Store)
+        self.loop.do(self.store.start())
+        self.group = Group("g", primary="i-1")
+        for name in ("i-1", "i-2", "i-3"):
+            self.loop.do(LineDatabase(self.group, name).start())
+        self.store.promote = self.promote
+        self.loop.call(self.register_all)
+        self.loop.call(lambda: self.configure([KEY]))
+        for index in range(count):
+            self.start_instance(index)
+        for _, port in self.ports:
+            wait_for(lambda port=port: is_ready(port))
+
+    def promote(self, body: dict[str, Any], token: int) -> int:
+        self.group.primary = body["id"]
+        self.group.term += 1
+        self.register_all()
+        return 200
+
+    def register_all(self) -> None:
+        for name, database in self.group.databases.items():
+            self.store.put("servers", name, database.entry())
+
+    def configure(self, keys: list[str]) -> None:
+        route = {
+            "name": "r",
+            "host": "db",
+            "routeKind": "read_your_writes",
+            "timeoutMs": 2000,
+            "targetLatencyMs": 1000,
+            "priority": 1,
+            "upstream": "g",
+            "maxStalenessMs": 1500,
+            "public": False,
+        }
+        known = self.store.objects.get(("config", "main"))
+        tenant = {"name": "t", "apiKeys": keys, "ratePerS": 500, "burst": 500}
+        spec = {
+            "version": known["spec"]["version"] + 1 if known else 1,
+            "routes": [route],
+            "upstreams": [{"name": "g", "maxConns": 20}],
+            "limits": {"txIdleMs": 3000},
+            "tenants": [tenant],
+        }
+        self.store.put("config", "main", spec)
+
+    def start_instance(self, index: int) -> None:
+        front, readiness, peer = free_ports(3)
+        path = self.folder / f"node-{index}.toml"
+        path.write_text(
+            f'node = "front-{index}"\nregion = "r1"\nzone = "z1"\nip = "127.0.0.1"\n'
+            f"portRange = [{peer}, {peer}]\n"
+            f'[listen]\nfront = "127.0.0.1:{front}"\n'
+            f'readiness = "127.0.0.1:{readiness}"\n'
+            f"[limits]\nmaxFds = 4200\n"
+            f"[bounds]\ngraceS = 6\nrevokeMs = 5000\nconfigApplyMs = 4000\n"
+            f'[platform]\naddress = "{self.store.address}"\n'
+            f'[cloudApi]\naddress = "{self.store.address}"\n'
+        )
+        environment = {**os.environ, "PIMENTODRIFT_SETTINGS": str(path)}
+        log = (self.folder / f"node-{index}.log").open("wb")
+        process = subprocess.Popen(
+            [sys.executable, "platform/main.py"],
+            cwd=ROOT,
+            env=environment,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+        self.processes.append(process)
+        self.ports.append((front, readiness))
+
+    def client(self, index: int = 0, key: str = KEY) -> Client:
+        return Client.open(self.ports[index][0], key=key)
+
+    def stop(self) -> None:
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.loop.stop()
+
+
+def is_ready(port: int) -> bool:
+    try:
+        with urllib.request.urlopen(f"http://127.0.0.1:{port}/ready") as answer:
+            return int(answer.status) == 200
+    except OSError:
+        return False
+
+
+def wait_for(condition: Any) -> None:
+    end = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < end, "the condition did not come true"
+        time.sleep(STEP_S)
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> Iterator[System]:
+    result = System(tmp_path)
+    try:
+        result.start(2)
+        yield result
+    finally:
+        result.stop()
+
+
+def test_session(system: System) -> None:
+    """Guards against a path that does not serve a session from end to end."""
+    client = system.client()
+    assert client.line() == "READY I -"
+    assert client.ask("WRITE a one") == ["DONE signed"]
+    assert client.ask("READ a") == ["ROW one", "DONE signed"]
+    assert client.ask("PREPARE s WRITE shape") == ["DONE -"]
+    assert client.ask("BEGIN") == ["DONE -"]
+    assert client.ask("EXECUTE s a two") == ["DONE signed"]
+    assert client.ask("COMMIT") == ["DONE signed"]
+    other = system.client(1)
+    assert other.line() == "READY I -"
+    assert other.ask("READ a") == ["ROW two", "DONE signed"]
+    assert system.group.tenants == {"t"}
+
+
+def test_withdrawn_key(system: System) -> None:
+    """Guards against a connected client whose key was withdrawn."""
+    client = system.client()
+    client.line()
+    assert client.ask("WRITE a one") == ["DONE signed"]
+    system.loop.call(lambda: system.configure(["key-2"]))
+    wait_for(lambda: client.ask("READ a")[0].startswith("ERROR NOAUTH"))
+    assert system.client(1).line().startswith("ERROR NOAUTH")
+    second = system.client(1, "key-2")
+    assert second.line() == "READY I -"
+
+
+def test_crashed_primary(system: System) -> None:
+    """Guards against a group that stays without a primary."""
+    client = system.client()
+    client.line()
+    assert client.ask("WRITE a one") == ["DONE signed"]
+    system.loop.do(system.group.databases["i-1"].crash())
+    wait_for(lambda: client.ask("WRITE a two") == ["DONE signed"])
+    assert system.group.primary != "i-1"
+    assert system.group.writes[-1] and client.ask("READ a")[0] == "ROW two"
+
+
+def test_planned_stop(system: System) -> None:
+    """Guards against a stop that cuts a client's statement."""
+    client = system.client()
+    client.line()
+    assert client.ask("WRITE a one") == ["DONE signed"]
+    for database in system.group.databases.values():
+        database.delay_s = 0.5
+    client.send("QUERY 77 WRITE a two")
+    wait_for(lambda: (system.folder / "node-0.log").stat().st_size > 0)
+    system.processes[0].send_signal(signal.SIGTERM)
+    assert client.answer() == ["DONE signed"]
+    assert client.line() == ""
+    assert system.processes[0].wait(WAIT_S) == 0
+    assert system.group.items["a"] == "two"
+
+
+def test_restart_after_a_kill(system: System) -> None:
+    """Guards against an instance that needs what only its last process knew."""
+    client = system.client(1)
+    client.line()
+    for process in system.processes:
+        process.kill()
+        process.wait()
+    system.processes.clear()
+    system.ports.clear()
+    for index in range(2):
+        system.start_instance(index)
+    for _, port in system.ports:
+        wait_for(lambda port=port: is_ready(port))
+    again = system.client()
+    assert again.line() == "READY I -"
+    wait_for(lambda: again.ask("WRITE a one") == ["DONE signed"])
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HELLO\r\n",
+        b"STARTUP db " + b"x" * 2**21,
+        b"STARTUP \xff\xff\r\n",
+        b"QUERY 1 READ a\r\n",
+    ],
+)
+def test_bad_input(system: System, data: bytes) -> None:
+    """Guards against a client that stops an instance or fills its memory."""
+    connection = socket.create_connection(("127.0.0.1", system.ports[0][0]), WAIT_S)
+    try:
+        connection.sendall(data)
+        answer = connection.recv(1000)
+    except ConnectionError:
+        answer = b""
+    assert answer == b"" or answer.startswith(b"ERROR MALFORMED")
+    client = system.client()
+    assert client.line() == "READY I -"
+
+
+def test_log_lines_are_json(system: System) -> None:
+    """Guards against lines that tools cannot read, and keys in them."""
+    client = system.client(key="not-a-known-key")
+    assert client.line().startswith("ERROR NOAUTH")
+    log = system.folder / "node-0.log"
+    wait_for(lambda: b"session_refused" in log.read_bytes())
+    lines = [json.loads(line) for line in log.read_bytes().splitlines()]
+    assert all("message_type" in line for line in lines)
+    assert b"not-a-known-key" not in log.read_bytes()
