Write the events of sessions as typed, bounded lines on standard output

Each event is a class with its fields; each weight has its own budget a second, so that refusals are kept when there are many successes; the descriptor never blocks.

--- a/pimentodrift/edges.py
+++ b/pimentodrift/edges.py
@@ -102,6 +102,10 @@
         except Exception as error:  # noqa: BLE001
             self.report_error("tick", error)
         self.carry_out()
+        self.write_log()
+
+    def write_log(self) -> None:
+        """Write what the core has noted."""
         if self.state.events:
             write_events(self.state)
 
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -18,6 +18,12 @@
 from .clock import NEVER
 from .dispatch import handle
 from .messages import StoreObject
+from .session_events import (
+    ObjectUnreadable,
+    StoreHistoryGone,
+    StoreLost,
+    StoreRegained,
+)
 from .tables import State
 
 
@@ -37,6 +43,7 @@
 # the configuration's lease less the age of the last confirmation.
 CHECK_INTERVAL = timedelta(milliseconds=700)
 CONFIRMING = (WatchedKind.CONFIGURATION, WatchedKind.OWN)
+MILLISECOND = timedelta(milliseconds=1)
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(milliseconds=500)
 
@@ -156,7 +163,7 @@
     checked_at: timedelta | None = None  # When the check in progress was sent.
     check_after: timedelta = NEVER  # No check before.
     is_lost: bool = False
-    regained_at: timedelta = NEVER
+    lost_at: timedelta = NEVER
 
 
 @singledispatch
@@ -254,13 +261,8 @@
 def note_unreadable(entry: Entry, row: KindRow, state: State) -> None:
     """Count and log an object that cannot be used."""
     state.counters[f"store.unreadable.{row.kind}"] += 1
-    fields: dict[str, object] = {
-        "kind": row.kind,
-        "name": entry.name,
-        "revision": entry.revision,
-        "detail": str(entry.content),
-    }
-    state.events.append(("object_unreadable", fields))
+    detail = str(entry.content)
+    state.note(ObjectUnreadable(row.kind, entry.name, entry.revision, detail))
 
 
 def succeed(row: KindRow, state: State) -> timedelta:
@@ -272,8 +274,8 @@
     row.next_at = now
     if row.is_lost:
         row.is_lost = False
-        row.regained_at = now
-        state.events.append(("store_regained", {"kind": row.kind}))
+        lost_ms = (now - row.lost_at) // MILLISECOND
+        state.note(StoreRegained(row.kind, lost_ms))
     return sent_at
 
 
@@ -352,9 +354,9 @@
 def _(message: KindExpired, state: State) -> None:
     row = row_of(message.kind, state)
     succeed(row, state)
+    state.note(StoreHistoryGone(row.kind, row.revision))
     row.revision = 0
     row.listed_after = ""
-    state.events.append(("store_history_gone", {"kind": row.kind}))
 
 
 @handle.register
@@ -370,5 +372,5 @@
     state.counters["store.watch_failures"] += 1
     if not row.is_lost:
         row.is_lost = True
-        fields: dict[str, object] = {"kind": row.kind, "detail": message.detail}
-        state.events.append(("store_lost", fields))
+        row.lost_at = now
+        state.note(StoreLost(row.kind, message.detail))
--- a/pimentodrift/leadership.py
+++ b/pimentodrift/leadership.py
@@ -10,6 +10,7 @@
 
 from . import registry
 from .messages import Position
+from .session_events import PrimaryChosen
 from .session_rows import EndpointRole, LeadershipRow, RegistryRow
 from .tables import State
 
@@ -36,14 +37,8 @@
 
 def change(row: LeadershipRow, endpoint: str, source: str, state: State) -> None:
     """Take another endpoint for the primary."""
-    fields: dict[str, object] = {
-        "group": row.group,
-        "primary": endpoint,
-        "before": row.primary,
-        "source": source,
-    }
+    state.note(PrimaryChosen(row.group, endpoint, row.primary, source))
     row.primary = endpoint
-    state.events.append(("primary_changed", fields))
 
 
 def proved(
--- a/pimentodrift/operation_ends.py
+++ b/pimentodrift/operation_ends.py
@@ -1,9 +1,17 @@
 """How a statement ends: its answer or refusal, and what becomes of its transaction."""
 
 from datetime import timedelta
+from typing import Any
 
 from . import pools, view
+from .clock import NEVER
 from .dispatch import handle
+from .session_events import (
+    StatementAnswered,
+    StatementLate,
+    StatementRefused,
+    StatementRetried,
+)
 from .session_messages import (
     AnswerStatement,
     ApplyStep,
@@ -24,8 +32,6 @@
 MILLISECOND = timedelta(milliseconds=1)
 # A configuration is confirmed each second while the store is reachable.
 UNCONFIRMED_RETRY_AFTER = timedelta(seconds=1)
-# How long a statement may take from its answer's point of view before a line is kept.
-SLOW_FACTOR = 1.0  # Of the route's objective.
 
 
 def denial(session: SessionRow, route: Route, state: State) -> Refusal | None:
@@ -59,29 +65,45 @@
 
 
 def note_answer(operation: OperationRow, state: State) -> None:
-    """Log an answer that came later than its route's objective."""
+    """Log and count an answer, and whether it came within its route's objective."""
     took = state.clock.monotonic() - operation.arrived_at
-    if took <= operation.route.objective * SLOW_FACTOR:
-        return
-    state.counters["operations.late"] += 1
-    state.events.append(("statement_late", fields_of(operation, state)))
+    is_late = took > operation.route.objective
+    state.counters["operations.late"] += is_late
+    kind = StatementLate if is_late else StatementAnswered
+    state.note(kind(**facts(operation, state)))
+
 
+def retried(
+    operation: OperationRow, fault: Fault, detail: str, state: State
+) -> StatementRetried:
+    """Return the event of a statement that is placed again."""
+    return StatementRetried(**facts(operation, state), fault=fault, detail=detail)
 
-def fields_of(operation: OperationRow, state: State) -> dict[str, object]:
-    """Return what explains the way of a statement."""
+
+def facts(operation: OperationRow, state: State) -> dict[str, Any]:
+    """Return what explains the way of a statement: the fields of its events."""
     now = state.clock.monotonic()
+    route, minimum = operation.route, operation.minimum
+    known = state.leaderships.get(route.group)
+    sampled_at = known.sampled_at if known is not None else NEVER
+    pool = state.pools.get(operation.endpoint)
+    share = state.shares.get(operation.workspace)
     return {
         "request": operation.statement_id,
         "session": operation.session,
         "workspace": operation.workspace,
-        "database": operation.route.database,
-        "group": operation.route.group,
+        "database": route.database,
+        "group": route.group,
         "endpoint": operation.endpoint,
         "access": operation.access,
         "stage": operation.stage,
         "stage_ms": (now - operation.staged_at) // MILLISECOND,
         "total_ms": (now - operation.arrived_at) // MILLISECOND,
         "attempts": operation.attempts,
+        "minimum": f"{minimum.term}.{minimum.offset}" if minimum is not None else "",
+        "sample_age_ms": (now - sampled_at) // MILLISECOND,
+        "waiting": pools.waiting(pool) if pool is not None else 0,
+        "tokens": round(share.tokens, 1) if share is not None else 0.0,
         "configuration": state.configuration.version,
         "configuration_age_ms": view.age(state) // MILLISECOND,
     }
@@ -91,11 +113,16 @@
     """Tell the client that a statement has no result; its transaction is over."""
     session = state.sessions.get(operation.session)
     state.counters[f"operations.refused.{refusal.fault}"] += 1
-    fields = fields_of(operation, state)
-    fields |= {"fault": refusal.fault, "detail": refusal.detail}
-    if refusal.retry_after is not None:
-        fields["retry_after_ms"] = refusal.retry_after // MILLISECOND
-    state.events.append(("statement_refused", fields))
+    after = refusal.retry_after
+    after_ms = after // MILLISECOND if after is not None else -1
+    state.note(
+        StatementRefused(
+            **facts(operation, state),
+            fault=refusal.fault,
+            detail=refusal.detail,
+            retry_after_ms=after_ms,
+        )
+    )
     if session is not None:
         end_transaction(session, state)
         if session.phase is Phase.OPEN:
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -9,7 +9,8 @@
 from . import leadership, pools, restoration
 from .dispatch import handle
 from .messages import Access, Position
-from .operation_ends import answer, denial, end_transaction, refuse, send
+from .operation_ends import answer, denial, end_transaction, refuse, retried, send
+from .session_events import TransactionEnded
 from .session_messages import (
     NOT_RUN,
     ApplyStep,
@@ -283,6 +284,7 @@
     """Place a statement again that certainly did not run."""
     fault = message.fault or Fault.FAILED
     note_fault(connection, fault, state)
+    state.note(retried(operation, fault, message.detail, state))
     operation.tried.add(connection.endpoint)
     operation.connection = 0
     session = state.sessions[operation.session]
@@ -346,7 +348,13 @@
     if session is not None:
         session.connection = 0
         session.phase = Phase.FAILED
-        state.counters["sessions.transactions_lost"] += 1
+        group = session.route.group if session.route is not None else ""
+        state.counters["sessions.aborted.connection-lost"] += 1
+        state.note(
+            TransactionEnded(
+                session.session, session.workspace, group, "connection-lost", 0
+            )
+        )
 
 
 def check_time(operation: OperationRow, state: State) -> None:
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -10,6 +10,7 @@
 
 from . import membership, restoration
 from .dispatch import handle
+from .session_events import EndpointAnswers, EndpointFailing
 from .session_messages import (
     ClosePooled,
     ConnectionAssigned,
@@ -24,6 +25,8 @@
 from .session_rows import OperationRow, PooledRow, PoolRow
 from .tables import State
 
+MILLISECOND = timedelta(milliseconds=1)
+UNREACHABLE = "unreachable"  # The fault of an endpoint that said nothing.
 OPEN_TIMEOUT = timedelta(seconds=1)
 # An idle connection serves one workspace only and takes a place from the other
 # instances, so few are kept and not for long.
@@ -264,7 +267,8 @@
 def recover(pool: PoolRow, state: State) -> None:
     """Note that an endpoint answers."""
     if pool.failing_since is not None:
-        state.events.append(("endpoint_answers", {"endpoint": pool.endpoint}))
+        failed = state.clock.monotonic() - pool.failing_since
+        state.note(EndpointAnswers(pool.endpoint, failed // MILLISECOND))
     pool.failing_since = None
     pool.failures = 0
 
@@ -298,8 +302,7 @@
     now = state.clock.monotonic()
     if pool.failing_since is None:
         pool.failing_since = now
-        fields: dict[str, object] = {"endpoint": pool.endpoint, "fault": fault}
-        state.events.append(("endpoint_failing", fields))
+        state.note(EndpointFailing(pool.endpoint, fault or UNREACHABLE))
     pool.failures += 1
     pause = min(FIRST_BACKOFF * 2 ** min(pool.failures, 5), LONGEST_BACKOFF)
     pool.retry_at = now + pause
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -15,10 +15,12 @@
 from . import leadership, membership, peers, pools, registry, view
 from .dispatch import handle, handle_peer
 from .messages import PeerMessage, Position, StoreObject
+from .session_events import PromotionDecided, PromotionEnded
 from .session_rows import PromotionRow, RegistryRow
 from .store_writes import StoreOutcome, write, write_ended
 from .tables import State
 
+MILLISECOND = timedelta(milliseconds=1)
 # A primary that fails for this long is reported; a shorter stall heals by itself.
 FAILING_AFTER = timedelta(milliseconds=500)
 # A group in whose registry no endpoint calls itself primary for this long has none.
@@ -337,15 +339,17 @@
     row = row_of(purpose.group, state)
     now = state.clock.monotonic()
     row.is_writing = False
-    fields: dict[str, object] = {
-        "group": purpose.group,
-        "token": purpose.token,
-        "target": purpose.target,
-        "old_primary": row.old_primary,
-        "reports": len(row.reports),
-        "outcome": outcome,
-    }
-    state.events.append(("promotion_decided", fields))
+    failing = sum(is_bad for _, is_bad in row.reports.values())
+    state.note(
+        PromotionDecided(
+            purpose.group,
+            purpose.token,
+            purpose.target,
+            row.old_primary,
+            failing,
+            outcome,
+        )
+    )
     if outcome is not StoreOutcome.WRITTEN:
         row.next_at = now + RETRY_TIME
         return
@@ -371,15 +375,16 @@
         return
     now = state.clock.monotonic()
     row.call = 0
-    fields: dict[str, object] = {
-        "group": row.group,
-        "token": row.token,
-        "target": row.target,
-        "outcome": message.outcome,
-        "detail": message.detail,
-        "took_ms": (now - row.called_at) // timedelta(milliseconds=1),
-    }
-    state.events.append(("promotion_ended", fields))
+    state.note(
+        PromotionEnded(
+            row.group,
+            row.token,
+            row.target,
+            message.outcome,
+            message.detail,
+            (now - row.called_at) // MILLISECOND,
+        )
+    )
     match message.outcome:
         case PromoteOutcome.ACCEPTED:
             row.rejected.clear()
--- a/pimentodrift/registration.py
+++ b/pimentodrift/registration.py
@@ -12,6 +12,7 @@
 from . import kind_watch, membership, view
 from .kind_watch import WatchedKind
 from .messages import StoreObject
+from .session_events import InstanceListed, InstanceRemoved
 from .store_writes import StoreOutcome, delete, write, write_ended
 from .tables import Presence, State
 
@@ -91,10 +92,9 @@
 @write_ended.register
 def _(purpose: Registration, outcome: StoreOutcome, state: State) -> None:
     """Leave the next attempt to the next run; the view shows what is stored."""
-    state.events.append(("instance_listed", {"outcome": outcome}))
+    state.note(InstanceListed(outcome))
 
 
 @write_ended.register
 def _(purpose: Removal, outcome: StoreOutcome, state: State) -> None:
-    fields: dict[str, object] = {"peer": purpose.instance, "outcome": outcome}
-    state.events.append(("instance_removed", fields))
+    state.note(InstanceRemoved(purpose.instance, outcome))
--- a/pimentodrift/registry.py
+++ b/pimentodrift/registry.py
@@ -9,6 +9,11 @@
 
 from . import leadership, pools
 from .kind_watch import Entry, apply, remove
+from .session_events import (
+    EndpointDropped,
+    EndpointRegistered,
+    EndpointUnregistered,
+)
 from .session_rows import EndpointRole, PoolRow, RegisteredEndpoint, RegistryRow
 from .tables import State
 
@@ -58,14 +63,12 @@
 
 def note(row: RegistryRow, state: State) -> None:
     """Log what an endpoint says of itself."""
-    fields: dict[str, object] = {
-        "endpoint": row.name,
-        "group": row.entry.group,
-        "role": row.entry.role,
-        "leaving": row.entry.is_leaving,
-        "revision": row.revision,
-    }
-    state.events.append(("endpoint_registered", fields))
+    entry = row.entry
+    state.note(
+        EndpointRegistered(
+            row.name, entry.group, entry.role, entry.is_leaving, row.revision
+        )
+    )
 
 
 @remove.register
@@ -73,16 +76,14 @@
     row = state.registry.get(entry.name)
     if row is not None and row.missing_since is None:
         row.missing_since = state.clock.monotonic()
-        fields: dict[str, object] = {"endpoint": row.name, "revision": entry.revision}
-        state.events.append(("endpoint_unregistered", fields))
+        state.note(EndpointUnregistered(row.name, entry.revision))
 
 
 def forget(row: RegistryRow, reason: str, state: State) -> None:
     """Drop an endpoint with its connections."""
     state.registry.pop(row.name, None)
     pools.drop(row.name, state)
-    fields: dict[str, object] = {"endpoint": row.name, "reason": reason}
-    state.events.append(("endpoint_dropped", fields))
+    state.note(EndpointDropped(row.name, reason))
 
 
 def run(state: State) -> None:
--- a/pimentodrift/route_configuration.py
+++ b/pimentodrift/route_configuration.py
@@ -11,6 +11,7 @@
 
 from .configuration import KEY_ID_LENGTH
 from .kind_watch import Entry, apply, remove
+from .session_events import ConfigurationApplied, ConfigurationMissing
 from .session_rows import Route, SessionLimits
 from .tables import Configuration, KeyRow, State, WorkspaceRow
 
@@ -73,16 +74,11 @@
         content.transaction_idle, dict(content.connections)
     )
     state.counters["configuration.applied"] += 1
-    fields: dict[str, object] = {
-        "version": content.version,
-        "revision": entry.revision,
-        "routes": len(content.routes),
-        "workspaces": len(content.workspaces),
-    }
-    state.events.append(("configuration_applied", fields))
+    sizes = len(content.routes), len(content.workspaces)
+    state.note(ConfigurationApplied(content.version, entry.revision, *sizes))
 
 
 @remove.register
 def _(content: RouteConfiguration, entry: Entry, state: State) -> None:
     """Keep a configuration whose object is gone; nothing newer was declared."""
-    state.events.append(("configuration_missing", {"revision": entry.revision}))
+    state.note(ConfigurationMissing(entry.revision))
--- a/pimentodrift/session_draining.py
+++ b/pimentodrift/session_draining.py
@@ -8,7 +8,7 @@
 
 from . import sessions
 from .messages import ExitProcess
-from .operation_ends import end_transaction
+from .session_events import StopComplete
 from .session_messages import Phase
 from .tables import State
 
@@ -29,8 +29,8 @@
     is_over = waited >= state.settings.stop_timeout
     if is_over or (waited >= UNLISTED_AFTER and not state.sessions):
         state.exit_sent = True
-        fields: dict[str, object] = {"sessions": len(state.sessions)}
-        state.events.append(("stop_complete", fields))
+        waited_ms = waited // timedelta(milliseconds=1)
+        state.note(StopComplete(len(state.sessions), waited_ms))
         state.outbox.append(ExitProcess())
 
 
@@ -38,8 +38,7 @@
     """Roll back the transactions in which no statement is running."""
     for session in state.sessions.values():
         if session.phase is Phase.OPEN and not session.operation:
-            end_transaction(session, state)
-            session.phase = Phase.FAILED
+            sessions.abort(session, "stopping", state)
 
 
 def close_idle(state: State) -> None:
--- a/pimentodrift/session_process.py
+++ b/pimentodrift/session_process.py
@@ -5,8 +5,10 @@
 """
 
 import signal
+import sys
 from collections.abc import Callable, Sequence
 from random import Random, SystemRandom
+from time import monotonic
 from types import FrameType
 from typing import Any
 
@@ -15,10 +17,12 @@
 from . import session_core
 from .clock import SystemClock
 from .edges import DeliverAll, Edge, EdgeShell
-from .logs import log_event, start_logging, write_events
+from .event_log import EventLog, open_log
+from .logs import write_events
 from .messages import StopRequested
 from .peer_streams import PeerStreams
 from .runtime import SEED_BITS, tune_garbage_collection
+from .session_events import SettingsReloaded, Started, StartFailed, Stopped
 from .session_messages import SessionClosed, SessionOpened, SessionStatement
 from .settings import Settings
 from .sockets import Poller
@@ -39,12 +43,20 @@
         poller: Poller,
         exit_process: Callable[[], None],
         factories: Sequence[EdgeFactory],
+        log: EventLog,
     ) -> None:
         super().__init__(state, poller, exit_process, session_core, session_core.TICK)
+        self.log = log
         self.add(PeerStreams(state, poller, self.deliver_all))
         for factory in factories:
             self.add(factory(state, poller, self.deliver_all))
 
+    def write_log(self) -> None:
+        """Write what the core has noted, within the log's budgets."""
+        super().write_log()
+        events, self.state.typed_events = self.state.typed_events, []
+        self.log.write(events)
+
     def give_up(self, message: object) -> None:
         """Close the session of a client whose message failed inside."""
         if isinstance(message, SessionOpened | SessionStatement):
@@ -57,20 +69,24 @@
     channel = "instance"
 
     def __init__(
-        self, state: State, factories: Sequence[EdgeFactory], reload: Reload
+        self,
+        state: State,
+        factories: Sequence[EdgeFactory],
+        reload: Reload,
+        log: EventLog,
     ) -> None:
         super().__init__()
         self.state = state
         self.reload = reload
         self.has_stopped = False
         self.poller = Poller().register(self)
-        self.shell = SessionShell(state, self.poller, self.begin_exit, factories)
+        self.shell = SessionShell(state, self.poller, self.begin_exit, factories, log)
         signal.signal(signal.SIGHUP, self.on_hangup)
 
     @handler("started", channel="*")  # type: ignore[untyped-decorator]
     def _on_started(self, *_: Any) -> None:
         settings = self.state.settings
-        log_event("started", instance=settings.name, listen=settings.listen)
+        self.state.note(Started(settings.listen, settings.peer_listen))
 
     @handler("signal", channel="*")  # type: ignore[untyped-decorator]
     def _on_signal(self, *_: Any) -> None:
@@ -86,12 +102,7 @@
         changed = settings is not None and settings != self.state.settings
         if settings is not None:
             self.state.settings = settings
-        log_event(
-            "settings_reloaded",
-            instance=self.state.settings.name,
-            readable=settings is not None,
-            changed=changed,
-        )
+        self.state.note(SettingsReloaded(settings is not None, changed))
 
     def begin_exit(self) -> None:
         """Stop the loop after the last answers were flushed."""
@@ -100,22 +111,24 @@
     def end(self) -> None:
         """Close all sockets and stop the loop."""
         self.shell.close()
-        log_event("stopped", instance=self.state.settings.name)
+        self.state.note(Stopped())
+        self.shell.write_log()
         self.has_stopped = True
         self.stop()
 
 
 def run(settings: Settings, factories: Sequence[EdgeFactory], reload: Reload) -> int:
     """Run an instance until it has stopped; return the exit status."""
-    start_logging()
+    log = open_log(settings.name, sys.stdout.fileno(), monotonic)
     seed = SystemRandom().getrandbits(SEED_BITS)
     state = State(settings, SystemClock(), Random(seed))
     try:
-        instance = SessionInstance(state, factories, reload)
+        instance = SessionInstance(state, factories, reload, log)
     except OSError as error:
-        log_event("start_failed", instance=settings.name, error=str(error))
+        log.write([StartFailed(str(error))])
         return 1
     tune_garbage_collection()
     instance.run()
     write_events(state)
+    log.write([])
     return 0 if instance.has_stopped else 1
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -4,6 +4,7 @@
 database: they take effect on whatever pooled connection runs the next statement.
 """
 
+from datetime import timedelta
 from functools import singledispatch
 
 from . import operations, rates
@@ -16,6 +17,7 @@
     end_transaction,
 )
 from .route_configuration import key_digest
+from .session_events import SessionRefused, StatementDenied, TransactionEnded
 from .session_messages import (
     AcceptSession,
     AnswerStatement,
@@ -41,8 +43,9 @@
 )
 from .session_rows import Consistency, OperationRow, Route, SessionRow, Stage
 from .tables import State
-from .view import is_fresh
+from .view import age, is_fresh
 
+MILLISECOND = timedelta(milliseconds=1)
 MAX_WAITING = 16  # Statements that a client may send ahead of the answers.
 MAX_VALUES = 64  # Values and prepared statements of a session, each.
 
@@ -54,14 +57,16 @@
     refusal = opening_refusal(message.database, digest, state)
     if refusal is not None:
         state.counters[f"sessions.refused.{refusal.fault}"] += 1
-        fields: dict[str, object] = {
-            "session": message.session,
-            "database": message.database,
-            "fault": refusal.fault,
-            "detail": refusal.detail,
-            "configuration": state.configuration.version,
-        }
-        state.events.append(("session_refused", fields))
+        state.note(
+            SessionRefused(
+                message.session,
+                message.database,
+                refusal.fault,
+                refusal.detail,
+                state.configuration.version,
+                age(state) // MILLISECOND,
+            )
+        )
         state.outbox.append(RefuseSession(message.session, refusal))
         return
     route = state.routes[message.database]
@@ -138,13 +143,52 @@
     state.outbox.append(AnswerStatement(session.session, session.phase))
 
 
-def fail(session: SessionRow, fault: Fault, detail: str, state: State) -> None:
+def fail(
+    message: SessionStatement,
+    session: SessionRow,
+    fault: Fault,
+    detail: str,
+    state: State,
+) -> None:
     """Refuse a statement that needs no database to be refused."""
-    state.counters[f"sessions.failed.{fault}"] += 1
-    refusal = Refusal(fault, detail)
+    deny(message, session, Refusal(fault, detail), state)
+
+
+def deny(
+    message: SessionStatement, session: SessionRow, refusal: Refusal, state: State
+) -> None:
+    """Tell the client why a statement is refused."""
+    state.counters[f"sessions.denied.{refusal.fault}"] += 1
+    state.note(
+        StatementDenied(
+            message.statement_id,
+            session.session,
+            session.workspace,
+            session.database,
+            session.phase,
+            refusal.fault,
+            refusal.detail,
+            state.configuration.version,
+            age(state) // MILLISECOND,
+        )
+    )
     state.outbox.append(RefuseStatement(session.session, session.phase, refusal))
 
 
+def abort(session: SessionRow, reason: str, state: State) -> None:
+    """Roll a transaction back without its client's asking."""
+    idle = state.clock.monotonic() - session.used_at
+    group = session.route.group if session.route is not None else ""
+    state.counters[f"sessions.aborted.{reason}"] += 1
+    state.note(
+        TransactionEnded(
+            session.session, session.workspace, group, reason, idle // MILLISECOND
+        )
+    )
+    end_transaction(session, state)
+    session.phase = Phase.FAILED
+
+
 @singledispatch
 def carry_out(
     command: object, message: SessionStatement, session: SessionRow, state: State
@@ -157,7 +201,7 @@
 def _(
     command: Unreadable, message: SessionStatement, session: SessionRow, state: State
 ) -> None:
-    fail(session, Fault.MALFORMED, command.detail, state)
+    fail(message, session, Fault.MALFORMED, command.detail, state)
 
 
 @carry_out.register
@@ -165,10 +209,12 @@
     command: SetValue, message: SessionStatement, session: SessionRow, state: State
 ) -> None:
     if session.phase is Phase.FAILED:
-        fail(session, Fault.ABORTED, "the transaction was rolled back", state)
+        fail(message, session, Fault.ABORTED, "the transaction was rolled back", state)
         return
     if len(session.values) >= MAX_VALUES and command.name not in session.values:
-        fail(session, Fault.FAILED, f"a session has {MAX_VALUES} values", state)
+        fail(
+            message, session, Fault.FAILED, f"a session has {MAX_VALUES} values", state
+        )
         return
     session.values[command.name] = command.value
     done(session, state)
@@ -179,11 +225,11 @@
     command: Prepare, message: SessionStatement, session: SessionRow, state: State
 ) -> None:
     if session.phase is Phase.FAILED:
-        fail(session, Fault.ABORTED, "the transaction was rolled back", state)
+        fail(message, session, Fault.ABORTED, "the transaction was rolled back", state)
         return
     if len(session.prepared) >= MAX_VALUES and command.name not in session.prepared:
         detail = f"a session has {MAX_VALUES} prepared statements"
-        fail(session, Fault.FAILED, detail, state)
+        fail(message, session, Fault.FAILED, detail, state)
         return
     session.prepared[command.name] = command
     done(session, state)
@@ -194,7 +240,13 @@
     command: Deallocate, message: SessionStatement, session: SessionRow, state: State
 ) -> None:
     if session.prepared.pop(command.name, None) is None:
-        fail(session, Fault.STATEMENT_UNKNOWN, "no such prepared statement", state)
+        fail(
+            message,
+            session,
+            Fault.STATEMENT_UNKNOWN,
+            "no such prepared statement",
+            state,
+        )
         return
     done(session, state)
 
@@ -204,15 +256,17 @@
     command: Begin, message: SessionStatement, session: SessionRow, state: State
 ) -> None:
     if session.phase is not Phase.IDLE:
-        fail(session, Fault.MALFORMED, "a transaction is open", state)
+        fail(message, session, Fault.MALFORMED, "a transaction is open", state)
         return
     route = state.routes.get(session.database)
     if route is None:
-        fail(session, Fault.DATABASE_UNKNOWN, "there is no such database", state)
+        fail(
+            message, session, Fault.DATABASE_UNKNOWN, "there is no such database", state
+        )
         return
     refusal = denial(session, route, state)
     if refusal is not None:
-        state.outbox.append(RefuseStatement(session.session, session.phase, refusal))
+        deny(message, session, refusal, state)
         return
     session.phase = Phase.OPEN
     session.read_only = command.read_only
@@ -227,7 +281,7 @@
     command: Rollback, message: SessionStatement, session: SessionRow, state: State
 ) -> None:
     if session.phase is Phase.IDLE:
-        fail(session, Fault.MALFORMED, "no transaction is open", state)
+        fail(message, session, Fault.MALFORMED, "no transaction is open", state)
         return
     end_transaction(session, state)
     session.phase = Phase.IDLE
@@ -239,11 +293,11 @@
     command: Commit, message: SessionStatement, session: SessionRow, state: State
 ) -> None:
     if session.phase is Phase.IDLE:
-        fail(session, Fault.MALFORMED, "no transaction is open", state)
+        fail(message, session, Fault.MALFORMED, "no transaction is open", state)
         return
     if session.phase is Phase.FAILED:
         session.phase = Phase.IDLE
-        fail(session, Fault.ABORTED, "the transaction was rolled back", state)
+        fail(message, session, Fault.ABORTED, "the transaction was rolled back", state)
         return
     access = Access.WRITE if session.wrote else Access.READ
     begin(message, session, access, "", None, state)
@@ -262,7 +316,13 @@
 ) -> None:
     shape = session.prepared.get(command.name)
     if shape is None:
-        fail(session, Fault.STATEMENT_UNKNOWN, "no such prepared statement", state)
+        fail(
+            message,
+            session,
+            Fault.STATEMENT_UNKNOWN,
+            "no such prepared statement",
+            state,
+        )
         return
     begin(message, session, shape.access, command.arguments, shape, state)
 
@@ -277,12 +337,14 @@
 ) -> None:
     """Start the operation of a statement that a database has to run."""
     if session.phase is Phase.FAILED:
-        fail(session, Fault.ABORTED, "the transaction was rolled back", state)
+        fail(message, session, Fault.ABORTED, "the transaction was rolled back", state)
         return
     in_transaction = session.phase is Phase.OPEN
     route = session.route if in_transaction else state.routes.get(session.database)
     if route is None:
-        fail(session, Fault.DATABASE_UNKNOWN, "there is no such database", state)
+        fail(
+            message, session, Fault.DATABASE_UNKNOWN, "there is no such database", state
+        )
         return
     now = state.clock.monotonic()
     row = OperationRow(
@@ -321,6 +383,4 @@
     for session in list(state.sessions.values()):
         is_idle = session.connection and not session.operation
         if is_idle and now - session.used_at > limit:
-            end_transaction(session, state)
-            session.phase = Phase.FAILED
-            state.counters["sessions.transactions_idle"] += 1
+            abort(session, "idle", state)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -37,6 +37,7 @@
     StoreObject,
 )
 from .rate_rows import AllocationRow, ClaimRow, ShareRow
+from .session_events import Event
 from .session_rows import (
     LeadershipRow,
     OperationRow,
@@ -387,6 +388,7 @@
     counters: Counter[str] = field(factory=Counter)
     # State changes to be logged: (event name, fields).
     events: list[tuple[str, dict[str, object]]] = field(factory=list)
+    typed_events: list[Event] = field(factory=list)  # In the order of their notes.
     next_number: int = 0
     stopping: bool = False
     view: View = field(factory=View)
@@ -455,6 +457,10 @@
     leaderships: dict[str, LeadershipRow] = field(factory=dict)  # By group.
     promotions: dict[str, PromotionRow] = field(factory=dict)  # By group.
 
+    def note(self, event: Event) -> None:
+        """Keep an event for the log."""
+        self.typed_events.append(event)
+
     def number(self) -> int:
         """Return a number unused so far by this instance."""
         self.next_number += 1
