--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -235,9 +235,12 @@
     """Guards against requests that wait for shares that cannot come soon."""
     load = make_load()
     network = load.network
-    value = {"address": "127.0.0.1:1", "region": "r", "data_centre": "r"}
-    network.put("instance", "lost", {**value, "state": "live"})
+    network.add("lost", "r0")
+    network.nodes["lost"].paused = True  # Dark: its machine refuses nothing.
     network.delay = between_regions
+    for name in NAMES:
+        network.kill(name)
+    network.run(2 * SECOND)  # What was on its way is lost.
     for name in NAMES:
         network.add(name, f"r{ord(name) % 3}")  # Anew, with nothing in memory.
     network.run(2 * SECOND)
