--- a/pimentodrift/http_server.py
+++ b/pimentodrift/http_server.py
@@ -181,6 +181,7 @@
         state: State,
         poller: Poller,
         deliver_all: Callable[[list[object]], None],
+        address: str = "",
     ) -> None:
         self.state = state
         self.poller = poller
@@ -191,7 +192,7 @@
         self.refused: set[RefusedConnection] = set()
         self.date = date_header(state.clock.now())
         self.exiting = False
-        self.listener = listen(poller, state.settings.listen, self.accepted)
+        self.listener = listen(poller, address or state.settings.listen, self.accepted)
         poller.timers.every(SWEEP_S, self.sweep)
 
     def accepted(self, connection: socket.socket) -> None:
--- a/pimentodrift/operation_ends.py
+++ b/pimentodrift/operation_ends.py
@@ -69,6 +69,9 @@
     took = state.clock.monotonic() - operation.arrived_at
     is_late = took > operation.route.objective
     state.counters["operations.late"] += is_late
+    seconds = round(took.total_seconds(), 3)
+    route = operation.route
+    state.latencies[route.consistency, operation.workspace, seconds] += 1
     kind = StatementLate if is_late else StatementAnswered
     state.note(kind(**facts(operation, state)))
 
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -457,6 +457,10 @@
     leaderships: dict[str, LeadershipRow] = field(factory=dict)  # By group.
     promotions: dict[str, PromotionRow] = field(factory=dict)  # By group.
 
+    # Statements answered since the metrics took them: by consistency of the route,
+    # workspace and seconds, rounded to milliseconds.
+    latencies: Counter[tuple[str, str, float]] = field(factory=Counter)
+
     def note(self, event: Event) -> None:
         """Keep an event for the log."""
         self.typed_events.append(event)
--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -77,6 +77,7 @@
     group: Group = field(init=False)
     processes: list[subprocess.Popen[bytes]] = field(factory=list)
     ports: list[tuple[int, int]] = field(factory=list)  # Clients, readiness.
+    metrics: list[int] = field(factory=list)
 
     def start(self, count: int) -> None:
         self.store = self.loop.call(Store)
@@ -126,7 +127,7 @@
         self.store.put("config", "main", spec)
 
     def start_instance(self, index: int) -> None:
-        front, readiness, peer = free_ports(3)
+        front, readiness, peer, metrics = free_ports(4)
         path = self.folder / f"node-{index}.toml"
         path.write_text(
             f'node = "front-{index}"\nregion = "r1"\nzone = "z1"\nip = "127.0.0.1"\n'
@@ -138,7 +139,12 @@
             f'[platform]\naddress = "{self.store.address}"\n'
             f'[cloudApi]\naddress = "{self.store.address}"\n'
         )
-        environment = {**os.environ, "PIMENTODRIFT_SETTINGS": str(path)}
+        environment = {
+            **os.environ,
+            "PIMENTODRIFT_SETTINGS": str(path),
+            "PIMENTODRIFT_METRICS_PORT": str(metrics),
+        }
+        self.metrics.append(metrics)
         log = (self.folder / f"node-{index}.log").open("wb")
         process = subprocess.Popen(
             [sys.executable, "platform/main.py"],
@@ -289,3 +295,19 @@
     lines = [json.loads(line) for line in log.read_bytes().splitlines()]
     assert all("message_type" in line for line in lines)
     assert b"not-a-known-key" not in log.read_bytes()
+
+
+def test_metrics_agree_with_the_log(system: System) -> None:
+    """Guards against counters that tell something else than the lines."""
+    client = system.client()
+    client.line()
+    for _ in range(5):
+        assert client.ask("WRITE a one") == ["DONE signed"]
+    log = system.folder / "node-0.log"
+    wait_for(lambda: log.read_bytes().count(b"statement_answered") == 5)
+    url = f"http://127.0.0.1:{system.metrics[0]}/metrics"
+    with urllib.request.urlopen(url) as answer:
+        lines = answer.read().decode().splitlines()
+    assert 'pimentodrift_events_total{name="operations.answered"} 5.0' in lines
+    count = 'statement_seconds_count{consistency="own-writes",workspace="t"} 5.0'
+    assert f"pimentodrift_{count}" in lines
