Replace an allocator that has lost the store

Ruled out: locked shares after a takeover (there was no takeover in these seconds). Change: a holder counts only while its heartbeats tell a recent confirmation by the store; the first instance that has the store becomes the successor.

--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -23,6 +23,7 @@
 CLAIM_TIMEOUT = timedelta(seconds=3)
 # Instances that suspect each other after a cut would pass the role to and fro, and each
 # change locks the shares; longer than such suspicions last.
+STORE_MARGIN = timedelta(seconds=1)  # For the way and the age of a heartbeat.
 ROLE_REST = timedelta(milliseconds=2500)
 # Up to this many workspaces are examined for a vacancy at each tick; more are examined
 # in turn within a second, because a walk of 2,300 at each tick took half a core.
@@ -57,7 +58,7 @@
     item = state.view.objects.get(("allocator", workspace))
     if item is not None and item.value is not None:
         holder = item.value["holder"]
-        if holder != own and is_usable(holder, state):
+        if holder != own and is_usable(holder, state) and has_store(holder, state):
             return
     now = state.clock.monotonic()
     if stored.holder not in ("", own) and is_new(workspace, stored, state):
@@ -82,6 +83,19 @@
     write(target, value, claim, state)
 
 
+def has_store(instance: str, state: State) -> bool:
+    """Return whether another instance may still act as an allocator.
+
+    One that has lost the store stops renewing shares although it answers heartbeats.
+    """
+    row = state.instances[instance]
+    if row.store_age is None:
+        return True  # Not heard yet.
+    silence = state.clock.monotonic() - row.last_heard
+    limit = state.settings.allocator_lease + STORE_MARGIN
+    return row.store_age + silence <= limit or view.is_outage(state)
+
+
 def note_epoch(workspace: str, stored: Epoch, state: State) -> None:
     """Remember since when an epoch has been in the store."""
     known = state.epochs_seen.get(workspace)
@@ -103,7 +117,17 @@
 def first_candidate(workspace: str, state: State) -> str | None:
     """Return the instance that should become the allocator."""
     row = membership.first(f"allocator/{workspace}", "", state)
-    return row.name if row is not None else None
+    if row is None or row.name == state.settings.name or has_store(row.name, state):
+        return row.name if row is not None else None
+    own = state.settings.name
+    rows = [
+        row
+        for row in state.instances.values()
+        if membership.usable(row, state)
+        and (row.name == own or has_store(row.name, state))
+    ]
+    ranked = membership.ranked(f"allocator/{workspace}", rows)
+    return ranked[0].name if ranked else None
 
 
 def drop_superseded(row: AllocationRow, state: State) -> bool:
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -241,6 +241,19 @@
     assert load.worst_excess() <= 1e-6
 
 
+def test_allocator_that_loses_the_store() -> None:
+    """Guards against a workspace whose allocator lives but may not act."""
+    load = make_load()
+    network, holder = load.network, allocator(load)
+    network.cuts.add(frozenset((holder, "store")))
+    load.offer(0.5 * RATE, 8 * SECOND, lambda: network.random.choice(NAMES))
+    assert allocator(load) != holder
+    load.refused = 0
+    load.offer(0.5 * RATE, 5 * SECOND, lambda: network.random.choice(NAMES))
+    assert load.refused == 0
+    assert load.worst_excess() <= 1e-6
+
+
 def test_restart_of_all_beside_a_lost_instance() -> None:
     """Guards against requests that wait for shares that cannot come soon."""
     load = make_load()
