List a kind again when a check meets a dropped history

Cause: a watch that waits 20 s is not always cut when the store drops its history; each check then got 410 and the configuration aged. Change: the check's 410 restarts the list, which replaces the watch.

--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -122,6 +122,13 @@
     revision: int
 
 
+@frozen
+class CheckExpired:
+    """The store has dropped the history that a check asked for."""
+
+    kind: WatchedKind
+
+
 @frozen
 class CheckFailed:
     """A check had no usable answer."""
@@ -341,6 +348,19 @@
             check(other, state)
 
 
+@handle.register
+def _(message: CheckExpired, state: State) -> None:
+    row = row_of(message.kind, state)
+    row.checked_at = None
+    if not row.revision:
+        return
+    # The watch that waits would learn of it at its end only; the list replaces it.
+    state.note(StoreHistoryGone(row.kind, row.revision))
+    row.revision = 0
+    row.sent_at = None
+    row.listed_after = ""
+
+
 @handle.register
 def _(message: CheckFailed, state: State) -> None:
     row = row_of(message.kind, state)
--- a/tests/test_kind_watch.py
+++ b/tests/test_kind_watch.py
@@ -4,6 +4,7 @@
 
 from pimentodrift import session_core, view
 from pimentodrift.kind_watch import (
+    CheckExpired,
     CheckFailed,
     CheckKind,
     Entry,
@@ -107,6 +108,20 @@
     assert state.registry["e1"].missing_since == clock.time
 
 
+def test_check_that_meets_a_dropped_history() -> None:
+    """Guards against a configuration that ages while a watch waits for nothing."""
+    state, clock = started()
+    tick(state)
+    tell(state, CheckExpired(CONFIGURATION))
+    asked = [message for message in tick(state) if isinstance(message, ListKind)]
+    assert [message.kind for message in asked] == [CONFIGURATION]
+    clock.advance(SECOND)
+    entry = Entry("main", 30, make_configuration(2))
+    tell(state, KindListed(CONFIGURATION, (entry,), 30, False))
+    assert state.configuration.version == 2
+    assert view.age(state) <= SECOND
+
+
 def test_list_in_parts() -> None:
     """Guards against objects that fall between the parts of a list."""
     state = make_state()
