Tell the true time of return when a rate refuses; log the store's lost confirmations

Change: such a share's refusals name the end of the allocator's denial; check_lost and check_regained tell when confirmations stop.

--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -19,6 +19,8 @@
 from .dispatch import handle
 from .messages import StoreObject
 from .session_events import (
+    CheckLost,
+    CheckRegained,
     ObjectUnreadable,
     StoreHistoryGone,
     StoreLost,
@@ -169,6 +171,8 @@
     confirmed_at: timedelta = NEVER
     checked_at: timedelta | None = None  # When the check in progress was sent.
     check_after: timedelta = NEVER  # No check before.
+    is_unchecked: bool = False  # The last check failed.
+    unchecked_at: timedelta = NEVER
     is_lost: bool = False
     lost_at: timedelta = NEVER
 
@@ -332,6 +336,10 @@
 def _(message: KindChecked, state: State) -> None:
     row = row_of(message.kind, state)
     sent_at, row.checked_at = row.checked_at, None
+    if row.is_unchecked:
+        row.is_unchecked = False
+        lost = state.clock.monotonic() - row.unchecked_at
+        state.note(CheckRegained(row.kind, lost // MILLISECOND))
     for entry in message.entries:
         take(entry, row, state)
     if sent_at is None or not row.revision:
@@ -366,8 +374,13 @@
     row = row_of(message.kind, state)
     row.checked_at = None
     pause = LONGEST_PAUSE * state.random.uniform(0.5, 1.0)
-    row.check_after = state.clock.monotonic() + pause
+    now = state.clock.monotonic()
+    row.check_after = now + pause
     state.counters["store.check_failures"] += 1
+    if not row.is_unchecked:
+        row.is_unchecked = True
+        row.unchecked_at = now
+        state.note(CheckLost(row.kind, message.detail, view.age(state) // MILLISECOND))
 
 
 @handle.register
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -142,12 +142,18 @@
         if now < min(first.deadline, first.since + ALLOCATOR_WAIT):
             return
         row.waiting.popleft()
-        refuse(first.request, retry_after(row), state)
+        refuse(first.request, retry_after(row, state), state)
 
 
-def retry_after(row: ShareRow) -> timedelta:
-    """Return when a refused caller may expect a token."""
-    return max(timedelta(seconds=1), min(refill_time(row), timedelta(seconds=60)))
+def retry_after(row: ShareRow, state: State) -> timedelta:
+    """Return when a refused caller may expect a token.
+
+    A share without a rate of its own gets tokens when the allocator's denial ends.
+    """
+    wait = refill_time(row)
+    if row.rate < MIN_REFILL:
+        wait = row.denied_until - state.clock.monotonic()
+    return max(timedelta(seconds=1), min(wait, timedelta(seconds=60)))
 
 
 def measure(row: ShareRow, state: State) -> None:
@@ -325,7 +331,7 @@
     row.denied_until = now + timedelta(milliseconds=message.retry_after_ms)
     serve(row, state)
     while row.waiting and refill_time(row) > REFILL_WAIT:
-        refuse(row.waiting.pop().request, retry_after(row), state)
+        refuse(row.waiting.pop().request, retry_after(row, state), state)
 
 
 def is_usable(instance: str, state: State) -> bool:
--- a/pimentodrift/session_events.py
+++ b/pimentodrift/session_events.py
@@ -161,6 +161,23 @@
     lost_ms: int
 
 
+@frozen
+class CheckLost(Event):
+    """The store does not confirm a kind any more; its age tells for how long."""
+
+    kind: str
+    detail: str
+    configuration_age_ms: int
+
+
+@frozen
+class CheckRegained(Event):
+    """The store confirms a kind again."""
+
+    kind: str
+    lost_ms: int
+
+
 @frozen
 class StoreHistoryGone(Event):
     """The store dropped the history of a watch; the kind is listed again."""
--- a/tests/test_kind_watch.py
+++ b/tests/test_kind_watch.py
@@ -93,6 +93,8 @@
     clock.advance(4 * SECOND)
     tell(state, CheckFailed(CONFIGURATION, "status 503"))
     assert not view.is_fresh(state)
+    names = [type(event).__name__ for event in state.typed_events]
+    assert names.count("CheckLost") == 1
 
 
 def test_lost_history_is_listed_again() -> None:
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -34,6 +34,7 @@
     refused: int = 0
     asked_at: dict[int, timedelta] = field(factory=dict)
     refusal_waits: list[timedelta] = field(factory=list)
+    retry_afters: list[timedelta | None] = field(factory=list)
     credit: float = 0.0
 
     def request(self, name: str) -> None:
@@ -87,6 +88,7 @@
             load.refused += 1
             asked_at = load.asked_at.get(message.request, load.network.time)
             load.refusal_waits.append(load.network.time - asked_at)
+            load.retry_afters.append(message.failure.retry_after)
 
     monkeypatch.setattr(rates, "handle", collect)
 
@@ -158,6 +160,15 @@
     assert len(load.admitted) >= 0.95 * rate * 20
 
 
+def test_refusals_tell_when_to_come_back() -> None:
+    """Guards against a minute's wait for a token that comes within a second."""
+    load = make_load(tuple("abcdefgh"), rate=12.0, burst=12.0)
+    load.network.delay = between_regions
+    load.offer(36.0, 10 * SECOND, lambda: load.network.random.choice("abcdefgh"))
+    assert load.refused > 0
+    assert all(after and after <= 2 * SECOND for after in load.retry_afters)
+
+
 @pytest.mark.parametrize("load_factor", [1.5, 2.5, 5.0])
 def test_small_rate_is_used_up_in_a_flood(load_factor: float) -> None:
     """Guards against a small burst that lies idle at the allocator's instance."""
