Let half of the instances with the store allocate; double the rest after each quick change

Ruled out: unsafe shares without a majority: the store arbitrates the role, a predecessor without the store stops after 2 s, and a successor waits for the leases. Change: half is enough to claim, unlock and reclaim; an epoch that changes again within 10 s rests twice as long, so equal halves that both reach the store do not alternate quickly.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -83,7 +83,7 @@
     expected = {name for name in state.instances} | {row.predecessor}
     missing = expected - row.holdings.keys() - state.ended
     waited = state.clock.monotonic() - row.taken_at > takeover_limit(state)
-    if missing and not (waited and view.hears_majority(state)):
+    if missing and not (waited and view.hears_half(state)):
         return
     row.locked_rate = 0.0
     row.locked_burst = 0.0
@@ -97,7 +97,7 @@
 
 def reclaim(row: AllocationRow, state: State) -> None:
     """Free the shares of holders whose lease has certainly ended."""
-    if not view.is_fresh(state) or not view.hears_majority(state):
+    if not view.is_fresh(state) or not view.hears_half(state):
         return
     now = state.clock.monotonic()
     for name, holding in list(row.holdings.items()):
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -15,7 +15,7 @@
     ShareRenew,
     StoreObject,
 )
-from .rate_rows import AllocationRow, ClaimRow
+from .rate_rows import AllocationRow, ClaimRow, EpochSeen
 from .rates import holds_all, is_usable
 from .store_writes import StoreOutcome, write, write_ended
 from .tables import State
@@ -25,6 +25,8 @@
 # change locks the shares; longer than such suspicions last.
 STORE_MARGIN = timedelta(seconds=1)  # For the way and the age of a heartbeat.
 ROLE_REST = timedelta(milliseconds=2500)
+LONGEST_ROLE_REST = timedelta(seconds=20)  # Doubled by each change that follows soon.
+SOON = timedelta(seconds=10)
 # Up to this many workspaces are examined for a vacancy at each tick; more are examined
 # in turn within a second, because a walk of 2,300 at each tick took half a core.
 MIN_EXAMINED = 32
@@ -68,9 +70,9 @@
         return
     if workspace in state.allocations or not view.is_fresh(state) or state.stopping:
         return
-    # Without this, the two sides of a cut that both reach the store would replace each
-    # other's allocator again and again.
-    if not view.hears_majority(state):
+    # A smaller side of a cut would take the role from the larger one again and again;
+    # two equal sides that both reach the store are held back by `is_new`.
+    if not view.hears_half(state):
         return
     # An own object without a ledger is left by a claim with an unclear answer.
     if stored.holder != own and first_candidate(workspace, state) != own:
@@ -97,21 +99,24 @@
 
 
 def note_epoch(workspace: str, stored: Epoch, state: State) -> None:
-    """Remember since when an epoch has been in the store."""
+    """Remember since when an epoch has been in the store, and how long it rests."""
+    now = state.clock.monotonic()
     known = state.epochs_seen.get(workspace)
     if known is None:
         # An instance that has just started does not know how old an epoch is.
-        state.epochs_seen[workspace] = (stored, NEVER)
-    elif known[0] != stored:
-        state.epochs_seen[workspace] = (stored, state.clock.monotonic())
+        state.epochs_seen[workspace] = EpochSeen(stored, NEVER, ROLE_REST)
+    elif known.epoch != stored:
+        is_soon = now - known.since < SOON
+        rest = min(2 * known.rest, LONGEST_ROLE_REST) if is_soon else ROLE_REST
+        state.epochs_seen[workspace] = EpochSeen(stored, now, rest)
 
 
 def is_new(workspace: str, stored: Epoch, state: State) -> bool:
     """Return whether another's epoch began so lately that it is left alone."""
     if stored.holder in state.ended:
         return False
-    since = state.epochs_seen[workspace][1]
-    return state.clock.monotonic() - since < ROLE_REST
+    seen = state.epochs_seen[workspace]
+    return state.clock.monotonic() - seen.since < seen.rest
 
 
 def first_candidate(workspace: str, state: State) -> str | None:
--- a/pimentodrift/rate_rows.py
+++ b/pimentodrift/rate_rows.py
@@ -92,6 +92,15 @@
     level_at: timedelta = NEVER
 
 
+@define
+class EpochSeen:
+    """An epoch of the store, since when it was seen, and how long it is left alone."""
+
+    epoch: Epoch
+    since: timedelta
+    rest: timedelta
+
+
 @define
 class ClaimRow:
     """A conditional update by which this instance wants to become the allocator."""
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -29,14 +29,13 @@
     Access,
     Action,
     Durability,
-    Epoch,
     Forward,
     Position,
     Rows,
     Statement,
     StoreObject,
 )
-from .rate_rows import AllocationRow, ClaimRow, ShareRow
+from .rate_rows import AllocationRow, ClaimRow, EpochSeen, ShareRow
 from .session_events import Event
 from .session_rows import (
     LeadershipRow,
@@ -404,8 +403,7 @@
     shares: dict[str, ShareRow] = field(factory=dict)
     allocations: dict[str, AllocationRow] = field(factory=dict)
     claims: dict[str, ClaimRow] = field(factory=dict)
-    # The epoch of each workspace as last seen, and since when.
-    epochs_seen: dict[str, tuple[Epoch, timedelta]] = field(factory=dict)
+    epochs_seen: dict[str, EpochSeen] = field(factory=dict)
     # Heartbeats, monitoring, replication, failover.
     ticked_at: timedelta | None = None
     resumed_at: timedelta = NEVER  # When this process last noticed its own pause.
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -92,6 +92,17 @@
     return heard * 2 > len(others) + 1
 
 
+def hears_half(state: State) -> bool:
+    """Return whether this instance is in touch with at least half, itself included.
+
+    Enough where the store arbitrates and a smaller side must only not disturb.
+    """
+    now = state.clock.monotonic()
+    others = judges(state)
+    heard = 1 + sum(now - row.last_heard <= PEER_HEARD for row in others)
+    return heard * 2 >= len(others) + 1
+
+
 def is_outage(state: State) -> bool:
     """Return whether a majority of the instances is without the store."""
     if is_fresh(state):
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -265,6 +265,30 @@
     assert load.worst_excess() <= 1e-6
 
 
+@pytest.mark.parametrize("other_half_has_store", [True, False])
+def test_cut_into_halves(other_half_has_store: bool) -> None:
+    """Guards against a half with the store whose allocators are in the other half."""
+    names = tuple("abcdefgh")
+    load = make_load(names)
+    network, holder = load.network, allocator(load)
+    far = [holder, *[name for name in names if name != holder][:3]]
+    near = [name for name in names if name not in far]
+    for one in far:
+        network.cuts.update(frozenset((one, other)) for other in near)
+        if not other_half_has_store:
+            network.cuts.add(frozenset((one, "store")))
+    before = network.objects["allocator", "w"].value
+    load.offer(0.3 * RATE, 10 * SECOND, lambda: network.random.choice(near))
+    assert load.worst_excess() <= 1e-6
+    after = network.objects["allocator", "w"].value
+    assert before is not None and after is not None
+    assert after["epoch"] - before["epoch"] <= 4
+    if not other_half_has_store:
+        load.refused = 0
+        load.offer(0.3 * RATE, 5 * SECOND, lambda: network.random.choice(near))
+        assert load.refused == 0
+
+
 def test_restart_of_all_beside_a_lost_instance() -> None:
     """Guards against requests that wait for shares that cannot come soon."""
     load = make_load()
