--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -9,14 +9,29 @@
 """
 
 from datetime import timedelta
-from enum import StrEnum
 from functools import singledispatch
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from . import view
 from .clock import NEVER
 from .dispatch import handle
+from .kind_messages import (
+    CheckExpired,
+    CheckFailed,
+    CheckKind,
+    Entry,
+    Gone,
+    KindChanged,
+    KindChecked,
+    KindExpired,
+    KindFailed,
+    KindListed,
+    ListKind,
+    Unreadable,
+    WatchedKind,
+    WatchKind,
+)
 from .messages import StoreObject
 from .session_events import (
     CheckLost,
@@ -28,15 +43,6 @@
 )
 from .tables import State
 
-
-class WatchedKind(StrEnum):
-    """What an instance follows."""
-
-    CONFIGURATION = "configuration"
-    REGISTRY = "registry"
-    OWN = "own"  # Objects of the product itself.
-
-
 # Watches bring the news; each end of one is a call, so they wait long.
 LONG_WAIT = timedelta(seconds=20)
 # After a failure, the first watch only asks whether the store is back.
@@ -50,110 +56,6 @@
 LONGEST_PAUSE = timedelta(milliseconds=500)
 
 
-@frozen
-class Gone:
-    """The object was deleted."""
-
-
-@frozen
-class Unreadable:
-    """The object's content is not of the expected form."""
-
-    detail: str
-
-
-@frozen
-class Entry:
-    """An object of a kind at a revision of the store."""
-
-    name: str
-    revision: int
-    content: object
-
-
-@frozen
-class ListKind:
-    """Ask for the objects of a kind whose names follow `after`."""
-
-    kind: WatchedKind
-    after: str
-
-
-@frozen
-class WatchKind:
-    """Ask for the changes of a kind after a revision, waiting for one."""
-
-    kind: WatchedKind
-    revision: int
-    wait: timedelta
-
-
-@frozen
-class KindListed:
-    """A part of a kind's objects; `revision` is the store's at that time."""
-
-    kind: WatchedKind
-    entries: tuple[Entry, ...]
-    revision: int
-    has_more: bool
-
-
-@frozen
-class KindChanged:
-    """All changes of a kind up to a revision."""
-
-    kind: WatchedKind
-    entries: tuple[Entry, ...]
-    revision: int
-
-
-@frozen
-class CheckKind:
-    """Ask for the changes of a kind after a revision, without waiting for one."""
-
-    kind: WatchedKind
-    revision: int
-
-
-@frozen
-class KindChecked:
-    """All changes of a kind up to a revision, the store's at that time."""
-
-    kind: WatchedKind
-    entries: tuple[Entry, ...]
-    revision: int
-
-
-@frozen
-class CheckExpired:
-    """The store has dropped the history that a check asked for."""
-
-    kind: WatchedKind
-
-
-@frozen
-class CheckFailed:
-    """A check had no usable answer."""
-
-    kind: WatchedKind
-    detail: str
-
-
-@frozen
-class KindExpired:
-    """The store has dropped the history that a watch asked for."""
-
-    kind: WatchedKind
-
-
-@frozen
-class KindFailed:
-    """A list or watch had no usable answer."""
-
-    kind: WatchedKind
-    detail: str
-
-
 @define
 class KindRow:
     """The copy of a kind; `revision` is 0 until a list is complete."""
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -8,14 +8,20 @@
 """
 
 from datetime import timedelta
-from enum import StrEnum
 
 from attrs import frozen
 
 from . import leadership, membership, peers, pools, registry, view
 from .clock import NEVER
 from .dispatch import handle, handle_peer
-from .messages import PeerMessage, Position, StoreObject
+from .messages import Position, StoreObject
+from .promotion_messages import (
+    PrimaryQuery,
+    PrimaryReport,
+    PromoteEnded,
+    PromoteEndpoint,
+    PromoteOutcome,
+)
 from .session_events import PromotionDecided, PromotionEnded
 from .session_rows import PromotionRow, RegistryRow
 from .store_writes import StoreOutcome, write, write_ended
@@ -43,52 +49,6 @@
 HEARD = timedelta(seconds=2)
 
 
-@frozen
-class PrimaryQuery(PeerMessage):
-    """Ask whether a group's primary answers the receiver."""
-
-    group: str
-    endpoint: str
-
-
-@frozen
-class PrimaryReport(PeerMessage):
-    """Tell whether a group's primary fails for the sender."""
-
-    group: str
-    endpoint: str
-    is_failing: bool
-
-
-@frozen
-class PromoteEndpoint:
-    """Ask the platform to make an endpoint the primary of its group."""
-
-    call: int
-    group: str
-    endpoint: str
-    holder: str
-    token: int
-
-
-class PromoteOutcome(StrEnum):
-    """What the platform made of a call."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"  # A higher token was seen, or the endpoint is not running.
-    NOT_DONE = "not-done"  # The platform was busy.
-    UNCLEAR = "unclear"  # It may still take effect.
-
-
-@frozen
-class PromoteEnded:
-    """A call of the platform has ended."""
-
-    call: int
-    outcome: PromoteOutcome
-    detail: str = ""
-
-
 @frozen
 class TokenWrite:
     """The purpose of the write that takes a token."""
--- /dev/null
+++ b/pimentodrift/promotion_messages.py
@@ -0,0 +1,53 @@
+"""Messages about the change of a primary by the platform's call."""
+
+from enum import StrEnum
+
+from attrs import frozen
+
+from .messages import PeerMessage
+
+
+@frozen
+class PrimaryQuery(PeerMessage):
+    """Ask whether a group's primary answers the receiver."""
+
+    group: str
+    endpoint: str
+
+
+@frozen
+class PrimaryReport(PeerMessage):
+    """Tell whether a group's primary fails for the sender."""
+
+    group: str
+    endpoint: str
+    is_failing: bool
+
+
+@frozen
+class PromoteEndpoint:
+    """Ask the platform to make an endpoint the primary of its group."""
+
+    call: int
+    group: str
+    endpoint: str
+    holder: str
+    token: int
+
+
+class PromoteOutcome(StrEnum):
+    """What the platform made of a call."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"  # A higher token was seen, or the endpoint is not running.
+    NOT_DONE = "not-done"  # The platform was busy.
+    UNCLEAR = "unclear"  # It may still take effect.
+
+
+@frozen
+class PromoteEnded:
+    """A call of the platform has ended."""
+
+    call: int
+    outcome: PromoteOutcome
+    detail: str = ""
--- a/pimentodrift/registration.py
+++ b/pimentodrift/registration.py
@@ -10,7 +10,9 @@
 from attrs import frozen
 
 from . import kind_watch, membership, view
-from .kind_watch import WatchedKind
+from .kind_messages import (
+    WatchedKind,
+)
 from .messages import StoreObject
 from .session_events import InstanceListed, InstanceRemoved
 from .store_writes import StoreOutcome, delete, write, write_ended
--- a/pimentodrift/registry.py
+++ b/pimentodrift/registry.py
@@ -8,7 +8,13 @@
 from datetime import timedelta
 
 from . import leadership, pools
-from .kind_watch import Entry, apply, remove
+from .kind_messages import (
+    Entry,
+)
+from .kind_watch import (
+    apply,
+    remove,
+)
 from .session_events import (
     EndpointDropped,
     EndpointRegistered,
--- a/pimentodrift/route_configuration.py
+++ b/pimentodrift/route_configuration.py
@@ -10,7 +10,13 @@
 from attrs import frozen
 
 from .configuration import KEY_ID_LENGTH
-from .kind_watch import Entry, apply, remove
+from .kind_messages import (
+    Entry,
+)
+from .kind_watch import (
+    apply,
+    remove,
+)
 from .rate_windows import bucket_for
 from .session_events import ConfigurationApplied, ConfigurationMissing
 from .session_rows import Route, SessionLimits
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -308,7 +308,8 @@
         finish_failure(pending, unknown(Problem.DEADLINE_EXCEEDED, detail), state)
     else:
         rates.forget(pending.workspace, pending.request, state)
-        finish_failure(pending, not_run(Problem.RATE_EXCEEDED), state)
+        failure = not_run(Problem.RATE_EXCEEDED, retry_after=RETRY_AFTER)
+        finish_failure(pending, failure, state)
 
 
 # --- Changes
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -179,6 +179,14 @@
     state.outbox.append(RefuseStatement(session.session, session.phase, refusal))
 
 
+def is_over(message: SessionStatement, session: SessionRow, state: State) -> bool:
+    """Refuse a statement of a transaction that can only be ended; tell whether so."""
+    if session.phase is not Phase.FAILED:
+        return False
+    fail(message, session, Fault.ABORTED, "the transaction was rolled back", state)
+    return True
+
+
 def abort(session: SessionRow, reason: str, state: State) -> None:
     """Roll a transaction back without its client's asking."""
     idle = state.clock.monotonic() - session.used_at
@@ -212,8 +220,7 @@
 def _(
     command: SetValue, message: SessionStatement, session: SessionRow, state: State
 ) -> None:
-    if session.phase is Phase.FAILED:
-        fail(message, session, Fault.ABORTED, "the transaction was rolled back", state)
+    if is_over(message, session, state):
         return
     if len(session.values) >= MAX_VALUES and command.name not in session.values:
         fail(
@@ -228,8 +235,7 @@
 def _(
     command: Prepare, message: SessionStatement, session: SessionRow, state: State
 ) -> None:
-    if session.phase is Phase.FAILED:
-        fail(message, session, Fault.ABORTED, "the transaction was rolled back", state)
+    if is_over(message, session, state):
         return
     if len(session.prepared) >= MAX_VALUES and command.name not in session.prepared:
         detail = f"a session has {MAX_VALUES} prepared statements"
@@ -340,8 +346,7 @@
     state: State,
 ) -> None:
     """Start the operation of a statement that a database has to run."""
-    if session.phase is Phase.FAILED:
-        fail(message, session, Fault.ABORTED, "the transaction was rolled back", state)
+    if is_over(message, session, state):
         return
     in_transaction = session.phase is Phase.OPEN
     route = session.route if in_transaction else state.routes.get(session.database)
--- a/tests/session_support.py
+++ b/tests/session_support.py
@@ -7,7 +7,7 @@
 from attrs import define, evolve, field
 
 from pimentodrift import session_core
-from pimentodrift.kind_watch import (
+from pimentodrift.kind_messages import (
     CheckFailed,
     CheckKind,
     Entry,
@@ -28,7 +28,9 @@
     StoreWritten,
     WriteStore,
 )
-from pimentodrift.promotion import PromoteEndpoint
+from pimentodrift.promotion_messages import (
+    PromoteEndpoint,
+)
 from pimentodrift.route_configuration import DeclaredWorkspace, RouteConfiguration
 from pimentodrift.session_messages import (
     AcceptSession,
--- a/tests/test_kind_watch.py
+++ b/tests/test_kind_watch.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from pimentodrift import session_core, view
-from pimentodrift.kind_watch import (
+from pimentodrift.kind_messages import (
     CheckExpired,
     CheckFailed,
     CheckKind,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,7 +12,7 @@
 from adapter import contents, databases, lines, objects, settings  # noqa: E402
 
 from pimentodrift import session_messages as m  # noqa: E402
-from pimentodrift.kind_watch import (  # noqa: E402
+from pimentodrift.kind_messages import (  # noqa: E402
     CheckExpired,
     CheckFailed,
     Gone,
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from pimentodrift.kind_watch import WatchedKind
+from pimentodrift.kind_messages import (
+    WatchedKind,
+)
 from pimentodrift.messages import PeerReceived, Position
-from pimentodrift.promotion import (
+from pimentodrift.promotion_messages import (
     PrimaryQuery,
     PrimaryReport,
     PromoteEnded,
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from pimentodrift.kind_watch import Gone, Unreadable, WatchedKind
+from pimentodrift.kind_messages import (
+    Gone,
+    Unreadable,
+    WatchedKind,
+)
 from pimentodrift.messages import Access, ExitProcess, Position, StopRequested
 from pimentodrift.session_messages import (
     AnswerStatement,
