--- a/tests/test_entry_deadline.py
+++ b/tests/test_entry_deadline.py
@@ -10,7 +10,7 @@
 
 
 def test_late_refusal_tells_when_to_come_back() -> None:
-    """Guards against a refusal at the deadline that leaves the caller without a time."""
+    """Guards against a refusal at the deadline without a time to come back."""
     state = make_state()
     pending = PendingRequest(
         1, "w", "k", "g", Access.WRITE, Statement("x"), timedelta(seconds=1)
