Give a starving workspace a connection that another one has just used

Change: a workspace without a connection that has waited 100 ms replaces an idle one of the workspace that holds most.

--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -5,7 +5,7 @@
 anything runs on it. What exceeds the even part is closed soon after its last use.
 """
 
-from collections import deque
+from collections import Counter, deque
 from datetime import timedelta
 
 from . import membership, restoration
@@ -34,6 +34,8 @@
 IDLE_WITHIN_PART = timedelta(seconds=3)
 IDLE_CHECK = timedelta(milliseconds=100)
 FULL_PAUSE = timedelta(milliseconds=150)
+# A workspace without a connection waits this long for one before another gives way.
+STARVING_AFTER = timedelta(milliseconds=100)
 FIRST_BACKOFF = timedelta(milliseconds=100)
 LONGEST_BACKOFF = timedelta(seconds=1)
 DEFAULT_CONNECTIONS = 16  # Of an endpoint whose group declares no limit.
@@ -103,12 +105,36 @@
 
 def serve(pool: PoolRow, state: State) -> None:
     """Give idle connections to waiting operations and open what is missing."""
+    relieve_starving(pool, state)
     while assign_one(pool, state):
         pass
     if pool.waiting:
         open_missing(pool, state)
 
 
+def relieve_starving(pool: PoolRow, state: State) -> None:
+    """Replace another workspace's idle connection for one that has none and waits.
+
+    Answers the load of a workspace that keeps every connection busy: without this, each
+    connection that becomes idle goes to its own next statement.
+    """
+    now = state.clock.monotonic()
+    is_full = len(pool.connections) >= limit(pool, state) or now < pool.full_until
+    if not pool.waiting or not is_full:
+        return
+    rows = [state.pooled[number] for number in pool.connections]
+    held = Counter(row.workspace for row in rows)
+    for workspace, queue in list(pool.waiting.items()):
+        waited = now - state.operations[queue[0]].staged_at
+        if held[workspace] or waited < STARVING_AFTER:
+            continue
+        free = [row for row in idle(pool, state) if row.workspace != workspace]
+        if not free:
+            return
+        close(max(free, key=lambda row: held[row.workspace]), state)
+        open_one(workspace, pool, state)
+
+
 def assign_one(pool: PoolRow, state: State) -> bool:
     """Give one idle connection away; workspaces take turns within a priority."""
     free = idle(pool, state)
