--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -32,13 +32,13 @@
 from .session_rows import OperationRow, PooledRow, SessionRow, Stage
 from .tables import State
 
-MAX_ATTEMPTS = 4
+MAX_ATTEMPTS = 4  # Each endpoint of a group of three, and one again.
 # A replica whose log was behind is left alone for this long.
 BEHIND_PAUSE = timedelta(milliseconds=150)
 SERVICE_WEIGHT = 0.1  # Of the newest value in the moving average.
 # Beginning a transaction takes no slot, so its answer takes a round trip.
 BEGIN_TIMEOUT = timedelta(milliseconds=500)
-RETRY_AFTER = timedelta(milliseconds=200)
+RETRY_AFTER = timedelta(milliseconds=200)  # A few statements of a queue.
 
 
 def set_stage(operation: OperationRow, stage: Stage, state: State) -> None:
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -27,21 +27,24 @@
 
 MILLISECOND = timedelta(milliseconds=1)
 UNREACHABLE = "unreachable"  # The fault of an endpoint that said nothing.
+# Several round trips between regions and the endpoint's work on a connection.
 OPEN_TIMEOUT = timedelta(milliseconds=700)
 # An idle connection serves one workspace only and takes a place from the other
 # instances, so few are kept and not for long.
 IDLE_BEYOND_PART = timedelta(milliseconds=250)
 IDLE_WITHIN_PART = timedelta(seconds=3)
-IDLE_CHECK = timedelta(milliseconds=100)
+IDLE_CHECK = timedelta(milliseconds=100)  # Finer than the idle times above.
+# Other instances close what exceeds their part within twice this time.
 FULL_PAUSE = timedelta(milliseconds=150)
 # A workspace without a connection waits this long for one before another gives way.
 STARVING_AFTER = timedelta(milliseconds=100)
+# An endpoint that refuses is asked again soon, and one that stays away each second.
 FIRST_BACKOFF = timedelta(milliseconds=100)
 LONGEST_BACKOFF = timedelta(seconds=1)
 DEFAULT_CONNECTIONS = 16  # Of an endpoint whose group declares no limit.
 # An instance may hold this many times its even part of an endpoint's connections.
 PART_FACTOR = 2
-MIN_LIMIT = 2
+MIN_LIMIT = 2  # A transaction and one statement beside it.
 ROUND_TRIP_WEIGHT = 0.2  # Of the newest value in the moving average.
 
 
