Grant single tokens of a small burst instead of lending the burst

Ruled out earlier: dividing among the busiest, handing out by demand. Change: tokens are granted to requests that wait and are spent at once or dropped; the bucket is smaller by what it gains in the life of a grant, so any window stays within rate and burst.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -45,6 +45,7 @@
     target_rates,
 )
 from .tables import State, WorkspaceRow
+from .token_grants import grant, usable_limits
 
 BALANCE_INTERVAL = timedelta(milliseconds=100)
 # Twice the lease, so that a holder's clock may run at half speed.
@@ -66,7 +67,7 @@
     for workspace in examined(state):
         claim_if_vacant(workspace, state)
     for name, row in list(state.allocations.items()):
-        limits = limits_of(row, state)
+        limits = usable_limits(row, state)
         if limits is None:
             del state.allocations[name]
         elif not drop_superseded(row, state):
@@ -132,7 +133,8 @@
     if holding.operation is None and message.rate < holding.rate - EPSILON:
         # A holder that restarted under its name has less; ask it to state so.
         send_lower(row, holding, holding.rate, holding.burst, state)
-    if message.tokens_needed > 0 and not deny_locked(row, holding, state):
+    grant(row, holding, message, state)
+    if holding.tokens_needed > 0 and not deny_locked(row, holding, state):
         serve_need(row, holding, state)
 
 
--- a/pimentodrift/messages.py
+++ b/pimentodrift/messages.py
@@ -228,6 +228,7 @@
     tokens_needed: float
     number: int = 0
     admitted: int = 0
+    granted: int = 0  # The report that the last `ShareGrant` answered.
 
 
 @frozen
@@ -295,6 +296,19 @@
     retry_after_ms: int
 
 
+@frozen
+class ShareGrant(PeerMessage):
+    """Give tokens to the requests that wait at a holder, to be spent at once.
+
+    `number` is that of the `ShareReport` that it answers.
+    """
+
+    workspace: str
+    epoch: Epoch
+    number: int
+    tokens: int
+
+
 @frozen
 class ProbeQuery(PeerMessage):
     """Ask another owner of the group whether the primary of `term` fails for it too."""
--- a/pimentodrift/rate_rows.py
+++ b/pimentodrift/rate_rows.py
@@ -47,6 +47,7 @@
     denied_until: timedelta = NEVER
     report_at: timedelta = NEVER
     reports_sent: dict[int, timedelta] = field(factory=dict)
+    granted: int = 0  # The report that the last grant answered.
 
 
 @define
@@ -64,6 +65,8 @@
     # The share operation without an answer so far, sent again until answered.
     operation: ShareLower | ShareRaise | None = None
     operation_sent_at: timedelta = NEVER
+    grant_number: int = 0  # The report that the last grant answered.
+    granted_at: timedelta = NEVER
 
 
 @define
@@ -83,11 +86,12 @@
     holdings: dict[str, HoldingRow] = field(factory=dict)
     predecessor: str = ""
     balance_at: timedelta = NEVER
-    # The bucket as it would be in one place: what the workspace is still owed.
+    granted_at: timedelta = NEVER  # When the last grant was sent.
     # What was taken off the burst, and since when; see `limit_easing`.
     declared_burst: float = 0.0
     surplus: float = 0.0
     surplus_from: timedelta = NEVER
+    # The bucket as it would be in one place: what the workspace is still owed.
     level: float = 0.0
     level_at: timedelta = NEVER
 
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -40,7 +40,8 @@
 # And this long for an allocator that does not answer, because a new one may be coming.
 ALLOCATOR_WAIT = timedelta(milliseconds=1500)
 MIN_REFILL = 1e-6  # Requests/s; less is what rounding leaves of a rate given up.
-WHOLE_TOKEN = 1 - 1e-9  # Sums of floating-point shares may miss a token by rounding.
+ROUNDING = 1e-9  # By so much, sums of floating-point shares may miss a token.
+WHOLE_TOKEN = 1 - ROUNDING
 
 
 def share_of(workspace: str, state: State) -> ShareRow:
@@ -77,9 +78,14 @@
     if row.tokens < WHOLE_TOKEN or not in_force(row, state):
         return False
     row.tokens = max(0.0, row.tokens - 1)
+    count_admitted(row, state)
+    return True
+
+
+def count_admitted(row: ShareRow, state: State) -> None:
+    """Count a request that is admitted."""
     row.admitted += 1
     state.counters["rates.admitted"] += 1
-    return True
 
 
 def take(workspace: str, state: State) -> bool:
@@ -134,6 +140,13 @@
         handle(Admitted(row.waiting.popleft().request), state)
 
 
+def spend_grant(row: ShareRow, tokens: int, state: State) -> None:
+    """Admit as many waiting requests as tokens were granted; drop what is left."""
+    for _ in range(min(tokens, len(row.waiting))):
+        count_admitted(row, state)
+        handle(Admitted(row.waiting.popleft().request), state)
+
+
 def expire(row: ShareRow, state: State) -> None:
     """Refuse requests that waited as long as they may."""
     now = state.clock.monotonic()
@@ -222,6 +235,7 @@
         needed,
         number,
         row.admitted,
+        row.granted,
     )
 
 
--- a/pimentodrift/share_moves.py
+++ b/pimentodrift/share_moves.py
@@ -8,7 +8,6 @@
 from datetime import timedelta
 
 from . import peers
-from .limit_easing import limits_of
 from .messages import (
     ShareDenied,
     ShareLower,
@@ -17,15 +16,13 @@
 from .rate_rows import AllocationRow, HoldingRow
 from .rates import REFILL_WAIT
 from .tables import Presence, State, WorkspaceRow
+from .token_grants import grants, is_central, usable_limits
 
 RESEND_INTERVAL = timedelta(milliseconds=200)
 # Demand is met with this factor before the remainder is spread evenly.
 HEADROOM = 1.1
 # A share moves only by more than this part of an even share, to avoid endless moves.
 DEAD_BAND = 0.1
-# A smaller burst is not worth dividing: the allocator's instance holds all of it and
-# the others ask for each token, because many buckets under one token overflow.
-MIN_BURST_PER_HOLDER = 4.0
 EPSILON = 1e-9
 
 
@@ -53,7 +50,7 @@
         if can_hold(holding.instance, state)
     ]
     wanted = sum(holding.demand for holding in active) * HEADROOM
-    if workspace.burst < MIN_BURST_PER_HOLDER * len(row.holdings):
+    if is_central(row, workspace):
         return {name: available if name == own else 0.0 for name in row.holdings}
     factor = min(1.0, available / wanted) if wanted > 0 else 0.0
     rest = max(0.0, available - wanted * factor)
@@ -128,7 +125,7 @@
     if needy.operation is not None:
         return
     missing = needy.tokens_needed
-    workspace = limits_of(row, state)
+    workspace = usable_limits(row, state)
     if workspace is None:
         return
     donors = sorted(
@@ -153,6 +150,8 @@
         # the tokens from all others.
         needy.tokens_needed = 0.0
         return
+    if grants(row, state):
+        return
     for donor in donors:
         if missing <= 0:
             return
@@ -164,8 +163,8 @@
 
 def raise_needy(row: AllocationRow, state: State) -> None:
     """Hand free tokens and their burst to holders with waiting requests."""
-    workspace = limits_of(row, state)
-    if workspace is None:
+    workspace = usable_limits(row, state)
+    if workspace is None or grants(row, state):
         return
     for holding in list(row.holdings.values()):
         if holding.tokens_needed <= 0 or holding.operation is not None:
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -366,9 +366,11 @@
 class RateMachine(RuleBasedStateMachine):
     """Any failures in any order never admit more than rate and burst."""
 
+    rate, burst = RATE, BURST
+
     def __init__(self) -> None:
         super().__init__()
-        self.load = make_load(NAMES[:4])
+        self.load = make_load(NAMES[:4], rate=self.rate, burst=self.burst)
         self.names = list(NAMES[:4])
 
     @rule(index=st.integers(0, 3), paused=st.booleans())
@@ -415,14 +417,49 @@
     def flood(self, seconds: float, focus: int) -> None:
         names = self.names if focus == 4 else [self.names[focus]]
         choose = self.load.network.random.choice
-        self.load.offer(3 * RATE, seconds * SECOND, lambda: choose(names))
+        self.load.offer(3 * self.rate, seconds * SECOND, lambda: choose(names))
 
     @invariant()
     def within_rate_and_burst(self) -> None:
         assert self.load.worst_excess() <= 1e-6
 
 
-RateMachine.TestCase.settings = hypothesis_settings(
+class SmallBurstMachine(RateMachine):
+    """The same with a burst whose tokens are granted one by one."""
+
+    rate, burst = 12.0, 5.0
+
+
+@pytest.mark.parametrize("delay_ms", [30, 60, 120])
+def test_late_grants_are_dropped(delay_ms: int) -> None:
+    """Guards against tokens that are spent long after they left the bucket."""
+    load = make_load(tuple("abcdefgh"), rate=12.0, burst=5.0)
+    load.network.delay = lambda _one, _other: timedelta(milliseconds=delay_ms)
+    load.offer(36.0, 20 * SECOND, lambda: load.network.random.choice("abcdefgh"))
+    assert load.worst_excess() <= 1e-6
+    late = sum(
+        node.state.counters["rates.grants_late"] for node in load.network.nodes.values()
+    )
+    assert (late > 0) == (2 * delay_ms > 100)
+
+
+def test_paused_holder_drops_its_grant() -> None:
+    """Guards against tokens that a holder spends after it was paused."""
+    load = make_load(tuple("abcdefgh"), rate=12.0, burst=5.0)
+    load.network.delay = between_regions
+    for name in "abcdefgh" * 3:
+        load.offer(24.0, 0.2 * SECOND, lambda: load.network.random.choice("abcdefgh"))
+        load.network.nodes[name].paused = True
+        load.offer(24.0, 0.4 * SECOND, lambda: load.network.random.choice("abcdefgh"))
+        load.network.resume(name)
+    assert load.worst_excess() <= 1e-6
+    assert len(load.admitted) >= 0.8 * 12 * 14
+
+
+MACHINE_SETTINGS = hypothesis_settings(
     derandomize=True, deadline=None, max_examples=30, stateful_step_count=12
 )
+RateMachine.TestCase.settings = MACHINE_SETTINGS
 TestRateMachine = RateMachine.TestCase
+SmallBurstMachine.TestCase.settings = MACHINE_SETTINGS
+TestSmallBurstMachine = SmallBurstMachine.TestCase
