Spread bursts from five requests on over their window

It was 16 because several instances shared the rest; with single grants the allocator's instance holds it.

--- a/pimentodrift/rate_windows.py
+++ b/pimentodrift/rate_windows.py
@@ -12,7 +12,7 @@
 # Part of the burst that stays available at once.
 KEPT_PART = 0.4
 # Requests of burst that are not worth spreading: several instances share them.
-KEPT_REQUESTS = 16.0
+KEPT_REQUESTS = 5.0
 
 
 @frozen
