Keep values and prepared statements of a session in its token

Both travel in the session token, are set for one transaction at the owner, and so never stay on a pooled connection. Found on the way: a statement could call set_config or take an advisory lock that the next workspace on the connection inherited; a connection that another workspace used last now begins with DISCARD ALL. Ruled out: sessions stored at an instance (they end with it); session-level SET and RESET on each connection (a second state to keep right).

--- a/pimentodrift/admission.py
+++ b/pimentodrift/admission.py
@@ -8,10 +8,11 @@
 from datetime import timedelta
 from hashlib import sha256
 
+from attrs import evolve
 from expression import Error, Ok, Result
 
-from . import rate_waiters, rates, routing, tokens, view
-from .answers import answer, refuse_request
+from . import rate_waiters, rates, routing, session_resource, tokens, view
+from .answers import answer, answer_session, refuse_request
 from .caller_requests import Target, Work, read_target, read_work
 from .dispatch import handle
 from .errors import Failure, Problem, not_run
@@ -37,6 +38,10 @@
     if target is not None and target.probe and message.method == target.method:
         answer_probe(message.request, target.probe, state)
         return
+    session = session_resource.read_session_target(message.path)
+    if session is not None:
+        change_session(session, message, state)
+        return
     match admit(target, message, state):
         case Result(tag="ok", ok=pending):
             charge(pending, state)
@@ -44,6 +49,20 @@
             refuse_request(message.request, failure, state)
 
 
+def change_session(
+    target: session_resource.SessionTarget, message: CallerRequest, state: State
+) -> None:
+    """Answer a request to the session resource."""
+    result = find_key(message, state).bind(
+        lambda _key: session_resource.serve(target, message)
+    )
+    match result:
+        case Result(tag="ok", ok=token):
+            answer_session(message.request, token, state)
+        case Result(error=failure):
+            refuse_request(message.request, failure, state)
+
+
 def answer_probe(request: int, probe: str, state: State) -> None:
     """Answer whether the process lives, or whether it wants new callers."""
     ready = probe == "healthz" or is_ready(state)
@@ -111,12 +130,42 @@
         action=target.action,
         transaction=work.transaction,
         durability=workspace.durability,
-        max_age=accepted_age(work, workspace, target.group),
     )
+    return with_session(pending, message).bind(
+        lambda pending: with_prepared(pending, work, workspace, message)
+    )
+
+
+def with_prepared(
+    pending: PendingRequest, work: Work, workspace: WorkspaceRow, message: CallerRequest
+) -> Admission:
+    """Return the pending request with the prepared statement that it names."""
+    if work.prepared:
+        shape = pending.kept.statements.get(work.prepared)
+        if shape is None:
+            detail = f"the session has no prepared statement {work.prepared}"
+            return Error(not_run(Problem.BAD_REQUEST, detail))
+        work = evolve(
+            work,
+            access=shape.access,
+            statement=Statement(shape.text, work.statement.parameters),
+        )
+        pending.access, pending.statement = work.access, work.statement
+    pending.max_age = accepted_age(work, workspace, pending.group)
     if work.access is Access.WRITE:
         pending.idempotency_key = message.headers.get("idempotency-key", "")
-        pending.body_digest = sha256(message.body).hexdigest()
-    return with_session(pending, message, state)
+        pending.body_digest = request_digest(pending, message)
+    return Ok(pending)
+
+
+def request_digest(pending: PendingRequest, message: CallerRequest) -> str:
+    """Return what tells apart the requests that may use an idempotency key."""
+    content = sha256(message.body)
+    if pending.kept:
+        content.update(pending.statement.text.encode())
+        for pair in sorted(pending.kept.values.items()):
+            content.update(repr(pair).encode())
+    return content.hexdigest()
 
 
 def accepted_age(work: Work, workspace: WorkspaceRow, group: str) -> timedelta | None:
@@ -141,7 +190,7 @@
     if route.group not in state.configuration.workspaces[workspace].groups:
         return Error(not_run(Problem.GROUP_FORBIDDEN))
     pending = open_request(message.request, workspace, route, state)
-    return with_session(pending, message, state)
+    return with_session(pending, message)
 
 
 def open_request(
@@ -160,19 +209,15 @@
     )
 
 
-def with_session(
-    pending: PendingRequest, message: CallerRequest, state: State
-) -> Admission:
-    """Return the pending request with the positions of its session token."""
+def with_session(pending: PendingRequest, message: CallerRequest) -> Admission:
+    """Return the pending request with the session of its token."""
     text = message.headers.get("session-token", "")
-    if not text:
-        return Ok(pending)
-    return tokens.decode(text).map(lambda session: set_session(pending, session))
+    return tokens.decode(text).map(lambda token: set_session(pending, token))
 
 
-def set_session(pending: PendingRequest, session: tokens.Session) -> PendingRequest:
+def set_session(pending: PendingRequest, token: tokens.Token) -> PendingRequest:
     """Give a pending request its session."""
-    pending.session = session
+    pending.session, pending.kept = token.positions, token.kept
     return pending
 
 
--- a/pimentodrift/answers.py
+++ b/pimentodrift/answers.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from . import outcomes, tokens
+from . import outcomes, session_resource, tokens
 from .errors import Failure
 from .http_answers import problem_body
 from .messages import Action, CallerAnswer, Ran
@@ -18,16 +18,25 @@
     state.outbox.append(CallerAnswer(request, status, headers, body))
 
 
+def answer_session(request: int, token: tokens.Token, state: State) -> None:
+    """Send what a session keeps, with its token."""
+    headers = {
+        "Content-Type": JSON,
+        "Session-Token": tokens.encode(token.positions, token.kept),
+    }
+    answer(request, 200, headers, session_resource.describe(token), state)
+
+
 def refuse_request(
     request: int,
     failure: Failure,
     state: State,
-    session: tokens.Session | None = None,
+    token: tokens.Token | None = None,
 ) -> None:
     """Send a problem, with a new session token if the session has changed."""
     status, headers, body = problem_body(failure)
-    if session is not None:
-        headers["Session-Token"] = tokens.encode(session)
+    if token is not None:
+        headers["Session-Token"] = tokens.encode(token.positions, token.kept)
     state.counters[f"answers.{failure.problem}"] += 1
     answer(request, status, headers, body, state)
 
@@ -35,8 +44,8 @@
 def send_result(pending: PendingRequest, ran: Ran, state: State) -> None:
     """Send the result of a request with the session's token."""
     headers = {"Content-Type": JSON}
-    if pending.session:
-        headers["Session-Token"] = tokens.encode(pending.session)
+    if pending.session or pending.kept:
+        headers["Session-Token"] = tokens.encode(pending.session, pending.kept)
     if ran.replayed:
         headers["Idempotency-Replayed"] = "true"
     if pending.action is Action.BEGIN:
--- a/pimentodrift/caller_requests.py
+++ b/pimentodrift/caller_requests.py
@@ -13,7 +13,14 @@
 
 MAX_IDEMPOTENCY_KEY = 255  # Characters.
 MAX_AGE_LIMIT_MS = 24 * 3600 * 1000
-STATEMENT_FIELDS = {"statement", "parameters", "access", "max_age_ms", "transaction"}
+STATEMENT_FIELDS = {
+    "statement",
+    "parameters",
+    "access",
+    "max_age_ms",
+    "transaction",
+    "prepared",
+}
 
 # What PostgreSQL skips before a statement: white space, empty statements, comments
 # (block comments nest) and, before a query, parentheses.
@@ -67,6 +74,7 @@
     statement: Statement = field(default=Statement(""))
     max_age: timedelta | None = None
     transaction: str = ""
+    prepared: str = ""  # The session's name for the statement.
 
 
 def read_target(path: str) -> Target | None:
@@ -100,13 +108,25 @@
         if idempotency_key:
             return bad("Idempotency-Key is for writes outside transactions")
         return Ok(Work(Access.WRITE, transaction=target.transaction))
+    return json_object(request, STATEMENT_FIELDS).bind(
+        lambda content: read_statement(content, idempotency_key)
+    )
+
+
+def json_object(
+    request: CallerRequest, fields: set[str]
+) -> Result[dict[str, Any], Failure]:
+    """Return the JSON object of a body that has only these fields."""
     try:
         content = orjson.loads(request.body)
     except orjson.JSONDecodeError:
         return bad("the body is not JSON")
     if not isinstance(content, dict):
         return bad("the body is not a JSON object")
-    return read_statement(content, idempotency_key)
+    unknown_fields = sorted(content.keys() - fields)
+    if unknown_fields:
+        return bad(f"unknown field: {unknown_fields[0]}")
+    return Ok(content)
 
 
 def read_statement(
@@ -123,19 +143,41 @@
     parameters: list[Scalar] = content.get("parameters") or []
     return Ok(
         Work(
-            Access(content["access"]),
-            Statement(content["statement"], tuple(parameters)),
+            # A prepared statement has its own access and text.
+            Access(content.get("access", Access.READ)),
+            Statement(content.get("statement", ""), tuple(parameters)),
             None if max_age is None else timedelta(milliseconds=max_age),
             transaction,
+            content.get("prepared", ""),
         )
     )
 
 
 def body_fault(content: dict[str, Any]) -> str:
     """Return what is wrong with a body, or an empty text."""
-    unknown_fields = sorted(content.keys() - STATEMENT_FIELDS)
-    if unknown_fields:
-        return f"unknown field: {unknown_fields[0]}"
+    fault = (
+        prepared_fault(content) if "prepared" in content else statement_fault(content)
+    )
+    if fault:
+        return fault
+    if not isinstance(content.get("transaction") or "", str):
+        return "transaction must be a text"
+    return age_fault(content.get("max_age_ms")) or parameters_fault(
+        content.get("parameters")
+    )
+
+
+def prepared_fault(content: dict[str, Any]) -> str:
+    """Return what is wrong with the name of a prepared statement, or an empty text."""
+    if not isinstance(content["prepared"], str) or not content["prepared"]:
+        return "prepared must be the name of a statement of the session"
+    if "statement" in content or "access" in content:
+        return "a prepared statement has its own statement and access"
+    return ""
+
+
+def statement_fault(content: dict[str, Any]) -> str:
+    """Return what is wrong with a statement and its access, or an empty text."""
     text = content.get("statement")
     if not isinstance(text, str) or not text.strip():
         return "statement must be a text"
@@ -145,11 +187,7 @@
         return "transaction control is not a statement; use the transactions resource"
     if content.get("access") not in (Access.READ.value, Access.WRITE.value):
         return 'access must be "read" or "write"'
-    if not isinstance(content.get("transaction") or "", str):
-        return "transaction must be a text"
-    return age_fault(content.get("max_age_ms")) or parameters_fault(
-        content.get("parameters")
-    )
+    return ""
 
 
 def age_fault(value: object) -> str:
@@ -199,6 +237,6 @@
     return len(text)
 
 
-def bad(detail: str) -> Result[Work, Failure]:
+def bad(detail: str) -> Result[Any, Failure]:
     """Return the refusal of a malformed request."""
     return Error(not_run(Problem.BAD_REQUEST, detail))
--- a/pimentodrift/execution.py
+++ b/pimentodrift/execution.py
@@ -32,6 +32,15 @@
 )
 from .statement_errors import ambiguous, failure_of
 from .tables import State, Step, WorkRow
+from .work_batches import (
+    Results,
+    Segments,
+    prepare,
+    reset_error,
+    set_values,
+    visible_results,
+    with_values,
+)
 
 BEGIN = Statement("BEGIN")
 # A caller may call a write a read; reads are repeated, and run on replicas too.
@@ -39,9 +48,6 @@
 COMMIT = Statement("COMMIT")
 ROLLBACK = Statement("ROLLBACK")
 
-Results = tuple[StatementResult, ...]
-Segments = tuple[tuple[Statement, ...], ...]
-
 
 @frozen
 class ReadStep(Step):
@@ -86,13 +92,14 @@
 def start(work: WorkRow, connection: int, state: State) -> None:
     """Run the first batch of a read or of a write outside a transaction."""
     bind(work, connection, state)
-    statement = work.forward.statement
+    set_values(work)
     if work.forward.access is Access.READ:
-        segment = (BEGIN_READ_ONLY, status_statement(), statement)
+        segment = (BEGIN_READ_ONLY, status_statement(), *with_values(work))
         # COMMIT has its own segment: it also ends a transaction that has failed.
         run(work, ReadStep(), (segment, (COMMIT,)), state)
     elif not work.forward.idempotency_key:
-        run(work, WriteStep(), ((BEGIN, status_statement(), statement),), state)
+        segment = (BEGIN, status_statement(), *with_values(work))
+        run(work, WriteStep(), (segment,), state)
     elif has_outcomes_table(work, state):
         run_recorded(work, state)
     else:
@@ -110,7 +117,7 @@
 def run(work: WorkRow, step: Step, segments: Segments, state: State) -> None:
     """Send the batch of a step."""
     work.step = step
-    run_batch(work.connection, segments, state)
+    run_batch(work.connection, prepare(work, segments, state), state)
 
 
 def group_term(work: WorkRow, state: State) -> int:
@@ -135,7 +142,7 @@
         forward.body_digest,
         state.clock.now(),
     )
-    segment = (BEGIN, status_statement(), record, forward.statement)
+    segment = (BEGIN, status_statement(), record, *with_values(work))
     run(work, RecordStep(), (segment,), state)
 
 
@@ -145,8 +152,14 @@
 @handle.register
 def _(message: WorkAnswered, state: State) -> None:
     work = state.works.get(state.connection_works.get(message.connection, 0))
-    if work is not None and work.step is not None:
-        advance(work.step, work, message.results, state)
+    if work is None or work.step is None:
+        return
+    error = reset_error(work, message.results, state)
+    if error:
+        abandon(work, Problem.ENDPOINT_UNAVAILABLE, error, state)
+        handle(SlotReleased(work.forward.endpoint), state)
+        return
+    advance(work.step, work, visible_results(work, message.results), state)
 
 
 @singledispatch
--- /dev/null
+++ b/pimentodrift/kept_sessions.py
@@ -0,0 +1,128 @@
+"""What a caller's session keeps beside positions: values and prepared statements.
+
+Both travel in the session token, so any instance continues a session and none stores
+it. At the owner, values are set for the length of one transaction; the database takes
+them back when it ends, so a pooled connection never carries them to another session.
+"""
+
+import re
+
+from attrs import evolve, field, frozen
+from expression import Error, Ok, Result
+
+from .errors import Failure, Problem, not_run
+from .messages import Access, Statement
+
+# Bound the token, which travels in a request's head of at most 16 KiB.
+MAX_ENTRIES = 16  # Values and prepared statements, each.
+MAX_NAME = 63  # Characters; what PostgreSQL keeps of an identifier.
+MAX_VALUE = 256  # Characters.
+MAX_STATEMENT = 1024  # Characters.
+
+NAME = re.compile(r"[A-Za-z_][A-Za-z0-9_]*")
+SETTING_NAME = re.compile(r"[A-Za-z_][A-Za-z0-9_]*(?:\.[A-Za-z_][A-Za-z0-9_]*)?")
+# Settings of PostgreSQL that change only how the caller's own statements are carried
+# out. Others could change the role, or what the proxy's statements mean.
+SETTINGS = frozenset(
+    {
+        "application_name",
+        "bytea_output",
+        "datestyle",
+        "extra_float_digits",
+        "intervalstyle",
+        "lock_timeout",
+        "statement_timeout",
+        "timezone",
+        "work_mem",
+    }
+)
+
+
+@frozen
+class PreparedStatement:
+    """The shape of a statement whose parameters come with each run."""
+
+    text: str
+    access: Access
+
+
+@frozen
+class KeptSession:
+    """The values and prepared statements of a session, by name."""
+
+    values: dict[str, str] = field(factory=dict)
+    statements: dict[str, PreparedStatement] = field(factory=dict)
+
+    def __bool__(self) -> bool:
+        """Return whether there is anything to keep."""
+        return bool(self.values or self.statements)
+
+
+EMPTY = KeptSession()
+Kept = Result[KeptSession, Failure]
+
+
+def with_value(kept: KeptSession, name: str, value: str) -> Kept:
+    """Return the session with a value set."""
+    key = name.lower()
+    if not is_setting(key):
+        return bad(f"{name} cannot be set: use a name with a dot, as app.user")
+    if len(value) > MAX_VALUE or "\0" in value:
+        return bad(f"a value has at most {MAX_VALUE} characters and no zero character")
+    return bounded(evolve(kept, values=kept.values | {key: value}))
+
+
+def is_setting(name: str) -> bool:
+    """Return whether a session may set a value of this name."""
+    if len(name) > MAX_NAME or not SETTING_NAME.fullmatch(name):
+        return False
+    return "." in name or name in SETTINGS
+
+
+def with_statement(kept: KeptSession, name: str, statement: PreparedStatement) -> Kept:
+    """Return the session with a prepared statement."""
+    if len(name) > MAX_NAME or not NAME.fullmatch(name):
+        return bad("the name of a prepared statement must be an identifier")
+    if len(statement.text) > MAX_STATEMENT:
+        return bad(f"a prepared statement has at most {MAX_STATEMENT} characters")
+    return bounded(evolve(kept, statements=kept.statements | {name: statement}))
+
+
+def bounded(kept: KeptSession) -> Kept:
+    """Return the session unless it has become too large."""
+    if max(len(kept.values), len(kept.statements)) > MAX_ENTRIES:
+        return bad(f"a session has at most {MAX_ENTRIES} values and statements, each")
+    return Ok(kept)
+
+
+def without_value(kept: KeptSession, name: str) -> Kept:
+    """Return the session without one of its values."""
+    values = dict(kept.values)
+    if values.pop(name.lower(), None) is None:
+        return Error(not_run(Problem.NOT_FOUND))
+    return Ok(evolve(kept, values=values))
+
+
+def without_statement(kept: KeptSession, name: str) -> Kept:
+    """Return the session without one of its prepared statements."""
+    statements = dict(kept.statements)
+    if statements.pop(name, None) is None:
+        return Error(not_run(Problem.NOT_FOUND))
+    return Ok(evolve(kept, statements=statements))
+
+
+def bad(detail: str) -> Kept:
+    """Return the refusal of a malformed request."""
+    return Error(not_run(Problem.BAD_REQUEST, detail))
+
+
+def setting_statement(values: tuple[tuple[str, str | None], ...]) -> Statement:
+    """Return the statement that sets values until the transaction ends.
+
+    None takes a value of the transaction back to the connection's own.
+    """
+    calls = ", ".join(
+        f"set_config(${2 * at + 1}, ${2 * at + 2}, true)" for at in range(len(values))
+    )
+    parameters = tuple(text for pair in values for text in pair)
+    return Statement(f"SELECT {calls}", parameters)
--- a/pimentodrift/messages.py
+++ b/pimentodrift/messages.py
@@ -135,6 +135,7 @@
     body_digest: str = ""
     transaction: str = ""
     primary_only: bool = False
+    values: tuple[tuple[str, str], ...] = ()  # Of the session, by name.
 
 
 @frozen
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -28,7 +28,7 @@
 )
 from .replica_choice import START, Route, session_minimum
 from .tables import PendingRequest, State
-from .tokens import Session, merge, reaches
+from .tokens import Session, Token, merge, reaches
 
 MILLISECOND = timedelta(milliseconds=1)
 FIRST_PAUSE = timedelta(milliseconds=10)
@@ -139,6 +139,7 @@
         body_digest=pending.body_digest,
         transaction=pending.transaction,
         primary_only=route.primary_only,
+        values=tuple(pending.kept.values.items()),
     )
     if not peers.send(route.instance, message, state):
         end_attempt(pending, state)
@@ -274,7 +275,8 @@
         failure = evolve(failure, outcome=Outcome.UNKNOWN)
     if failure.retry_after is None and failure.problem in RETRYABLE:
         failure = evolve(failure, retry_after=RETRY_AFTER)
-    refuse_request(pending.request, failure, state, session)
+    token = None if session is None else Token(session, pending.kept)
+    refuse_request(pending.request, failure, state, token)
 
 
 def drop(pending: PendingRequest, state: State) -> None:
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -25,6 +25,7 @@
     StoreWrite,
     WaitingWrite,
 )
+from .kept_sessions import EMPTY, KeptSession
 from .messages import (
     Access,
     Action,
@@ -261,6 +262,7 @@
     body_digest: str = ""
     durability: Durability = Durability.MAJORITY
     session: dict[str, Position] = field(factory=dict)  # By group.
+    kept: KeptSession = EMPTY
     max_age: timedelta | None = None  # The age that the read accepts.
     admitted: bool = False
     # The attempt in flight; its number is 0 when there is none.
@@ -311,6 +313,10 @@
     position: Position = Position(0, 0)
     rows: Rows = Rows()
     replayed: bool = False
+    # Sets the session's values before the statement, and its place in the batch.
+    values: Statement | None = None
+    values_at: int | None = None
+    is_resetting: bool = False  # The batch first drops what another workspace left.
 
 
 @define
@@ -349,6 +355,7 @@
     work: int = 0  # The work that runs in it, or 0.
     waiting: deque[int] = field(factory=deque)
     ended: Failure | None = None  # What later requests are told.
+    values: dict[str, str] = field(factory=dict)  # Of the session, set in it.
 
 
 # --- connections
@@ -371,6 +378,7 @@
     opened_at: timedelta
     is_open: bool = False
     batch: int = 0
+    workspace: str = ""  # Whose work ran on it last; empty after a reset.
 
 
 # --- the state
--- a/pimentodrift/tokens.py
+++ b/pimentodrift/tokens.py
@@ -1,46 +1,99 @@
-"""The session token: a position per group, carried by the caller as opaque text.
+"""The session token: a position per group and what the session keeps, as opaque text.
 
 A token is not signed. A forged one names positions that no replica has reached and
-thereby only sends its own caller's reads to the primary.
+thereby only sends its own caller's reads to the primary; the values and statements in
+it are checked like those of the session resource.
 """
 
 import base64
 import binascii
+from typing import Any
 
 import msgpack
+from attrs import field, frozen
 from expression import Error, Ok, Result
 
+from . import kept_sessions
 from .errors import Failure, Problem, not_run
-from .messages import Position
+from .kept_sessions import KeptSession, PreparedStatement
+from .messages import Access, Position
 
 Session = dict[str, Position]
 
 MAX_LENGTH = 8 * 1024  # Characters; the whole request head may have 16 KiB.
+KEPT = ""  # Beside the names of groups, which are not empty.
 
 
-def encode(session: Session) -> str:
+@frozen
+class Token:
+    """What a session token says."""
+
+    positions: Session = field(factory=dict)
+    kept: KeptSession = kept_sessions.EMPTY
+
+
+def encode(session: Session, kept: KeptSession = kept_sessions.EMPTY) -> str:
     """Return the token's text."""
-    content = {group: (at.term, at.offset) for group, at in session.items()}
+    content: dict[str, object] = {
+        group: (at.term, at.offset) for group, at in session.items()
+    }
+    if kept:
+        shapes = {
+            name: (shape.text, shape.access) for name, shape in kept.statements.items()
+        }
+        content[KEPT] = (kept.values, shapes)
     return base64.urlsafe_b64encode(msgpack.packb(content)).decode().rstrip("=")
 
 
-def decode(text: str) -> Result[Session, Failure]:
-    """Return the positions of a token."""
+def bounded(token: Token) -> Result[Token, Failure]:
+    """Return a token unless its text would be too long."""
+    if len(encode(token.positions, token.kept)) > MAX_LENGTH:
+        detail = f"the session token would have more than {MAX_LENGTH} characters"
+        return Error(not_run(Problem.BAD_REQUEST, detail))
+    return Ok(token)
+
+
+def decode(text: str) -> Result[Token, Failure]:
+    """Return what a token says; an empty text begins a session."""
+    if not text:
+        return Ok(Token())
     if len(text) > MAX_LENGTH:
         return Error(not_run(Problem.SESSION_TOKEN_INVALID, "the token is too long"))
     try:
         raw = base64.b64decode(
             text + "=" * (-len(text) % 4), altchars=b"-_", validate=True
         )
-        return Ok(read_session(msgpack.unpackb(raw)))
+        content = msgpack.unpackb(raw)
+        if not isinstance(content, dict):
+            raise ValueError("not a map")
+        kept = read_kept(content.pop(KEPT, ({}, {})))
+        return Ok(Token(read_session(content), kept))
     except (binascii.Error, ValueError, TypeError, msgpack.UnpackException):
         return Error(not_run(Problem.SESSION_TOKEN_INVALID))
 
 
-def read_session(content: object) -> Session:
+def read_kept(content: Any) -> KeptSession:
+    """Return what a session keeps; raise ValueError if it may not keep it."""
+    values, shapes = content
+    kept = kept_sessions.EMPTY
+    for name, value in dict(values).items():
+        kept = accepted(kept_sessions.with_value(kept, str(name), str(value)))
+    for name, (text, access) in dict(shapes).items():
+        shape = PreparedStatement(str(text), Access(access))
+        kept = accepted(kept_sessions.with_statement(kept, str(name), shape))
+    return kept
+
+
+def accepted(result: Result[KeptSession, Failure]) -> KeptSession:
+    """Return a session that was accepted; raise ValueError with the reason if not."""
+    match result:
+        case Result(tag="ok", ok=kept):
+            return kept
+    raise ValueError(result.error.detail)
+
+
+def read_session(content: dict[Any, Any]) -> Session:
     """Return the positions of a decoded token; raise ValueError if it has others."""
-    if not isinstance(content, dict):
-        raise ValueError("not a map")
     session = {}
     for group, (term, offset) in content.items():
         if not isinstance(group, str):
--- a/pimentodrift/transactions.py
+++ b/pimentodrift/transactions.py
@@ -22,7 +22,6 @@
     BEGIN,
     ROLLBACK,
     CommitStep,
-    Results,
     abandon,
     advance,
     bind,
@@ -38,6 +37,7 @@
 from .messages import Action, Position, Ran, Rows, SlotReleased
 from .statement_errors import failure_of
 from .tables import EndpointQueue, State, Step, TransactionRow, WorkRow
+from .work_batches import Results, set_values, with_values
 
 IDLE_LIMIT = timedelta(seconds=5)
 # How long an ended transaction is remembered, to tell its caller that it has ended.
@@ -170,7 +170,8 @@
         case Action.ROLLBACK:
             run(work, EndStep(), ((ROLLBACK,),), state)
         case _:
-            run(work, StatementStep(), ((work.forward.statement,),), state)
+            set_values(work, row)
+            run(work, StatementStep(), (with_values(work),), state)
 
 
 @advance.register
--- a/standins/sql_session.py
+++ b/standins/sql_session.py
@@ -71,15 +71,25 @@
     writes: list[Write] = field(factory=list)
     has_savepoint: bool = False
     is_read_only: bool = False  # Of the explicit transaction.
+    settings: dict[str, Value] = field(factory=dict)  # Of the transaction.
     interruption: SqlError | None = None
     # The storage's generation when the transaction began.
     began_in: int | None = None
 
     def __attrs_post_init__(self) -> None:
         """Open the connection."""
+        self.connect()
+
+    def connect(self) -> None:
+        """Open the current file, with the function that reads values."""
         self.connection = self.database.storage.connect()
+        self.connection.create_function("current_setting", 2, self.current_setting)
         self.generation = self.database.storage.generation
 
+    def current_setting(self, name: str, missing_ok: bool) -> Value:
+        """Return a value that was set."""
+        return self.settings.get(name)
+
     async def execute(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
         """Run a statement; a `SqlError` fails the transaction."""
         try:
@@ -121,7 +131,11 @@
                 self.is_read_only = parsed.text.upper().endswith("READ ONLY")
                 return Result("BEGIN")
             case Kind.SETTING | Kind.EMPTY:
+                if parsed.tag in ("DISCARD", "RESET"):
+                    self.settings.clear()
                 return Result(parsed.tag)
+            case Kind.SET_CONFIG:
+                return self.set_config(parameters)
             case Kind.GROUP_FUNCTION:
                 return group_functions.run(parsed.text, parameters, self.database)
             case Kind.WRITE:
@@ -132,6 +146,13 @@
         """Return whether a statement takes a failed transaction to a savepoint."""
         return parsed.tag == ROLLBACK_TO and self.is_writing
 
+    def set_config(self, parameters: tuple[Value, ...]) -> Result:
+        """Set values until the transaction ends; the third argument must be true."""
+        for name, value in zip(parameters[::2], parameters[1::2], strict=True):
+            self.settings[str(name)] = value
+        columns = ("set_config",) * (len(parameters) // 2)
+        return Result("SELECT 1", columns, [parameters[1::2]])
+
     async def read(self, parsed: Parsed, parameters: tuple[Value, ...]) -> Result:
         """Run a statement that changes nothing."""
         self.database.counts["reads"] += 1
@@ -188,8 +209,7 @@
         if self.generation == self.database.storage.generation:
             return
         self.connection.close()
-        self.connection = self.database.storage.connect()
-        self.generation = self.database.storage.generation
+        self.connect()
 
     # --- Transactions
 
@@ -288,6 +308,7 @@
     def ready(self) -> str:
         """Return the state for ReadyForQuery; the next segment may begin."""
         if self.state == IDLE:
+            self.settings.clear()
             self.began_in = None
             self.is_read_only = False
         return self.state
--- a/standins/statements.py
+++ b/standins/statements.py
@@ -26,6 +26,8 @@
     re.IGNORECASE,
 )
 
+SET_CONFIG = re.compile(r"\bset_config\s*\(", re.IGNORECASE)
+
 # All writers exclude each other, so the lock of a row is the lock of the database.
 ROW_LOCK = re.compile(
     r"\s+FOR\s+(?:NO\s+KEY\s+)?(?:UPDATE|SHARE)(?:\s+(?:NOWAIT|SKIP\s+LOCKED))?\s*$",
@@ -57,6 +59,7 @@
     COMMIT = auto()
     ROLLBACK = auto()
     SETTING = auto()  # Answered without effect.
+    SET_CONFIG = auto()
     GROUP_FUNCTION = auto()
     READ = auto()
     WRITE = auto()
@@ -135,6 +138,8 @@
     first = words[0]
     if first == "SELECT" and GROUP_FUNCTION.search(text):
         return Kind.GROUP_FUNCTION, "SELECT"
+    if first == "SELECT" and SET_CONFIG.search(text):
+        return Kind.SET_CONFIG, "SELECT"
     if first == "WITH":
         change = CHANGE.search(text)
         return (Kind.WRITE, change[1].upper()) if change else (Kind.READ, "SELECT")
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -53,6 +53,7 @@
     after_fault: bool = False  # Lose the connection only after running it.
     open: dict[tuple[str, int], list[tuple[str, m.Scalar]] | None] = field(factory=dict)
     ran: Counter[str] = field(factory=Counter)
+    values: dict[str, m.Scalar] = field(factory=dict)  # Of the only transaction.
     held: list[tuple[str, m.RunBatch]] = field(factory=list)
     opening: list[tuple[str, int]] = field(factory=list)
 
@@ -79,7 +80,7 @@
             raise ConnectionError
         self.ran[statement.text] += 1
         pending = self.open[caller]
-        row: tuple[m.Scalar, ...] | None = None
+        row = self.execute_setting(word, statement)
         match word:
             case _ if word in ("fail", self.refused):
                 return m.StatementResult(error="refused", sqlstate="42P01")
@@ -103,12 +104,26 @@
             case "SELECT" if "group_status" in statement.text:
                 role = "primary" if self.is_primary else "replica"
                 row = (role, self.term, len(self.log), self.replayed)
-            case "INSERT" | "UPDATE" | "SELECT":
+            case "INSERT" | "UPDATE" | "SELECT" if "set_config" not in statement.text:
                 row = self.execute_outcomes(word, caller, statement.parameters)
         if word == self.fault:
             raise ConnectionError
         return m.StatementResult(m.Rows(("value",), () if row is None else (row,)))
 
+    def execute_setting(
+        self, word: str, statement: m.Statement
+    ) -> tuple[m.Scalar, ...] | None:
+        """Set or return values, which end with the only transaction."""
+        if word in ("BEGIN", "COMMIT", "ROLLBACK"):
+            self.values = {}
+        elif word == "value":
+            return (self.values.get(statement.text.split()[1]),)
+        elif "set_config" in statement.text:
+            parameters = statement.parameters
+            for name, value in zip(parameters[::2], parameters[1::2], strict=True):
+                self.values[str(name)] = value
+        return None
+
     def execute_outcomes(
         self, word: str, caller: tuple[str, int], parameters: tuple[m.Scalar, ...]
     ) -> tuple[m.Scalar, ...] | None:
--- a/tests/test_system_sessions.py
+++ b/tests/test_system_sessions.py
@@ -3,6 +3,7 @@
 Each session goes to another instance with each request and carries only its token.
 """
 
+import json
 import signal
 from collections.abc import Iterator
 from threading import Thread
@@ -160,3 +161,24 @@
         system.dump(row["name"])["counters"].get("routing.reads_replica", 0)
         for row in system.line["instances"]
     )
+
+
+def test_values_and_prepared_statements_roam(system: System) -> None:
+    """Guards against values that stay at an instance or reach another session."""
+    callers = [Caller(url) for url in system.proxies]
+    headers = system.headers()
+    body = json.dumps({"value": "ana"}).encode()
+    path = "/v1/session/values/app.user"
+    token = callers[0].send("PUT", path, headers, body).token
+    shape = {"statement": "SELECT current_setting('app.user', true)", "access": "read"}
+    headers = system.headers(token=token)
+    body = json.dumps(shape).encode()
+    path = "/v1/session/statements/who"
+    token = callers[1].send("PUT", path, headers, body).token
+    run = json.dumps({"prepared": "who"}).encode()
+    path = f"/v1/groups/{GROUP}/statements"
+    for caller in 3 * callers:
+        answer = system.send(caller, path, system.headers(token=token), run)
+        assert answer.status == OK and answer.body["rows"] == [["ana"]]
+        other = system.run(caller, shape["statement"])
+        assert other.status == OK and other.body["rows"] == [[None]]
