Give each request of the HTTP interface an id and lines of its end

Entry and owner note what decided: problem, outcome, stage, attempts, owner, endpoint, share and its age, term, minimum position, configuration and its age; the owner its queue. Lines go to standard output within the budgets that sessions have; the module of the events is named log_events, as it now has those of both assemblies.

--- a/pimentodrift/admission.py
+++ b/pimentodrift/admission.py
@@ -11,7 +11,15 @@
 from attrs import evolve
 from expression import Error, Ok, Result
 
-from . import rate_waiters, rates, routing, session_resource, tokens, view
+from . import (
+    rate_waiters,
+    rates,
+    request_lines,
+    routing,
+    session_resource,
+    tokens,
+    view,
+)
 from .answers import answer, answer_session, refuse_request
 from .caller_requests import Target, Work, read_target, read_work
 from .dispatch import handle
@@ -46,6 +54,7 @@
         case Result(tag="ok", ok=pending):
             charge(pending, state)
         case Result(error=failure):
+            request_lines.denied(message.request_id, failure, state)
             refuse_request(message.request, failure, state)
 
 
@@ -60,6 +69,7 @@
         case Result(tag="ok", ok=token):
             answer_session(message.request, token, state)
         case Result(error=failure):
+            request_lines.denied(message.request_id, failure, state)
             refuse_request(message.request, failure, state)
 
 
@@ -210,7 +220,8 @@
 
 
 def with_session(pending: PendingRequest, message: CallerRequest) -> Admission:
-    """Return the pending request with the session of its token."""
+    """Return the pending request with its id and the session of its token."""
+    pending.request_id = message.request_id
     text = message.headers.get("session-token", "")
     return tokens.decode(text).map(lambda token: set_session(pending, token))
 
@@ -224,6 +235,7 @@
 def charge(pending: PendingRequest, state: State) -> None:
     """Take a token of the workspace's rate, or wait for one."""
     state.pending[pending.request] = pending
+    pending.arrived_at = state.clock.monotonic()
     if rates.take(pending.workspace, state):
         routing.start(pending, state)
         return
--- a/pimentodrift/answers.py
+++ b/pimentodrift/answers.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from . import outcomes, session_resource, tokens
+from . import outcomes, request_lines, session_resource, tokens
 from .errors import Failure
 from .http_answers import problem_body
 from .messages import Action, CallerAnswer, Ran
@@ -53,4 +53,5 @@
     else:
         body = outcomes.encode_answer(ran.rows)
     state.counters["answers.ran"] += 1
+    request_lines.answered(pending, state)
     answer(pending.request, 200, headers, body, state)
--- a/pimentodrift/edges.py
+++ b/pimentodrift/edges.py
@@ -12,6 +12,7 @@
 from traceback import extract_tb
 from typing import Any, Protocol
 
+from .event_log import EventLog
 from .logs import write_events
 from .messages import ExitProcess
 from .sockets import Poller
@@ -59,10 +60,12 @@
         exit_process: Callable[[], None],
         core: Core,
         tick: timedelta,
+        log: EventLog,
     ) -> None:
         self.state = state
         self.poller = poller
         self.core = core
+        self.log = log
         self.carrying_out = False
         self.last_tick = monotonic()
         self.longest_tick_gap_s = 0.0
@@ -105,9 +108,11 @@
         self.write_log()
 
     def write_log(self) -> None:
-        """Write what the core has noted."""
+        """Write what the core has noted, within the log's budgets."""
         if self.state.events:
             write_events(self.state)
+        events, self.state.typed_events = self.state.typed_events, []
+        self.log.write(events)
 
     def carry_out(self) -> None:
         """Carry out the outbox until it stays empty.
--- a/pimentodrift/event_log.py
+++ b/pimentodrift/event_log.py
@@ -8,13 +8,15 @@
 import os
 from collections import Counter
 from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
 import eliot  # type: ignore[import-untyped]
 import orjson
 from attrs import define, field
 
-from .session_events import Event, LinesLeftOut, Weight, event_name
+from .log_events import Event, LinesLeftOut, Weight, event_name
+from .tables import State
 
 # Lines a second by weight. An instance serves some dozens of statements a second; a
 # line takes about 50 microseconds of a processor.
@@ -103,11 +105,18 @@
         eliot.log_message(message_type=name, instance=self.instance, **fields)
 
 
+def quiet_log(state: State) -> EventLog:
+    """Return a log whose lines go nowhere."""
+    writer = LineWriter(os.open(os.devnull, os.O_WRONLY))
+    return EventLog(state.settings.name, writer, monotonic)
+
+
 def open_log(
     instance: str, descriptor: int, monotonic: Callable[[], float]
 ) -> EventLog:
     """Send eliot's messages to a descriptor, which must not block from now on."""
-    os.set_blocking(descriptor, False)
+    if not os.isatty(descriptor):  # A terminal belongs to other programs too.
+        os.set_blocking(descriptor, False)
     writer = LineWriter(descriptor)
     eliot.add_destinations(writer)
     return EventLog(instance, writer, monotonic)
--- a/pimentodrift/execution.py
+++ b/pimentodrift/execution.py
@@ -12,7 +12,7 @@
 
 from attrs import frozen
 
-from . import outcomes, peers, replication, scheduling, work_connections
+from . import outcomes, peers, replication, request_lines, scheduling, work_connections
 from .connections import run_batch
 from .database_group import status_statement
 from .dispatch import handle
@@ -393,6 +393,8 @@
     state.forwarded.pop((work.sender, work.forward.request), None)
     kind = "ran" if isinstance(result, Ran) else f"refused.{result.problem}"
     state.counters[f"execution.{kind}"] += 1
+    if isinstance(result, Failure):
+        request_lines.work_refused(work, result, state)
     if work.sender:
         peers.send(work.sender, Reply(work.forward.request, result), state)
 
--- a/pimentodrift/http_server.py
+++ b/pimentodrift/http_server.py
@@ -4,6 +4,7 @@
 back, at any later time and in any order; answers leave in the order of the requests.
 """
 
+import re
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -25,6 +26,9 @@
 REQUEST_TIMEOUT_S = 30.0
 UNREAD_ANSWER_TIMEOUT_S = 30.0
 FULL_RETRY = timedelta(seconds=1)
+# Other texts than these could break the header or the log line.
+REQUEST_ID = re.compile(r"[!-~]{1,128}")
+INCARNATION_BITS = 48
 # Refused connections that may wait for their client to close first.
 MAX_REFUSED = 256
 
@@ -35,6 +39,7 @@
 
     request: int
     parsed: ParsedRequest
+    request_id: str
     answer: tuple[int, dict[str, str], bytes] | None = None
 
 
@@ -96,19 +101,26 @@
     def accept(self, parsed: ParsedRequest) -> CallerRequest:
         """Give a request its number and its place."""
         number = self.server.state.number()
-        slot = AnswerSlot(number, parsed)
+        slot = AnswerSlot(number, parsed, self.server.request_id(number, parsed))
         self.slots.append(slot)
         self.server.slots[number] = (self, slot)
         self.ending = not parsed.keep_alive
         return CallerRequest(
-            number, parsed.method, parsed.path, parsed.headers, parsed.body
+            number,
+            parsed.method,
+            parsed.path,
+            parsed.headers,
+            parsed.body,
+            slot.request_id,
         )
 
     def refuse(self, failure: Failure) -> None:
         """Answer a broken request in its turn and end the connection."""
         self.ending = True
         self.server.state.counters[f"http.refused.{failure.problem}"] += 1
-        slot = AnswerSlot(0, ParsedRequest("", "", {}, b"", keep_alive=False))
+        parsed = ParsedRequest("", "", {}, b"", keep_alive=False)
+        number = self.server.state.number()
+        slot = AnswerSlot(0, parsed, self.server.request_id(number, parsed))
         slot.answer = problem_body(failure)
         self.slots.append(slot)
         self.server.unfinished.discard(self)
@@ -122,7 +134,7 @@
             # In a planned stop, all requests already taken are still answered.
             stops = self.server.closes_connections() and not slots and not self.backlog
             is_last = stops or not slot.parsed.keep_alive
-            self.write(slot.parsed, answer, is_last)
+            self.write(slot, answer, is_last)
             if is_last:
                 self.end()
                 return
@@ -131,18 +143,18 @@
 
     def write(
         self,
-        parsed: ParsedRequest,
+        slot: AnswerSlot,
         answer: tuple[int, dict[str, str], bytes],
         is_last: bool,
     ) -> None:
         """Write an answer."""
         self.server.state.counters[f"http.answers.{answer[0]}"] += 1
-        fixed = self.server.date
+        fixed = f"{self.server.date}Request-Id: {slot.request_id}\r\n"
         if is_last:
             fixed += "Connection: close\r\n"
-        elif parsed.http_1_0:
+        elif slot.parsed.http_1_0:
             fixed += "Connection: keep-alive\r\n"
-        self.stream.write(render(*answer, fixed, parsed.method != "HEAD"))
+        self.stream.write(render(*answer, fixed, slot.parsed.method != "HEAD"))
 
     def end(self) -> None:
         """Close after the last answer; later requests of the pipeline do not run."""
@@ -192,6 +204,8 @@
         self.refused: set[RefusedConnection] = set()
         self.date = date_header(state.clock.now())
         self.exiting = False
+        # Ids stay different after a restart.
+        self.incarnation = f"{state.random.getrandbits(INCARNATION_BITS):012x}"
         self.listener = listen(poller, address or state.settings.listen, self.accepted)
         poller.timers.every(SWEEP_S, self.sweep)
 
@@ -204,6 +218,13 @@
         self.state.counters["http.accepted"] += 1
         self.connections.add(CallerConnection(self, connection))
 
+    def request_id(self, number: int, parsed: ParsedRequest) -> str:
+        """Return the caller's own id of a request, or a new one."""
+        given = parsed.headers.get("request-id", "")
+        if REQUEST_ID.fullmatch(given):
+            return given
+        return f"{self.incarnation}-{number}"
+
     def answer(self, message: CallerAnswer) -> None:
         """Give a request its answer; a caller that has gone gets none."""
         found = self.slots.pop(message.request, None)
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -32,8 +32,7 @@
     WatchedKind,
     WatchKind,
 )
-from .messages import StoreObject
-from .session_events import (
+from .log_events import (
     CheckLost,
     CheckRegained,
     ObjectUnreadable,
@@ -41,6 +40,7 @@
     StoreLost,
     StoreRegained,
 )
+from .messages import StoreObject
 from .tables import State
 
 # Watches bring the news; each end of one is a call, so they wait long.
--- a/pimentodrift/leadership.py
+++ b/pimentodrift/leadership.py
@@ -9,8 +9,8 @@
 from datetime import timedelta
 
 from . import registry
+from .log_events import PrimaryChosen
 from .messages import Position
-from .session_events import PrimaryChosen
 from .session_rows import EndpointRole, LeadershipRow, RegistryRow
 from .tables import State
 
--- a/pimentodrift/session_events.py
+++ b/pimentodrift/log_events.py
@@ -1,4 +1,4 @@
-"""The log events of an instance whose clients hold sessions, with their fields.
+"""The log events of an instance, with their fields.
 
 Each event is one line of JSON: its name is that of the class in snake case. Ages and
 waits are in milliseconds. Keys never appear; a key shows as its key id at most.
@@ -42,7 +42,96 @@
     return re.sub(r"(?<!^)(?=[A-Z])", "_", name).lower()
 
 
-# --- Requests
+# --- Requests of the HTTP interface
+
+
+@frozen
+class RequestEvent(Event):
+    """What led to the end of a request, or of an attempt, at its entry."""
+
+    request: str
+    workspace: str
+    group: str
+    action: str
+    access: str
+    stage: str  # "rate", "held" or "forwarded".
+    owner: str  # The instance of the last attempt.
+    endpoint: str
+    attempts: int
+    total_ms: int
+    attempt_ms: int  # Since the last attempt was sent.
+    minimum: str  # The position that the session has seen.
+    term: int  # Of the group, as the entry knows it.
+    sample_age_ms: int  # Of the endpoint's position.
+    tokens: float
+    share_age_ms: int  # Since the allocator renewed the share.
+    waiting: int  # Requests that wait for a token here.
+    configuration: int
+    configuration_age_ms: int
+
+
+@frozen
+class RequestAnswered(RequestEvent):
+    """A request's result went to its caller."""
+
+    weight = Weight.SUCCESS
+
+
+@frozen
+class RequestRetried(RequestEvent):
+    """An attempt failed, and the request goes on."""
+
+    weight = Weight.REFUSAL
+    problem: str
+    outcome: str
+    detail: str
+
+
+@frozen
+class RequestRefused(RequestEvent):
+    """A request ended without a result."""
+
+    weight = Weight.REFUSAL
+    problem: str
+    outcome: str
+    detail: str
+    retry_after_ms: int
+
+
+@frozen
+class RequestDenied(Event):
+    """A request was refused before a token was spent on it."""
+
+    weight = Weight.REFUSAL
+    request: str
+    problem: str
+    outcome: str
+    detail: str
+    configuration: int
+    configuration_age_ms: int
+
+
+@frozen
+class WorkRefused(Event):
+    """The owner of an endpoint did not carry out a forwarded request."""
+
+    weight = Weight.REFUSAL
+    request: str
+    entry: str
+    workspace: str
+    endpoint: str
+    step: str  # What ran last; empty if nothing did.
+    total_ms: int
+    queued: int
+    running: int
+    entry_term: int  # Of the group, as the entry and the owner know it.
+    term: int
+    problem: str
+    outcome: str
+    detail: str
+
+
+# --- Statements of sessions that are connections
 
 
 @frozen
@@ -323,6 +412,14 @@
     error: str
 
 
+@frozen
+class DescriptorLimitLow(Event):
+    """The process may not open as many connections as are configured."""
+
+    limit: int
+    needed: int
+
+
 @frozen
 class SettingsReloaded(Event):
     """The settings were read again."""
--- a/pimentodrift/logs.py
+++ b/pimentodrift/logs.py
@@ -1,22 +1,10 @@
-"""Writes changes of state as JSON lines on standard error, in eliot's format."""
-
-import sys
+"""Passes what the core has noted by name on to eliot; `event_log` writes the lines."""
 
 import eliot  # type: ignore[import-untyped]
 
 from .tables import State
 
 
-def start_logging() -> None:
-    """Send log messages to standard error."""
-    eliot.to_file(sys.stderr)
-
-
-def log_event(name: str, **fields: object) -> None:
-    """Write one line."""
-    eliot.log_message(message_type=f"pimentodrift:{name}", **fields)
-
-
 def write_events(state: State) -> None:
     """Write the events that the core has noted since the last call."""
     events, state.events = state.events, []
--- a/pimentodrift/messages.py
+++ b/pimentodrift/messages.py
@@ -136,6 +136,7 @@
     transaction: str = ""
     primary_only: bool = False
     values: tuple[tuple[str, str], ...] = ()  # Of the session, by name.
+    request_id: str = ""  # For the log.
 
 
 @frozen
@@ -360,6 +361,7 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    request_id: str = ""  # The caller's own or the server's, for the log.
 
 
 @frozen
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -10,7 +10,7 @@
 
 from . import membership, restoration
 from .dispatch import handle
-from .session_events import EndpointAnswers, EndpointFailing
+from .log_events import EndpointAnswers, EndpointFailing
 from .session_messages import (
     ClosePooled,
     ConnectionAssigned,
--- a/pimentodrift/process.py
+++ b/pimentodrift/process.py
@@ -3,14 +3,18 @@
 circuits events are used at the edges only: signals, start and stop.
 """
 
+import sys
 from random import Random, SystemRandom
 from resource import RLIMIT_NOFILE, getrlimit
+from time import monotonic
 from typing import Any
 
 from circuits import BaseComponent, handler
 
 from .clock import SystemClock
-from .logs import log_event, start_logging, write_events
+from .event_log import EventLog, open_log
+from .log_events import DescriptorLimitLow, Started, StartFailed, Stopped
+from .logs import write_events
 from .messages import StopRequested
 from .metrics import PERIOD_S, Metrics
 from .runtime import SEED_BITS, tune_garbage_collection
@@ -37,11 +41,11 @@
 
     channel = "instance"
 
-    def __init__(self, state: State) -> None:
+    def __init__(self, state: State, log: EventLog) -> None:
         super().__init__()
         self.state = state
         self.poller = Poller().register(self)
-        self.shell = Shell(state, self.poller, self.begin_exit)
+        self.shell = Shell(state, self.poller, self.begin_exit, log)
         self.exiting = False
         self.has_stopped = False
         self.checks_left = round(EXIT_FLUSH_S / EXIT_CHECK_S)
@@ -51,11 +55,13 @@
 
     @handler("started", channel="*")  # type: ignore[untyped-decorator]
     def _on_started(self, *_: Any) -> None:
-        log_event(
-            "listening",
-            instance=self.state.settings.name,
-            port=self.shell.http.listener.port,
-            peer_port=self.shell.peers.listener.port,
+        host = self.state.settings.listen.rpartition(":")[0]
+        peer_host = self.state.settings.peer_listen.rpartition(":")[0]
+        self.state.note(
+            Started(
+                f"{host}:{self.shell.http.listener.port}",
+                f"{peer_host}:{self.shell.peers.listener.port}",
+            )
         )
 
     @handler("signal", channel="*")  # type: ignore[untyped-decorator]
@@ -91,33 +97,33 @@
         if self.state.settings.statsd:
             self.send_metrics()
         self.shell.close()
-        log_event("stopped", instance=self.state.settings.name)
+        self.state.note(Stopped())
+        self.shell.write_log()
         self.has_stopped = True
         self.stop()
 
 
 def run(settings: Settings) -> int:
     """Run an instance until it has stopped; return the exit status."""
-    start_logging()
-    check_descriptor_limit(settings)
+    log = open_log(settings.name, sys.stdout.fileno(), monotonic)
+    check_descriptor_limit(settings, log)
     seed = SystemRandom().getrandbits(SEED_BITS)
     state = State(settings, SystemClock(), Random(seed))
     try:
-        instance = Instance(state)
+        instance = Instance(state, log)
     except OSError as error:
-        log_event("start_failed", instance=settings.name, error=str(error))
+        log.write([StartFailed(str(error))])
         return 1
     tune_garbage_collection()
     instance.run()
     write_events(state)
+    log.write([])
     return 0 if instance.has_stopped else 1
 
 
-def check_descriptor_limit(settings: Settings) -> None:
+def check_descriptor_limit(settings: Settings, log: EventLog) -> None:
     """Log when the process may not open as many connections as are configured."""
     limit = getrlimit(RLIMIT_NOFILE)[0]
     needed = settings.max_connections + OTHER_DESCRIPTORS
     if 0 <= limit < needed:
-        log_event(
-            "descriptor_limit_low", instance=settings.name, limit=limit, needed=needed
-        )
+        log.write([DescriptorLimitLow(limit, needed)])
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -14,6 +14,7 @@
 from . import leadership, membership, peers, pools, registry, view
 from .clock import NEVER
 from .dispatch import handle, handle_peer
+from .log_events import PromotionDecided, PromotionEnded
 from .messages import Position, StoreObject
 from .promotion_messages import (
     PrimaryQuery,
@@ -22,7 +23,6 @@
     PromoteEndpoint,
     PromoteOutcome,
 )
-from .session_events import PromotionDecided, PromotionEnded
 from .session_rows import PromotionRow, RegistryRow
 from .store_writes import StoreOutcome, write, write_ended
 from .tables import State
--- a/pimentodrift/registration.py
+++ b/pimentodrift/registration.py
@@ -13,8 +13,8 @@
 from .kind_messages import (
     WatchedKind,
 )
+from .log_events import InstanceListed, InstanceRemoved
 from .messages import StoreObject
-from .session_events import InstanceListed, InstanceRemoved
 from .store_writes import StoreOutcome, delete, write, write_ended
 from .tables import Presence, State
 
--- a/pimentodrift/registry.py
+++ b/pimentodrift/registry.py
@@ -15,7 +15,7 @@
     apply,
     remove,
 )
-from .session_events import (
+from .log_events import (
     EndpointDropped,
     EndpointRegistered,
     EndpointUnregistered,
--- a/pimentodrift/route_configuration.py
+++ b/pimentodrift/route_configuration.py
@@ -17,8 +17,8 @@
     apply,
     remove,
 )
+from .log_events import ConfigurationApplied, ConfigurationMissing
 from .rate_windows import bucket_for
-from .session_events import ConfigurationApplied, ConfigurationMissing
 from .session_rows import Route, SessionLimits
 from .tables import Configuration, KeyRow, State, WorkspaceRow
 
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -10,7 +10,15 @@
 
 from attrs import evolve
 
-from . import peers, positions, rates, replica_choice, replica_lag, work_limits
+from . import (
+    peers,
+    positions,
+    rates,
+    replica_choice,
+    replica_lag,
+    request_lines,
+    work_limits,
+)
 from .answers import refuse_request, send_result
 from .dispatch import handle, handle_peer
 from .errors import Failure, Outcome, Problem, not_run, unknown
@@ -118,6 +126,7 @@
     now = state.clock.monotonic()
     pending.attempt = state.number()
     pending.attempt_at = now
+    pending.attempts += 1
     pending.instance = route.instance
     pending.endpoint = route.endpoint
     state.attempts[pending.attempt] = pending.request
@@ -140,6 +149,7 @@
         transaction=pending.transaction,
         primary_only=route.primary_only,
         values=tuple(pending.kept.values.items()),
+        request_id=pending.request_id,
     )
     if not peers.send(route.instance, message, state):
         end_attempt(pending, state)
@@ -206,6 +216,7 @@
 def on_failure(pending: PendingRequest, failure: Failure, state: State) -> None:
     """Repeat a request whose attempt failed, or refuse it."""
     pending.tried.add(pending.endpoint)
+    request_lines.retried(pending, failure, state)
     if pending.transaction:
         finish_failure(pending, failure, state)
     elif failure.outcome is Outcome.UNKNOWN:
@@ -276,6 +287,7 @@
     if failure.retry_after is None and failure.problem in RETRYABLE:
         failure = evolve(failure, retry_after=RETRY_AFTER)
     token = None if session is None else Token(session, pending.kept)
+    request_lines.refused(pending, failure, state)
     refuse_request(pending.request, failure, state, token)
 
 
--- a/pimentodrift/session_draining.py
+++ b/pimentodrift/session_draining.py
@@ -7,8 +7,8 @@
 from datetime import timedelta
 
 from . import sessions
+from .log_events import StopComplete
 from .messages import ExitProcess
-from .session_events import StopComplete
 from .session_messages import Phase, StopListening
 from .tables import State
 
--- a/pimentodrift/session_process.py
+++ b/pimentodrift/session_process.py
@@ -18,11 +18,11 @@
 from .clock import SystemClock
 from .edges import DeliverAll, Edge, EdgeShell
 from .event_log import EventLog, open_log
+from .log_events import SettingsReloaded, Started, StartFailed, Stopped
 from .logs import write_events
 from .messages import StopRequested
 from .peer_streams import PeerStreams
 from .runtime import SEED_BITS, tune_garbage_collection
-from .session_events import SettingsReloaded, Started, StartFailed, Stopped
 from .session_messages import SessionClosed, SessionOpened, SessionStatement
 from .settings import Settings
 from .sockets import Poller
@@ -45,18 +45,12 @@
         factories: Sequence[EdgeFactory],
         log: EventLog,
     ) -> None:
-        super().__init__(state, poller, exit_process, session_core, session_core.TICK)
-        self.log = log
+        tick = session_core.TICK
+        super().__init__(state, poller, exit_process, session_core, tick, log)
         self.add(PeerStreams(state, poller, self.deliver_all))
         for factory in factories:
             self.add(factory(state, poller, self.deliver_all))
 
-    def write_log(self) -> None:
-        """Write what the core has noted, within the log's budgets."""
-        super().write_log()
-        events, self.state.typed_events = self.state.typed_events, []
-        self.log.write(events)
-
     def give_up(self, message: object) -> None:
         """Close the session of a client whose message failed inside."""
         if isinstance(message, SessionOpened | SessionStatement):
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -9,6 +9,7 @@
 
 from . import operations, rates
 from .dispatch import handle
+from .log_events import SessionRefused, StatementDenied, TransactionEnded
 from .messages import Access
 from .operation_ends import (
     UNCONFIRMED_RETRY_AFTER,
@@ -17,7 +18,6 @@
     end_transaction,
 )
 from .route_configuration import key_digest
-from .session_events import SessionRefused, StatementDenied, TransactionEnded
 from .session_messages import (
     AcceptSession,
     AnswerStatement,
--- a/pimentodrift/shell.py
+++ b/pimentodrift/shell.py
@@ -5,6 +5,7 @@
 from . import core
 from .edges import SECOND, EdgeShell
 from .endpoint_connections import EndpointConnections
+from .event_log import EventLog
 from .http_server import HttpServer
 from .messages import CallerRequest
 from .peer_streams import PeerStreams
@@ -19,9 +20,13 @@
     """The sockets of an instance around its core."""
 
     def __init__(
-        self, state: State, poller: Poller, exit_process: Callable[[], None]
+        self,
+        state: State,
+        poller: Poller,
+        exit_process: Callable[[], None],
+        log: EventLog,
     ) -> None:
-        super().__init__(state, poller, exit_process, core, core.TICK)
+        super().__init__(state, poller, exit_process, core, core.TICK, log)
         self.http = HttpServer(state, poller, self.deliver_all)
         self.peers = PeerStreams(state, poller, self.deliver_all)
         self.endpoints = EndpointConnections(state, poller, self.deliver_all)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -26,6 +26,7 @@
     WaitingWrite,
 )
 from .kept_sessions import EMPTY, KeptSession
+from .log_events import Event
 from .messages import (
     Access,
     Action,
@@ -37,7 +38,6 @@
     StoreObject,
 )
 from .rate_rows import AllocationRow, ClaimRow, EpochSeen, ShareRow
-from .session_events import Event
 from .session_rows import (
     LeadershipRow,
     OperationRow,
@@ -263,6 +263,9 @@
     durability: Durability = Durability.MAJORITY
     session: dict[str, Position] = field(factory=dict)  # By group.
     kept: KeptSession = EMPTY
+    request_id: str = ""  # For the log.
+    arrived_at: timedelta = NEVER
+    attempts: int = 0
     max_age: timedelta | None = None  # The age that the read accepts.
     admitted: bool = False
     # The attempt in flight; its number is 0 when there is none.
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -241,7 +241,10 @@
         if key:
             headers["authorization"] = f"Bearer {key}"
         content = body if isinstance(body, bytes) else orjson.dumps(body)
-        message = m.CallerRequest(self.next_request, method, path, headers, content)
+        request_id = options.get("request_id", str(self.next_request))
+        message = m.CallerRequest(
+            self.next_request, method, path, headers, content, request_id
+        )
         core.handle(message, self.states[options.get("at", "a")])
         self.pump()
         return self.next_request
--- a/tests/network.py
+++ b/tests/network.py
@@ -10,6 +10,7 @@
 from pimentodrift import core
 from pimentodrift.messages import (
     ClosePeer,
+    ExitProcess,
     ObjectsReceived,
     PeerLost,
     PeerReceived,
@@ -138,6 +139,8 @@
                     self.write(name, message)
                 case ClosePeer():
                     pass
+                case ExitProcess():
+                    self.kill(name)
                 case _:
                     raise TypeError(type(message).__name__)
 
--- a/tests/shell_support.py
+++ b/tests/shell_support.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve, field
 
 from pimentodrift.clock import SystemClock
+from pimentodrift.event_log import quiet_log
 from pimentodrift.messages import CallerAnswer, CallerRequest
 from pimentodrift.process import Instance
 from pimentodrift.shell import Shell
@@ -126,7 +127,7 @@
     state.clock = SystemClock()
     state.random = Random(1)
     state.settings = evolve(state.settings, **settings)  # type: ignore[misc]
-    instance = Instance(state)
+    instance = Instance(state, quiet_log(state))
     core = StubCore()
     instance.shell.core = core
     try:
--- a/tests/test_operations_walks.py
+++ b/tests/test_operations_walks.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pimentodrift.session_events import BUILT_IN, event_name
+from pimentodrift.log_events import BUILT_IN, event_name
 
 from .test_platform_system import KEY, ROOT, Client, System, system, wait_for
 
@@ -151,7 +151,7 @@
     named = set(re.findall(r"\b[a-z]+(?:_[a-z]+)+\b", section))
     fields = {
         "message_type",
-        "session_events",
+        "log_events",
         "stage_ms",
         "total_ms",
         "sample_age_ms",
--- a/tests/test_shell_http.py
+++ b/tests/test_shell_http.py
@@ -1,5 +1,6 @@
 """Limits, order and closing of callers' connections."""
 
+import re
 from datetime import timedelta
 
 import pytest
@@ -235,3 +236,20 @@
     sent = GET.replace(b"\r\n\r\n", b"\r\nAuthorization: a\r\nauthorization: b\r\n\r\n")
     (request,) = parser.feed(sent)
     assert request.headers["authorization"] == "a, b"
+
+
+@pytest.mark.parametrize(
+    ("given", "is_kept"),
+    [(b"order-17", True), (b"x" * 128, True), (b"x" * 129, False), (b"a b", False)],
+)
+def test_each_answer_names_its_request(given: bytes, is_kept: bool) -> None:
+    """Guards against answers whose log lines nobody can find."""
+    with running() as rig:
+        request = GET.replace(b"Host: a", b"Host: a\r\nRequest-Id: " + given)
+        client = rig.call(request + GET)
+        client.until(b"\r\n\r\n", 2)
+        ids = re.findall(rb"Request-Id: ([^\r]*)\r", client.received)
+        assert len(ids) == 2 and len(set(ids)) == 2
+        assert (ids[0] == given) == is_kept
+        sent = [request.request_id.encode() for request in take_requests(rig)]
+        assert sent == ids
