Split messages, tables, sockets and log events by what they are for

Messages between instances and inside the core, the owner's rows, the timers and the events of requests have modules of their own; no behaviour changes.

--- a/bench/slopes_calls.py
+++ b/bench/slopes_calls.py
@@ -7,14 +7,8 @@
 from pimentodrift import core, heartbeats, membership, rates, view
 from pimentodrift.allocation import balance
 from pimentodrift.dispatch import handle_peer
-from pimentodrift.messages import (
-    Ping,
-    Pong,
-    StoreObject,
-    StoreWritten,
-    Subscribe,
-    WriteStore,
-)
+from pimentodrift.messages import StoreObject, StoreWritten, WriteStore
+from pimentodrift.peer_messages import Ping, Pong, Subscribe
 from pimentodrift.store_writes import StoreOutcome, write, write_ended
 from pimentodrift.tables import State
 
--- a/bench/slopes_core.py
+++ b/bench/slopes_core.py
@@ -11,11 +11,8 @@
 from pimentodrift import configuration, core, membership, rates
 from pimentodrift.allocator_claims import take_over
 from pimentodrift.dispatch import handle_peer
-from pimentodrift.messages import (
-    Epoch,
-    ShareReport,
-    StoreObject,
-)
+from pimentodrift.messages import StoreObject
+from pimentodrift.peer_messages import Epoch, ShareReport
 from pimentodrift.rate_rows import ClaimRow
 from pimentodrift.tables import State, SubscriberRow
 
--- a/bench/slopes_wire.py
+++ b/bench/slopes_wire.py
@@ -1,12 +1,11 @@
 """Bytes on the wire of control messages for `bench.slopes`."""
 
-from pimentodrift.messages import (
+from pimentodrift.messages import PeerMessage, Position
+from pimentodrift.peer_messages import (
     EndpointSample,
     Epoch,
-    PeerMessage,
     Ping,
     Pong,
-    Position,
     ShareLower,
     ShareLowered,
     ShareRaise,
--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -22,7 +22,7 @@
 )
 from .dispatch import handle_peer
 from .limit_easing import limits_of
-from .messages import (
+from .peer_messages import (
     ShareDenied,
     ShareLower,
     ShareLowered,
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -10,11 +10,8 @@
 
 from . import membership, peers, view
 from .clock import NEVER
-from .messages import (
-    Epoch,
-    ShareRenew,
-    StoreObject,
-)
+from .messages import StoreObject
+from .peer_messages import Epoch, ShareRenew
 from .rate_rows import AllocationRow, ClaimRow, EpochSeen
 from .rates import holds_all, is_usable
 from .store_writes import StoreOutcome, write, write_ended
--- a/pimentodrift/configuration.py
+++ b/pimentodrift/configuration.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from .dispatch import handle
-from .messages import ConfigurationChanged, Durability
+from .messages import Durability
+from .notices import ConfigurationChanged
 from .tables import Configuration, KeyRow, OpenRoute, State, WorkspaceRow
 
 KEY_ID_LENGTH = 12  # Hex digits; names a key in messages, logs and dumps.
--- a/pimentodrift/connections.py
+++ b/pimentodrift/connections.py
@@ -10,17 +10,20 @@
     EndpointAnswered,
     EndpointClosed,
     EndpointOpened,
-    MonitorAnswered,
-    MonitorConnectionLost,
-    MonitorConnectionReady,
     OpenEndpoint,
     RunBatch,
     Statement,
+)
+from .notices import (
+    MonitorAnswered,
+    MonitorConnectionLost,
+    MonitorConnectionReady,
     WorkAnswered,
     WorkConnectionLost,
     WorkConnectionReady,
 )
-from .tables import ConnectionPurpose, ConnectionRow, State
+from .tables import State
+from .work_rows import ConnectionPurpose, ConnectionRow
 
 
 def open_connection(endpoint: str, purpose: ConnectionPurpose, state: State) -> int:
--- a/pimentodrift/detection.py
+++ b/pimentodrift/detection.py
@@ -11,7 +11,7 @@
 from .dispatch import handle_peer
 from .failover_rows import ProbeRow
 from .membership import contact, group_endpoints, owns, usable
-from .messages import GroupChanged, ProbeQuery, ProbeReport
+from .peer_messages import GroupChanged, ProbeQuery, ProbeReport
 from .reservations import own_term
 from .tables import GroupRow, Presence, State
 
--- a/pimentodrift/dispatch.py
+++ b/pimentodrift/dispatch.py
@@ -2,7 +2,8 @@
 
 from functools import singledispatch
 
-from .messages import Notice, PeerMessage, PeerReceived
+from .messages import PeerMessage, PeerReceived
+from .notices import Notice
 from .tables import State
 
 
--- a/pimentodrift/draining.py
+++ b/pimentodrift/draining.py
@@ -9,7 +9,8 @@
 from . import peers
 from .dispatch import handle, handle_peer
 from .heartbeats import audience
-from .messages import ExitProcess, Leaving, StopRequested
+from .messages import ExitProcess, StopRequested
+from .peer_messages import Leaving
 from .tables import Presence, State
 
 # The load balancer checks /readyz about once a second.
--- a/pimentodrift/endpoint_checks.py
+++ b/pimentodrift/endpoint_checks.py
@@ -7,8 +7,8 @@
 from .database_group import EndpointStatus, MalformedAnswer, Role, parse_status
 from .errors import Failure, Problem, not_run
 from .messages import Position, StatementResult
-from .tables import WorkRow
 from .tokens import reaches
+from .work_rows import WorkRow
 
 
 def readable_status(result: StatementResult) -> EndpointStatus | None:
--- a/pimentodrift/endpoint_connections.py
+++ b/pimentodrift/endpoint_connections.py
@@ -26,8 +26,9 @@
     RunBatch,
     StatementResult,
 )
-from .sockets import Poller, Timer, parse_address
+from .sockets import Poller, parse_address
 from .tables import State
+from .timers import Timer
 
 CONNECT_TIMEOUT_S = 2.0
 WANTED_EVENTS: dict[int, int] = {
--- a/pimentodrift/event_log.py
+++ b/pimentodrift/event_log.py
@@ -15,7 +15,8 @@
 import orjson
 from attrs import define, field
 
-from .log_events import Event, LinesLeftOut, Weight, event_name
+from .log_events import LinesLeftOut
+from .log_lines import Event, Weight, event_name
 from .tables import State
 
 # Lines a second by weight. An instance serves some dozens of statements a second; a
--- a/pimentodrift/execution.py
+++ b/pimentodrift/execution.py
@@ -18,20 +18,11 @@
 from .dispatch import handle
 from .endpoint_checks import check_primary, check_status, readable_status
 from .errors import Failure, Problem, not_run, unknown
-from .messages import (
-    Access,
-    Position,
-    Ran,
-    Reply,
-    SlotReleased,
-    Statement,
-    StatementResult,
-    WorkAnswered,
-    WriteAcknowledged,
-    WriteUnconfirmed,
-)
+from .messages import Access, Position, Ran, Statement, StatementResult
+from .notices import SlotReleased, WorkAnswered, WriteAcknowledged, WriteUnconfirmed
+from .peer_messages import Reply
 from .statement_errors import ambiguous, failure_of
-from .tables import State, Step, WorkRow
+from .tables import State
 from .work_batches import (
     Results,
     Segments,
@@ -41,6 +32,7 @@
     visible_results,
     with_values,
 )
+from .work_rows import Step, WorkRow
 
 BEGIN = Statement("BEGIN")
 # A caller may call a write a read; reads are repeated, and run on replicas too.
--- a/pimentodrift/failover.py
+++ b/pimentodrift/failover.py
@@ -25,8 +25,10 @@
 from .failover_rows import Channel, FailoverRow, Stage
 from .heartbeats import audience
 from .membership import group_endpoints, learn_primary
-from .messages import Durability, GroupChanged, PrimaryChanged
+from .messages import Durability
 from .monitoring import Batch, Results, job_ended, rows_of
+from .notices import PrimaryChanged
+from .peer_messages import GroupChanged
 from .rejoining import follow, rejoin_row
 from .replication import required
 from .reservations import own_term
--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -9,15 +9,9 @@
 from .dispatch import handle, handle_peer
 from .failover_rows import ContactRow
 from .membership import contact, hear, heard, owned, recheck, suspect, usable
-from .messages import (
-    ClosePeer,
-    EndpointSample,
-    Hello,
-    InstanceDown,
-    Ping,
-    Pong,
-    SendPeer,
-)
+from .messages import ClosePeer, SendPeer
+from .notices import InstanceDown
+from .peer_messages import EndpointSample, Hello, Ping, Pong
 from .rejoining import is_readable
 from .tables import EndpointRow, InstanceRow, State
 
--- a/pimentodrift/http_connections.py
+++ b/pimentodrift/http_connections.py
@@ -13,8 +13,9 @@
 import orjson
 from attrs import define
 
-from .sockets import Poller, Stream, Timer, connect
+from .sockets import Poller, Stream, connect
 from .tables import State
+from .timers import Timer
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -10,7 +10,8 @@
 from .clock import NEVER
 from .dispatch import handle
 from .failover_rows import ContactRow
-from .messages import PrimaryChanged, StoreObject
+from .messages import StoreObject
+from .notices import PrimaryChanged
 from .rendezvous import (
     first,
     heaviest_few,
--- a/pimentodrift/monitoring.py
+++ b/pimentodrift/monitoring.py
@@ -14,15 +14,10 @@
 from .database_group import MalformedAnswer
 from .dispatch import handle
 from .failover_rows import Channel, MonitorRow
-from .messages import (
-    MonitorAnswered,
-    MonitorConnectionLost,
-    MonitorConnectionReady,
-    Rows,
-    Statement,
-    StatementResult,
-)
-from .tables import ConnectionPurpose, State
+from .messages import Rows, Statement, StatementResult
+from .notices import MonitorAnswered, MonitorConnectionLost, MonitorConnectionReady
+from .tables import State
+from .work_rows import ConnectionPurpose
 
 # Ten status intervals; shorter times would reopen connections at brief stalls.
 IDLE_TIME = timedelta(seconds=1)
--- a/pimentodrift/operation_ends.py
+++ b/pimentodrift/operation_ends.py
@@ -6,7 +6,7 @@
 from . import pools, view
 from .clock import NEVER
 from .dispatch import handle
-from .log_events import (
+from .request_events import (
     StatementAnswered,
     StatementLate,
     StatementRefused,
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -8,9 +8,9 @@
 
 from . import leadership, pools, restoration
 from .dispatch import handle
-from .log_events import TransactionEnded
 from .messages import Access, Position
 from .operation_ends import answer, denial, end_transaction, refuse, retried, send
+from .request_events import TransactionEnded
 from .session_messages import (
     NOT_RUN,
     ApplyStep,
--- a/pimentodrift/peer_streams.py
+++ b/pimentodrift/peer_streams.py
@@ -16,19 +16,12 @@
 from .edges import Performers
 from .errors import Problem, unknown
 from .listeners import listen
-from .messages import (
-    ClosePeer,
-    Forward,
-    Hello,
-    PeerLost,
-    PeerMessage,
-    PeerReceived,
-    Reply,
-    SendPeer,
-)
+from .messages import ClosePeer, PeerLost, PeerMessage, PeerReceived, SendPeer
 from .peer_codec import MAX_MESSAGE_BYTES, PeerCodec, PeerCodecError, make_unpacker
-from .sockets import Poller, Stream, Timer, connect
+from .peer_messages import Forward, Hello, Reply
+from .sockets import Poller, Stream, connect
 from .tables import State
+from .timers import Timer
 
 CONNECT_TIMEOUT_S = 0.5
 # A peer that leaves this much unread is given up.
--- a/pimentodrift/peers.py
+++ b/pimentodrift/peers.py
@@ -2,7 +2,8 @@
 
 from .dispatch import handle, handle_peer
 from .membership import suspect
-from .messages import InstanceDown, PeerLost, PeerMessage, SendPeer
+from .messages import PeerLost, PeerMessage, SendPeer
+from .notices import InstanceDown
 from .tables import State
 
 
--- a/pimentodrift/queueing.py
+++ b/pimentodrift/queueing.py
@@ -13,16 +13,11 @@
 from . import work_connections as pool
 from .dispatch import handle, handle_peer
 from .errors import Failure, Problem, not_run
-from .messages import (
-    Access,
-    Action,
-    Cancel,
-    Forward,
-    SlotReleased,
-    WorkConnectionLost,
-    WorkConnectionReady,
-)
-from .tables import EndpointQueue, EndpointRow, Presence, State, WorkRow
+from .messages import Access, Action
+from .notices import SlotReleased, WorkConnectionLost, WorkConnectionReady
+from .peer_messages import Cancel, Forward
+from .tables import EndpointRow, Presence, State
+from .work_rows import EndpointQueue, WorkRow
 
 MAX_QUEUED = 256  # Requests of a workspace at an endpoint.
 RETRY_AFTER = timedelta(seconds=1)
--- a/pimentodrift/rate_rows.py
+++ b/pimentodrift/rate_rows.py
@@ -9,12 +9,7 @@
 from attrs import define, field
 
 from .clock import NEVER
-from .messages import (
-    Epoch,
-    ShareLower,
-    ShareLowered,
-    ShareRaise,
-)
+from .peer_messages import Epoch, ShareLower, ShareLowered, ShareRaise
 
 
 @define
--- a/pimentodrift/rate_waiters.py
+++ b/pimentodrift/rate_waiters.py
@@ -4,7 +4,7 @@
 
 from .dispatch import handle
 from .errors import Failure
-from .messages import Admitted, Refused
+from .notices import Admitted, Refused
 from .tables import State
 
 
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -14,10 +14,9 @@
 from . import membership, peers, view
 from .dispatch import handle, handle_peer
 from .errors import Problem, not_run
-from .messages import (
-    Admitted,
+from .notices import Admitted, Refused
+from .peer_messages import (
     Epoch,
-    Refused,
     ShareDenied,
     ShareLower,
     ShareLowered,
--- a/pimentodrift/registry.py
+++ b/pimentodrift/registry.py
@@ -15,11 +15,7 @@
     apply,
     remove,
 )
-from .log_events import (
-    EndpointDropped,
-    EndpointRegistered,
-    EndpointUnregistered,
-)
+from .log_events import EndpointDropped, EndpointRegistered, EndpointUnregistered
 from .session_rows import EndpointRole, PoolRow, RegisteredEndpoint, RegistryRow
 from .tables import State
 
--- a/pimentodrift/replication.py
+++ b/pimentodrift/replication.py
@@ -22,8 +22,9 @@
 from .errors import Problem, unknown
 from .failover_rows import Channel, WaitingWrite
 from .membership import group_endpoints
-from .messages import Durability, Position, WriteAcknowledged, WriteUnconfirmed
+from .messages import Durability, Position
 from .monitoring import Batch, Results, job_ended, rows_of
+from .notices import WriteAcknowledged, WriteUnconfirmed
 from .tables import State
 
 # A reading takes one round trip; a primary that is slower than this is not usable.
--- a/pimentodrift/request_lines.py
+++ b/pimentodrift/request_lines.py
@@ -5,14 +5,15 @@
 
 from . import view
 from .errors import Failure
-from .log_events import (
+from .request_events import (
     RequestAnswered,
     RequestDenied,
     RequestRefused,
     RequestRetried,
     WorkRefused,
 )
-from .tables import EndpointQueue, PendingRequest, State, WorkRow
+from .tables import PendingRequest, State
+from .work_rows import EndpointQueue, WorkRow
 
 MILLISECOND = timedelta(milliseconds=1)
 
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -22,18 +22,9 @@
 from .answers import refuse_request, send_result
 from .dispatch import handle, handle_peer
 from .errors import Failure, Outcome, Problem, not_run, unknown
-from .messages import (
-    Access,
-    Action,
-    Cancel,
-    ConfigurationChanged,
-    Forward,
-    InstanceDown,
-    Position,
-    PrimaryChanged,
-    Ran,
-    Reply,
-)
+from .messages import Access, Action, Position, Ran
+from .notices import ConfigurationChanged, InstanceDown, PrimaryChanged
+from .peer_messages import Cancel, Forward, Reply
 from .replica_choice import START, Route, session_minimum
 from .tables import PendingRequest, State
 from .tokens import Session, Token, merge, reaches
--- a/pimentodrift/scheduling.py
+++ b/pimentodrift/scheduling.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 
 from .messages import Access
-from .tables import EndpointQueue, State, WorkRow
+from .tables import State
+from .work_rows import EndpointQueue, WorkRow
 
 INITIAL_COST = 0.005  # Seconds, until a workspace has an average.
 AVERAGE_WEIGHT = 0.1  # Of the newest value in the moving average.
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -9,7 +9,6 @@
 
 from . import operations, rates
 from .dispatch import handle
-from .log_events import SessionRefused, StatementDenied, TransactionEnded
 from .messages import Access
 from .operation_ends import (
     UNCONFIRMED_RETRY_AFTER,
@@ -17,6 +16,7 @@
     denial,
     end_transaction,
 )
+from .request_events import SessionRefused, StatementDenied, TransactionEnded
 from .route_configuration import key_digest
 from .session_messages import (
     AcceptSession,
--- a/pimentodrift/share_moves.py
+++ b/pimentodrift/share_moves.py
@@ -8,11 +8,7 @@
 from datetime import timedelta
 
 from . import peers
-from .messages import (
-    ShareDenied,
-    ShareLower,
-    ShareRaise,
-)
+from .peer_messages import ShareDenied, ShareLower, ShareRaise
 from .rate_rows import AllocationRow, HoldingRow
 from .rates import REFILL_WAIT
 from .tables import Presence, State, WorkspaceRow
--- a/pimentodrift/sockets.py
+++ b/pimentodrift/sockets.py
@@ -1,4 +1,4 @@
-"""The poller, its timers, and non-blocking streams for all users of sockets.
+"""The poller and non-blocking streams for all users of sockets.
 
 `Poller` is the circuits EPoll component with one difference: it calls the owner of a
 ready descriptor directly instead of firing an event, because events cost more than
@@ -12,8 +12,6 @@
 from collections.abc import Callable
 from errno import EAGAIN, ECONNREFUSED, EINPROGRESS, EINVAL, ENOENT
 from functools import lru_cache
-from heapq import heappop, heappush
-from itertools import count
 from select import EPOLLERR, EPOLLHUP, EPOLLIN, EPOLLOUT, EPOLLRDHUP
 from time import monotonic
 from typing import Any, Protocol
@@ -21,9 +19,8 @@
 from attrs import define, field
 from circuits.core.pollers import EPoll
 
-# The longest time inside one circuits event; queued events, signals among them, end it
-# earlier. With 20 ms instead, an idle instance took 1.1% of a core and not 0.6%.
-SLICE_S = 1.0
+from .timers import SLICE_S, Timers
+
 READ_BYTES = 64 * 1024
 # Output above this pauses the sources of more output.
 HIGH_WATER_BYTES = 256 * 1024
@@ -63,52 +60,6 @@
         """Handle the loss of the stream; not called after `close`."""
 
 
-@define(order=False, eq=False)
-class Timer:
-    """A call at a monotonic time, unless cancelled."""
-
-    call: Callable[[], None] | None
-
-    def cancel(self) -> None:
-        """Drop the call."""
-        self.call = None
-
-
-@define(eq=False)
-class Timers:
-    """Calls at monotonic times (seconds)."""
-
-    heap: list[tuple[float, int, Timer]] = field(factory=list)
-    numbers: "count[int]" = field(factory=count)
-
-    def later(self, delay_s: float, call: Callable[[], None]) -> Timer:
-        """Make a call after a delay."""
-        timer = Timer(call)
-        heappush(self.heap, (monotonic() + delay_s, next(self.numbers), timer))
-        return timer
-
-    def every(self, period_s: float, call: Callable[[], None]) -> None:
-        """Make a call periodically; a late call does not make the next one late."""
-        due = monotonic() + period_s
-
-        def run() -> None:
-            nonlocal due
-            due = max(due + period_s, monotonic())
-            heappush(self.heap, (due, next(self.numbers), Timer(run)))
-            call()
-
-        heappush(self.heap, (due, next(self.numbers), Timer(run)))
-
-    def run_due(self, now: float) -> float:
-        """Make the calls that are due and return the time of the next one."""
-        heap = self.heap
-        while heap and heap[0][0] <= now:
-            timer = heappop(heap)[2]
-            if timer.call is not None:
-                timer.call()
-        return heap[0][0] if heap else now + SLICE_S
-
-
 class Poller(EPoll):
     """Call the owners of ready descriptors and the due timers."""
 
--- a/pimentodrift/token_grants.py
+++ b/pimentodrift/token_grants.py
@@ -17,7 +17,7 @@
 from . import peers, rates
 from .dispatch import handle_peer
 from .limit_easing import limits_of, surplus
-from .messages import ShareGrant, ShareReport
+from .peer_messages import ShareGrant, ShareReport
 from .rate_rows import AllocationRow, HoldingRow
 from .tables import State, WorkspaceRow
 
--- a/pimentodrift/transactions.py
+++ b/pimentodrift/transactions.py
@@ -34,10 +34,12 @@
     roll_back,
     run,
 )
-from .messages import Action, Position, Ran, Rows, SlotReleased
+from .messages import Action, Position, Ran, Rows
+from .notices import SlotReleased
 from .statement_errors import failure_of
-from .tables import EndpointQueue, State, Step, TransactionRow, WorkRow
+from .tables import State
 from .work_batches import Results, set_values, with_values
+from .work_rows import EndpointQueue, Step, TransactionRow, WorkRow
 
 IDLE_LIMIT = timedelta(seconds=5)
 # How long an ended transaction is remembered, to tell its caller that it has ended.
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -15,14 +15,8 @@
 
 from . import configuration, membership, peers
 from .dispatch import handle, handle_peer
-from .messages import (
-    ObjectsReceived,
-    SendPeer,
-    StoreObject,
-    Subscribe,
-    ViewUpdate,
-    WatchStore,
-)
+from .messages import ObjectsReceived, SendPeer, StoreObject, WatchStore
+from .peer_messages import Subscribe, ViewUpdate
 from .rendezvous import newest_version
 from .tables import InstanceRow, State, SubscriberRow
 
--- a/pimentodrift/work_batches.py
+++ b/pimentodrift/work_batches.py
@@ -9,7 +9,8 @@
 
 from .kept_sessions import setting_statement
 from .messages import Statement, StatementResult
-from .tables import State, TransactionRow, WorkRow
+from .tables import State
+from .work_rows import TransactionRow, WorkRow
 
 # Drops settings, temporary tables and locks that a statement may have left behind.
 DISCARD_ALL = Statement("DISCARD ALL")
--- a/pimentodrift/work_connections.py
+++ b/pimentodrift/work_connections.py
@@ -7,7 +7,8 @@
 from datetime import timedelta
 
 from .connections import close_connection, open_connection
-from .tables import ConnectionPurpose, EndpointQueue, EndpointRow, State
+from .tables import EndpointRow, State
+from .work_rows import ConnectionPurpose, EndpointQueue
 
 RESERVED_CONNECTIONS = 2  # Of an owner's half, for monitoring.
 IDLE_LIMIT = timedelta(seconds=60)
--- a/pimentodrift/work_limits.py
+++ b/pimentodrift/work_limits.py
@@ -5,8 +5,10 @@
 from . import execution, membership, outcomes, queueing, transactions
 from . import work_connections as pool
 from .errors import Problem, not_run, unknown
-from .messages import Access, Action, Durability, Forward, Position
-from .tables import EndpointQueue, State, WorkRow
+from .messages import Access, Action, Durability, Position
+from .peer_messages import Forward
+from .tables import State
+from .work_rows import EndpointQueue, WorkRow
 
 CLEANING_INTERVAL = timedelta(seconds=60)
 CLEANING_TIMEOUT = timedelta(seconds=5)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,7 +15,7 @@
     work_limits,
 )
 from pimentodrift.dispatch import handle
-from pimentodrift.messages import WriteAcknowledged
+from pimentodrift.notices import WriteAcknowledged
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -15,8 +15,10 @@
 
 from pimentodrift import core
 from pimentodrift import messages as m
+from pimentodrift import notices as n
 from pimentodrift.configuration import build
-from pimentodrift.tables import ConnectionRow, EndpointRow, GroupRow, InstanceRow, State
+from pimentodrift.tables import EndpointRow, GroupRow, InstanceRow, State
+from pimentodrift.work_rows import ConnectionRow
 
 from .support import ManualClock, make_state
 
@@ -278,7 +280,7 @@
             group = state.groups["g"]
             group.term, group.primary = term, name
             group.term_starts[term] = start
-            core.handle(m.PrimaryChanged("g"), state)
+            core.handle(n.PrimaryChanged("g"), state)
         self.pump()
 
     def configure(self, keys: dict[str, str]) -> None:
@@ -286,7 +288,7 @@
         for state in self.states.values():
             version = state.configuration.version + 1
             state.configuration = build(str(version), version, [configuration(keys)])
-            core.handle(m.ConfigurationChanged(), state)
+            core.handle(n.ConfigurationChanged(), state)
         self.pump()
 
     def counters(self) -> Counter[str]:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -14,6 +14,7 @@
 
 from pimentodrift import core, replication, view
 from pimentodrift import messages as m
+from pimentodrift import notices as n
 from pimentodrift.dispatch import handle
 from pimentodrift.tables import State
 
@@ -224,9 +225,9 @@
 
     def ended(self, message: object, state: State) -> None:
         """Record the end of a wait for acknowledgment."""
-        if isinstance(message, m.WriteAcknowledged | m.WriteUnconfirmed):
+        if isinstance(message, n.WriteAcknowledged | n.WriteUnconfirmed):
             written = self.writes[(state.settings.name, message.work)]
-            confirmed = isinstance(message, m.WriteAcknowledged)
+            confirmed = isinstance(message, n.WriteAcknowledged)
             (self.acknowledged if confirmed else self.unconfirmed).append(written)
 
     def crash(self, name: str) -> None:
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -8,7 +8,8 @@
 from attrs import define, field
 
 from pimentodrift import core, membership
-from pimentodrift.messages import CallerGone, InstanceDown
+from pimentodrift.messages import CallerGone
+from pimentodrift.notices import InstanceDown
 
 from .entry_support import KEYS, Cluster, make_cluster
 
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -7,15 +7,15 @@
 import pytest
 
 from pimentodrift import core, membership, tokens
-from pimentodrift.log_events import (
-    Event,
+from pimentodrift.log_lines import Event, event_name
+from pimentodrift.messages import CallerGone, EndpointAnswered, Position
+from pimentodrift.notices import InstanceDown
+from pimentodrift.request_events import (
     RequestAnswered,
     RequestDenied,
     RequestRefused,
     WorkRefused,
-    event_name,
 )
-from pimentodrift.messages import CallerGone, EndpointAnswered, InstanceDown, Position
 from pimentodrift.tables import LagRow, Presence
 
 from .entry_support import KEYS, Cluster, make_cluster
--- a/tests/test_entry_scheduling.py
+++ b/tests/test_entry_scheduling.py
@@ -5,8 +5,10 @@
 import pytest
 
 from pimentodrift import scheduling
-from pimentodrift.messages import Access, Action, Forward, Position, Statement
-from pimentodrift.tables import EndpointQueue, State, WorkRow, WorkspaceRow
+from pimentodrift.messages import Access, Action, Position, Statement
+from pimentodrift.peer_messages import Forward
+from pimentodrift.tables import State, WorkspaceRow
+from pimentodrift.work_rows import EndpointQueue, WorkRow
 
 from .entry_support import KEYS, make_cluster
 from .support import make_state
--- a/tests/test_failover_replication.py
+++ b/tests/test_failover_replication.py
@@ -7,6 +7,8 @@
 
 from pimentodrift import core, replication
 from pimentodrift import messages as m
+from pimentodrift import notices as n
+from pimentodrift import peer_messages as p
 from pimentodrift.dispatch import handle
 from pimentodrift.errors import Outcome
 from pimentodrift.failover_rows import Channel
@@ -50,17 +52,17 @@
 
 ALL, MAJORITY = m.Durability.ALL, m.Durability.MAJORITY
 CASES = [
-    (MAJORITY, [("d2", 3, 10), ("d3", 3, 9)], "primary", 3, m.WriteAcknowledged),
+    (MAJORITY, [("d2", 3, 10), ("d3", 3, 9)], "primary", 3, n.WriteAcknowledged),
     (MAJORITY, [("d2", 3, 9), ("d3", 3, 9)], "primary", 3, None),
     (MAJORITY, [("d2", 2, 10)], "primary", 3, None),  # Received in another term.
     (MAJORITY, [("d2", 4, 10)], "primary", 3, None),
     (MAJORITY, [("other", 3, 10)], "primary", 3, None),  # Not in the group.
     (MAJORITY, [("d1", 3, 10)], "primary", 3, None),  # The primary counts once.
-    (MAJORITY, [("d2", 3, 10)], "primary", 4, m.WriteUnconfirmed),
-    (MAJORITY, [("d2", 3, 10)], "fenced", 3, m.WriteUnconfirmed),
-    (MAJORITY, [("d2", 3, 10)], "replica", 3, m.WriteUnconfirmed),
+    (MAJORITY, [("d2", 3, 10)], "primary", 4, n.WriteUnconfirmed),
+    (MAJORITY, [("d2", 3, 10)], "fenced", 3, n.WriteUnconfirmed),
+    (MAJORITY, [("d2", 3, 10)], "replica", 3, n.WriteUnconfirmed),
     (ALL, [("d2", 3, 10)], "primary", 3, None),
-    (ALL, [("d2", 3, 10), ("d3", 3, 11)], "primary", 3, m.WriteAcknowledged),
+    (ALL, [("d2", 3, 10), ("d3", 3, 11)], "primary", 3, n.WriteAcknowledged),
 ]
 
 
@@ -81,9 +83,9 @@
     deadline = state.clock.monotonic() + 1000 * MS
     replication.await_acknowledgment(8, "d1", POSITION, MAJORITY, deadline, state)
     answer(state, [("d2", 3, 10)], "primary", 3)
-    assert ended == [m.WriteAcknowledged(7)]
+    assert ended == [n.WriteAcknowledged(7)]
     answer(state, [("d2", 3, 10)], "primary", 3)
-    assert ended == [m.WriteAcknowledged(7), m.WriteAcknowledged(8)]
+    assert ended == [n.WriteAcknowledged(7), n.WriteAcknowledged(8)]
 
 
 @pytest.mark.parametrize("reason", ["deadline", "term"])
@@ -97,7 +99,7 @@
         state.clock.advance(1000 * MS)
     core.tick(state)
     (message,) = ended
-    assert isinstance(message, m.WriteUnconfirmed)
+    assert isinstance(message, n.WriteUnconfirmed)
     assert message.failure.outcome is Outcome.UNKNOWN
     assert not any(state.waiting_writes.values())
 
@@ -109,8 +111,8 @@
     state.clock.advance(1000 * MS)
     core.membership.apply_instance("b", INSTANCE, state)
     for age, offset, expected in ((50, 5, 5), (100, 9, 5), (20, 7, 7)):
-        sample = m.EndpointSample("d2", False, m.Position(3, offset), age)
-        pong = m.Pong(1, 30, (sample,))
+        sample = p.EndpointSample("d2", False, m.Position(3, offset), age)
+        pong = p.Pong(1, 30, (sample,))
         handle(m.PeerReceived("b", pong), state)
         assert state.endpoints["d2"].position.offset == expected
     assert state.instances["b"].store_age == 30 * MS
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,8 @@
 
 from pimentodrift import membership, rendezvous
 from pimentodrift.dispatch import handle_peer
-from pimentodrift.messages import Pong, StoreObject
+from pimentodrift.messages import StoreObject
+from pimentodrift.peer_messages import Pong
 from pimentodrift.tables import Presence, State
 
 from .support import ManualClock, make_state
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pimentodrift import membership, rates
-from pimentodrift.messages import Admitted, Refused
+from pimentodrift.notices import Admitted, Refused
 from pimentodrift.tables import State
 
 from .network import Network
--- a/tests/test_shell_peers.py
+++ b/tests/test_shell_peers.py
@@ -6,6 +6,7 @@
 from attrs import evolve
 
 from pimentodrift import messages as m
+from pimentodrift import peer_messages as p
 from pimentodrift.dump import dump_state
 from pimentodrift.errors import Problem, unknown
 from pimentodrift.messages import PeerLost, PeerMessage, PeerReceived, SendPeer
@@ -21,7 +22,7 @@
 
 STATEMENT = m.Statement("SELECT $1", (1, "x", None, True, 2.5))
 POSITION = m.Position(1, 2)
-FORWARD = m.Forward(
+FORWARD = p.Forward(
     7,
     "e1",
     "w",
@@ -40,15 +41,15 @@
 @pytest.mark.parametrize(
     "message",
     [
-        m.Hello("a", "r", "d"),
-        m.Ping(1),
-        m.Pong(1, 20, (m.EndpointSample("e", True, POSITION, 5),)),
+        p.Hello("a", "r", "d"),
+        p.Ping(1),
+        p.Pong(1, 20, (p.EndpointSample("e", True, POSITION, 5),)),
         FORWARD,
-        m.Reply(1, m.Ran(ROWS, POSITION, "t", True)),
-        m.Reply(2, unknown(Problem.QUEUE_FULL, "d", timedelta(seconds=1.5))),
-        m.ViewUpdate(3, 0, items=(OBJECT, m.StoreObject("k", "n", 2, None))),
-        m.ShareReport("w", m.Epoch(1, "h"), 1, 2.0, 3.0, 4.0, 5.0),
-        m.GroupChanged("g", 1, "p", {1: 2, 3: 4}),
+        p.Reply(1, m.Ran(ROWS, POSITION, "t", True)),
+        p.Reply(2, unknown(Problem.QUEUE_FULL, "d", timedelta(seconds=1.5))),
+        p.ViewUpdate(3, 0, items=(OBJECT, m.StoreObject("k", "n", 2, None))),
+        p.ShareReport("w", p.Epoch(1, "h"), 1, 2.0, 3.0, 4.0, 5.0),
+        p.GroupChanged("g", 1, "p", {1: 2, 3: 4}),
     ],
 )
 def test_codec_returns_the_message(message: PeerMessage) -> None:
@@ -62,8 +63,8 @@
 def test_codec_accepts_other_versions() -> None:
     """Guards against instances of neighbouring versions that cannot talk."""
     codec = PeerCodec()
-    assert codec.decode(("Pong", (1, 2))) == m.Pong(1, 2)
-    assert codec.decode(("Ping", (1, "later field"))) == m.Ping(1)
+    assert codec.decode(("Pong", (1, 2))) == p.Pong(1, 2)
+    assert codec.decode(("Ping", (1, "later field"))) == p.Ping(1)
 
 
 @pytest.mark.parametrize(
@@ -94,10 +95,10 @@
     with running(name="a") as a, running(name="b") as b:
         link(a, b, FORWARD)
         hello, forward = both(a, b, PeerReceived, 2)
-        assert hello == PeerReceived("a", m.Hello("a", "r1", "r1-1"))
+        assert hello == PeerReceived("a", p.Hello("a", "r1", "r1-1"))
         assert forward == PeerReceived("a", FORWARD)
-        b.perform(SendPeer("a", "127.0.0.1:1", m.Ping(1)))
-        assert both(b, a, PeerReceived) == [PeerReceived("b", m.Ping(1))]
+        b.perform(SendPeer("a", "127.0.0.1:1", p.Ping(1)))
+        assert both(b, a, PeerReceived) == [PeerReceived("b", p.Ping(1))]
         a.shell.peers.dialed["b"].stream.close()
         assert both(a, b, PeerLost) == [PeerLost("a")]
 
@@ -106,19 +107,19 @@
     """Guards against a result that ends the stream of all requests."""
     with running(name="a") as a, running(name="b") as b:
         rows = m.Rows(("a",), (("x" * MAX_MESSAGE_BYTES,),))
-        link(a, b, m.Reply(1, m.Ran(rows, POSITION)))
+        link(a, b, p.Reply(1, m.Ran(rows, POSITION)))
         reply = both(a, b, PeerReceived, 2)[1]
         assert isinstance(reply, PeerReceived)
-        assert isinstance(reply.message, m.Reply)
+        assert isinstance(reply.message, p.Reply)
         assert not isinstance(reply.message.result, m.Ran)
 
 
 def test_messages_at_the_limit_of_size() -> None:
     """Guards against a limit that counts the beginning of the next message."""
     with running(name="a") as a, running(name="b") as b:
-        overhead = len(PeerCodec().encode(m.Leaving(""))) + 4
-        largest = m.Leaving("x" * (MAX_MESSAGE_BYTES - overhead))
-        for message in [largest, largest, m.Ping(1)]:
+        overhead = len(PeerCodec().encode(p.Leaving(""))) + 4
+        largest = p.Leaving("x" * (MAX_MESSAGE_BYTES - overhead))
+        for message in [largest, largest, p.Ping(1)]:
             link(a, b, message)
         received = both(a, b, PeerReceived, 4)
         assert received[1:3] == [PeerReceived("a", largest)] * 2
@@ -130,7 +131,7 @@
         port = b.shell.peers.listener.port
         b.shell.peers.listener.close()
         a.state.outbox.append(SendPeer("b", f"127.0.0.1:{port}", FORWARD))
-        a.perform(SendPeer("b", f"127.0.0.1:{port}", m.Ping(1)))
+        a.perform(SendPeer("b", f"127.0.0.1:{port}", p.Ping(1)))
         a.until(lambda: a.core.of(PeerLost))
         lost = [part for part in a.core.received if isinstance(part, PeerLost)]
         assert lost[0] == PeerLost("b", frozenset({7}), refused=True)
--- a/tests/test_system_publishing.py
+++ b/tests/test_system_publishing.py
@@ -13,8 +13,9 @@
 import pytest
 
 from pimentodrift.keys import new_key
-from pimentodrift.messages import Hello, StoreObject, ViewUpdate
+from pimentodrift.messages import StoreObject
 from pimentodrift.peer_codec import PeerCodec
+from pimentodrift.peer_messages import Hello, ViewUpdate
 
 from .system_support import (
     OK,
