--- a/tests/test_operations_walks.py
+++ b/tests/test_operations_walks.py
@@ -153,6 +153,7 @@
     fields = {
         "message_type",
         "log_events",
+        "request_events",
         "stage_ms",
         "total_ms",
         "sample_age_ms",
