Do not forget what came back before a late report of shares

With reports up to a second late, as on a busy machine, up to a second's rate was forgotten and waiting requests were denied inside the rate. Change: the cap counts what may be unreported.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -124,8 +124,8 @@
     holding = row.holdings.get(sender)
     if holding is None:
         holding = add_holding(row, sender, message, state)
-    holding.heard_at = state.clock.monotonic()
     count_admitted(row, holding, message.admitted, state)
+    holding.heard_at = state.clock.monotonic()
     holding.tokens = message.tokens
     holding.demand = message.demand
     holding.tokens_needed = message.tokens_needed
@@ -186,7 +186,11 @@
     now = state.clock.monotonic()
     elapsed = (now - row.level_at).total_seconds()
     row.level_at = now
-    row.level = min(workspace.burst, row.level + workspace.rate * elapsed)
+    # What admitted requests took may be reported later than what came back since.
+    reported = min(other.heard_at for other in row.holdings.values())
+    unreported = workspace.rate * (now - max(reported, row.taken_at)).total_seconds()
+    most = workspace.burst + max(0.0, unreported)
+    row.level = min(most, row.level + workspace.rate * elapsed)
     if holding.admitted is not None:
         row.level -= max(0, admitted - holding.admitted)
     row.level = max(-workspace.burst, row.level)
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -1,7 +1,8 @@
 """Rate shares under failures: never above rate and burst, and few wrongful refusals."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
+from functools import partial
 from random import Random
 
 import pytest
@@ -76,6 +77,10 @@
 CURRENT: list[Load] = []
 
 
+def choice(names: Sequence[str]) -> str:
+    return CURRENT[-1].network.random.choice(names)
+
+
 @pytest.fixture(autouse=True)
 def outcomes(monkeypatch: pytest.MonkeyPatch) -> None:
     """Collects the outcomes of waiting requests in place of the routing module."""
@@ -363,6 +368,25 @@
     assert load.worst_excess() <= 1e-6
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_late_reports_do_not_deny(seed: int) -> None:
+    """Guards against an allocator that forgets what came back before late reports."""
+    load = make_load(seed=seed, rate=400.0, burst=400.0)
+    load.network.delay = between_regions
+    random = Random(seed)
+    for _ in range(8):
+        stalled = random.choice(NAMES)
+        rest = [name for name in NAMES if name != stalled]
+        load.network.nodes[stalled].paused = True
+        load.offer(
+            360.0, random.choice((0.3, 0.8, 1.2)) * SECOND, partial(choice, rest)
+        )
+        load.network.resume(stalled)
+        load.offer(360.0, 0.7 * SECOND, partial(choice, NAMES))
+    assert load.worst_excess() <= 1e-6
+    assert load.refused == 0
+
+
 class RateMachine(RuleBasedStateMachine):
     """Any failures in any order never admit more than rate and burst."""
 
