Keep the checks of sessions out of instances on the platform

Cause: tables imported kept_sessions and with it expression, which the platform's assembly did not load before: 3 MB and the time to import it at each start. Change: the rows have a module of their own; no behaviour changes. Test: test_an_instance_imports_no_more_than_it_needs, which failed before (expression was loaded).

--- a/pimentodrift/kept_sessions.py
+++ b/pimentodrift/kept_sessions.py
@@ -7,11 +7,12 @@
 
 import re
 
-from attrs import evolve, field, frozen
+from attrs import evolve
 from expression import Error, Ok, Result
 
 from .errors import Failure, Problem, not_run
-from .messages import Access, Statement
+from .kept_rows import KeptSession, PreparedStatement
+from .messages import Statement
 
 # Bound the token, which travels in a request's head of at most 16 KiB.
 MAX_ENTRIES = 16  # Values and prepared statements, each.
@@ -38,27 +39,6 @@
 )
 
 
-@frozen
-class PreparedStatement:
-    """The shape of a statement whose parameters come with each run."""
-
-    text: str
-    access: Access
-
-
-@frozen
-class KeptSession:
-    """The values and prepared statements of a session, by name."""
-
-    values: dict[str, str] = field(factory=dict)
-    statements: dict[str, PreparedStatement] = field(factory=dict)
-
-    def __bool__(self) -> bool:
-        """Return whether there is anything to keep."""
-        return bool(self.values or self.statements)
-
-
-EMPTY = KeptSession()
 Kept = Result[KeptSession, Failure]
 
 
--- a/pimentodrift/session_resource.py
+++ b/pimentodrift/session_resource.py
@@ -13,7 +13,7 @@
 from . import kept_sessions, tokens
 from .caller_requests import json_object, statement_fault
 from .errors import Failure, Problem, not_run
-from .kept_sessions import KeptSession, PreparedStatement
+from .kept_rows import KeptSession, PreparedStatement
 from .messages import Access, CallerRequest
 
 VALUE_FIELDS = {"value"}
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -25,7 +25,7 @@
     StoreWrite,
     WaitingWrite,
 )
-from .kept_sessions import EMPTY, KeptSession
+from .kept_rows import EMPTY, KeptSession
 from .log_lines import Event
 from .messages import Access, Action, Durability, Position, Statement, StoreObject
 from .rate_rows import AllocationRow, ClaimRow, EpochSeen, ShareRow
--- a/pimentodrift/tokens.py
+++ b/pimentodrift/tokens.py
@@ -15,7 +15,7 @@
 
 from . import kept_sessions
 from .errors import Failure, Problem, not_run
-from .kept_sessions import KeptSession, PreparedStatement
+from .kept_rows import EMPTY, KeptSession, PreparedStatement
 from .messages import Access, Position
 
 Session = dict[str, Position]
@@ -29,10 +29,10 @@
     """What a session token says."""
 
     positions: Session = field(factory=dict)
-    kept: KeptSession = kept_sessions.EMPTY
+    kept: KeptSession = EMPTY
 
 
-def encode(session: Session, kept: KeptSession = kept_sessions.EMPTY) -> str:
+def encode(session: Session, kept: KeptSession = EMPTY) -> str:
     """Return the token's text."""
     content: dict[str, object] = {
         group: (at.term, at.offset) for group, at in session.items()
@@ -75,7 +75,7 @@
 def read_kept(content: Any) -> KeptSession:
     """Return what a session keeps; raise ValueError if it may not keep it."""
     values, shapes = content
-    kept = kept_sessions.EMPTY
+    kept = EMPTY
     for name, value in dict(values).items():
         kept = accepted(kept_sessions.with_value(kept, str(name), str(value)))
     for name, (text, access) in dict(shapes).items():
--- a/tests/test_entry_sessions.py
+++ b/tests/test_entry_sessions.py
@@ -5,7 +5,8 @@
 import pytest
 
 from pimentodrift import tokens
-from pimentodrift.kept_sessions import MAX_ENTRIES, KeptSession, PreparedStatement
+from pimentodrift.kept_rows import KeptSession, PreparedStatement
+from pimentodrift.kept_sessions import MAX_ENTRIES
 from pimentodrift.messages import Access, Position
 
 from .entry_support import KEYS, Cluster, make_cluster
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,5 +1,7 @@
 """The translation between the users' platform and the product."""
 
+import os
+import subprocess
 import sys
 from pathlib import Path
 from typing import Any
@@ -276,3 +278,16 @@
     assert isinstance(objects.checked(own, 200, news), KindChecked)
     assert objects.checked(own, 410, None) == CheckExpired(own)
     assert isinstance(objects.checked(own, 503, None), CheckFailed)
+
+
+def test_an_instance_imports_no_more_than_it_needs() -> None:
+    """Guards against a library that only the HTTP interface needs, and its 3 MB."""
+    code = "import sys, adapter.app; print('expression' in sys.modules)"
+    found = subprocess.run(
+        [sys.executable, "-c", code],
+        env={**os.environ, "PYTHONPATH": f"{ROOT / 'platform'}:{ROOT}"},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert found.stdout.strip() == "False"
