Keep the instances of a large fleet listed

Cause: in a fleet of more than 16 instances, no instance hears all others. The one in charge took those that it had no reason to talk to for lost and deleted their objects; each listed itself again a second later.

Change: the fleet is divided into circles of about 32 instances.

--- a/pimentodrift/rendezvous.py
+++ b/pimentodrift/rendezvous.py
@@ -21,6 +21,8 @@
 REVIVE_INTERVAL = timedelta(milliseconds=20)
 # Bounds the memory of the list of additions.
 MAX_ADDED = 4096
+# Instances, on average; bounds the pings that the one in charge answers.
+LARGEST_CIRCLE = 32
 # Winners that may prove unusable before all candidates are looked at.
 MAX_UNUSABLE_WINNERS = 3
 
@@ -145,6 +147,14 @@
     )
 
 
+def circle_of(name: str, state: State) -> list[InstanceRow]:
+    """Return the listed instances of the circle of one of them."""
+    count = -(-len(state.instances) // LARGEST_CIRCLE) or 1
+    number = weight("circle", name) % count
+    rows = state.instances.values()
+    return [row for row in rows if weight("circle", row.name) % count == number]
+
+
 def is_usable(row: InstanceRow, index: Index, state: State) -> bool:
     """Return whether a row is listed and usable; if not, wait for it to be."""
     is_listed = state.instances.get(row.name) is row
--- a/tests/network.py
+++ b/tests/network.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
 from random import Random
+from types import ModuleType
 from typing import Any
 
 from attrs import define, field
@@ -68,6 +69,7 @@
     lose_answers: bool = False
     objects: dict[tuple[str, str], StoreObject] = field(factory=dict)
     version: int = 0
+    core: ModuleType = core  # With the handlers and systems of an instance.
 
     def add(self, name: str, region: str, speed: float = 1.0) -> State:
         settings = Settings(
@@ -112,37 +114,40 @@
         if node.paused:
             node.inbox.append(message)
             return
-        core.handle(message, node.state)
+        self.core.handle(message, node.state)
         self.carry_out(name)
 
     def run(self, duration: timedelta) -> None:
         end = self.time + duration
         while self.time < end:
-            self.time += core.TICK
+            self.time += self.core.TICK
             due = sorted(item for item in self.agenda if item[0] <= self.time)
             self.agenda = [item for item in self.agenda if item[0] > self.time]
             for _, _, action in due:
                 action()
             for name, node in self.nodes.items():
                 if node.alive and not node.paused:
-                    core.tick(node.state)
+                    self.core.tick(node.state)
                     self.carry_out(name)
 
     def carry_out(self, name: str) -> None:
-        for message in core.take_outbox(self.nodes[name].state):
-            match message:
-                case SendPeer():
-                    self.send(name, message)
-                case WatchStore():
-                    self.watch(name, message)
-                case WriteStore():
-                    self.write(name, message)
-                case ClosePeer():
-                    pass
-                case ExitProcess():
-                    self.kill(name)
-                case _:
-                    raise TypeError(type(message).__name__)
+        for message in self.core.take_outbox(self.nodes[name].state):
+            self.perform(name, message)
+
+    def perform(self, name: str, message: object) -> None:
+        match message:
+            case SendPeer():
+                self.send(name, message)
+            case WatchStore():
+                self.watch(name, message)
+            case WriteStore():
+                self.write(name, message)
+            case ClosePeer():
+                pass
+            case ExitProcess():
+                self.kill(name)
+            case _:
+                raise TypeError(type(message).__name__)
 
     def send(self, sender: str, message: SendPeer) -> None:
         target = message.instance
