Let instances follow the product's objects through relays on the users' platform

Change: two instances of each data centre watch the product's objects and check that the copies are current, as on the product's own interface; the others subscribe to one of them. An update also tells the revision of the last change of the configuration that the relay knows, so that it confirms a follower's own copy of it. A follower whose relay is silent for 1.5 s or has not been confirmed for as long asks the store itself. Watches that fail wait up to 1.5 s, or until a check succeeds; changes within 50 ms share an answer.

Ruled out: sending the configuration through relays (it may have a megabyte, some links have 5 Mbit/s); reading with stale answers.

--- a/pimentodrift/kind_messages.py
+++ b/pimentodrift/kind_messages.py
@@ -14,6 +14,11 @@
     OWN = "own"  # Objects of the product itself.
 
 
+def stored_name(kind: str, name: str) -> str:
+    """Return the name under which an object of the product is stored."""
+    return f"{kind}.{name}"
+
+
 @frozen
 class Gone:
     """The object was deleted."""
--- /dev/null
+++ b/pimentodrift/kind_rows.py
@@ -0,0 +1,97 @@
+"""The copies of a store's kinds and how old they are.
+
+A copy is confirmed by the store's answer to this instance, or by a relay that tells
+the revision of the last change and for how long it may have missed a later one.
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from attrs import define, field
+
+from .clock import NEVER
+from .kind_messages import Entry, WatchedKind, stored_name
+from .messages import StoreObject
+from .tables import State
+
+CONFIRMING = (WatchedKind.CONFIGURATION, WatchedKind.OWN)
+
+
+@define
+class KindRow:
+    """The copy of a kind; `revision` is 0 until a list is complete."""
+
+    kind: WatchedKind
+    revision: int = 0
+    changed_revision: int = 0  # No change after it was known at the confirmation.
+    known: dict[str, Entry] = field(factory=dict)
+    sent_at: timedelta | None = None  # Of the call in progress.
+    next_at: timedelta = NEVER
+    failures: int = 0
+    listed: set[str] = field(factory=set)  # Names of the list in progress.
+    listed_after: str = ""
+    list_began_at: timedelta = NEVER
+    list_revision: int = 0  # Of the first part of the list.
+    confirmed_at: timedelta = NEVER
+    checked_at: timedelta | None = None  # When the check in progress was sent.
+    check_after: timedelta = NEVER  # No check before.
+    is_unchecked: bool = False  # The last check failed.
+    unchecked_at: timedelta = NEVER
+    is_lost: bool = False
+    lost_at: timedelta = NEVER
+
+
+def row_of(kind: WatchedKind, state: State) -> KindRow:
+    """Return the copy of a kind."""
+    row = state.kinds.get(kind)
+    if row is None:
+        row = state.kinds[kind] = KindRow(kind)
+    return row
+
+
+def is_complete(state: State) -> bool:
+    """Return whether every kind has been listed since the start."""
+    return all(row_of(kind, state).revision for kind in WatchedKind)
+
+
+def confirm(row: KindRow, since: timedelta, state: State) -> None:
+    """Record that the copy of a kind was current at `since`.
+
+    The view is as old as the older of the configuration and the product's objects.
+    """
+    row.confirmed_at = max(row.confirmed_at, since)
+    if row.kind is WatchedKind.OWN:
+        state.view.version = max(state.view.version, row.revision)
+    times = [row_of(kind, state).confirmed_at for kind in CONFIRMING]
+    state.view.confirmed_at = max(state.view.confirmed_at, min(times))
+
+
+def configured_at(state: State) -> int:
+    """Return the revision after which no change of the configuration is known."""
+    row = state.kinds.get(WatchedKind.CONFIGURATION)
+    return row.changed_revision if row is not None else 0
+
+
+def learn(items: Iterable[StoreObject], is_all: bool, state: State) -> None:
+    """Note objects of the product that a relay sent; tell whether none was missed."""
+    row = row_of(WatchedKind.OWN, state)
+    for item in items:
+        name = stored_name(item.kind, item.name)
+        if item.value is None:
+            row.known.pop(name, None)
+        else:
+            row.known[name] = Entry(name, item.version, item)
+    if is_all:
+        row.revision = max(row.revision, state.view.version)
+
+
+def confirm_relayed(since: timedelta, configured_at: int, state: State) -> None:
+    """Take over a relay's confirmation.
+
+    At `since`, the relay knew the same objects of the product and no change of the
+    configuration after the revision `configured_at`.
+    """
+    confirm(row_of(WatchedKind.OWN, state), since, state)
+    row = row_of(WatchedKind.CONFIGURATION, state)
+    if row.revision >= configured_at:
+        confirm(row, since, state)
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -11,8 +11,6 @@
 from datetime import timedelta
 from functools import singledispatch
 
-from attrs import define, field
-
 from . import view
 from .clock import NEVER
 from .dispatch import handle
@@ -32,6 +30,7 @@
     WatchedKind,
     WatchKind,
 )
+from .kind_rows import CONFIRMING, KindRow, confirm, row_of
 from .log_events import (
     CheckLost,
     CheckRegained,
@@ -50,33 +49,15 @@
 # A question without a wait confirms that the copies are current. An outage is borne for
 # the configuration's lease less the age of the last confirmation.
 CHECK_INTERVAL = timedelta(milliseconds=700)
-CONFIRMING = (WatchedKind.CONFIGURATION, WatchedKind.OWN)
+# A copy that a relay has confirmed so lately is not checked by this instance too.
+RELAYED_AGE = timedelta(milliseconds=1500)
+# Between two watches of a kind, so that changes in quick succession share an answer.
+WATCH_INTERVAL = timedelta(milliseconds=50)
 MILLISECOND = timedelta(milliseconds=1)
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(milliseconds=500)
-
-
-@define
-class KindRow:
-    """The copy of a kind; `revision` is 0 until a list is complete."""
-
-    kind: WatchedKind
-    revision: int = 0
-    known: dict[str, Entry] = field(factory=dict)
-    sent_at: timedelta | None = None  # Of the call in progress.
-    next_at: timedelta = NEVER
-    failures: int = 0
-    listed: set[str] = field(factory=set)  # Names of the list in progress.
-    listed_after: str = ""
-    list_began_at: timedelta = NEVER
-    list_revision: int = 0  # Of the first part of the list.
-    confirmed_at: timedelta = NEVER
-    checked_at: timedelta | None = None  # When the check in progress was sent.
-    check_after: timedelta = NEVER  # No check before.
-    is_unchecked: bool = False  # The last check failed.
-    unchecked_at: timedelta = NEVER
-    is_lost: bool = False
-    lost_at: timedelta = NEVER
+# A check that succeeds ends the pause of the watches.
+LONGEST_WATCH_PAUSE = timedelta(milliseconds=1500)
 
 
 @singledispatch
@@ -107,35 +88,31 @@
     """Ignore the end of an object that was never used."""
 
 
-def row_of(kind: WatchedKind, state: State) -> KindRow:
-    """Return the copy of a kind."""
-    row = state.kinds.get(kind)
-    if row is None:
-        row = state.kinds[kind] = KindRow(kind)
-    return row
-
-
-def is_complete(state: State) -> bool:
-    """Return whether every kind has been listed since the start."""
-    return all(row_of(kind, state).revision for kind in WatchedKind)
-
-
 def run(state: State) -> None:
-    """Keep one call in progress for each kind."""
-    now = state.clock.monotonic()
+    """Keep the copies current by calls of the store, and by a relay if there is one."""
+    is_led = view.follow_relay(state)
+    view.forget_subscribers(state)
     for kind in WatchedKind:
         row = row_of(kind, state)
-        if row.sent_at is not None or now < row.next_at:
-            continue
-        row.sent_at = now
-        if row.revision:
-            state.outbox.append(WatchKind(kind, row.revision, wait_of(row)))
-        else:
-            if not row.listed_after:
-                row.list_began_at = now
-                row.listed.clear()
-            state.outbox.append(ListKind(kind, row.listed_after))
-    check(row_of(WatchedKind.CONFIGURATION, state), state)
+        if not (is_led and kind is WatchedKind.OWN and row.revision):
+            ask(row, state)
+    if not is_led or view.age(state) > RELAYED_AGE:
+        check(row_of(WatchedKind.CONFIGURATION, state), state)
+
+
+def ask(row: KindRow, state: State) -> None:
+    """Keep one call for a kind in progress."""
+    now = state.clock.monotonic()
+    if row.sent_at is not None or now < row.next_at:
+        return
+    row.sent_at = now
+    if row.revision:
+        state.outbox.append(WatchKind(row.kind, row.revision, wait_of(row)))
+        return
+    if not row.listed_after:
+        row.list_began_at = now
+        row.listed.clear()
+    state.outbox.append(ListKind(row.kind, row.listed_after))
 
 
 def check(row: KindRow, state: State) -> None:
@@ -171,6 +148,14 @@
     apply(entry.content, entry, state)
 
 
+def advance(row: KindRow, message: KindChanged | KindChecked, state: State) -> None:
+    """Take over all changes of a kind up to a revision."""
+    for entry in message.entries:
+        row.changed_revision = max(row.changed_revision, entry.revision)
+        take(entry, row, state)
+    row.revision = max(row.revision, message.revision)
+
+
 def note_unreadable(entry: Entry, row: KindRow, state: State) -> None:
     """Count and log an object that cannot be used."""
     state.counters[f"store.unreadable.{row.kind}"] += 1
@@ -192,18 +177,6 @@
     return sent_at
 
 
-def confirm(row: KindRow, since: timedelta, state: State) -> None:
-    """Record that the copy of a kind was current at `since`.
-
-    The view is as old as the older of the configuration and the product's objects.
-    """
-    row.confirmed_at = max(row.confirmed_at, since)
-    if row.kind is WatchedKind.OWN:
-        state.view.version = max(state.view.version, row.revision)
-    ages = [row_of(kind, state).confirmed_at for kind in CONFIRMING]
-    view.confirm(min(ages), state)
-
-
 @handle.register
 def _(message: KindListed, state: State) -> None:
     row = row_of(message.kind, state)
@@ -218,7 +191,9 @@
         return
     row.listed_after = ""
     # Changes made while the parts were read are watched from the first part on.
-    row.revision = row.list_revision
+    row.revision = row.changed_revision = row.list_revision
+    if row.kind is WatchedKind.OWN:
+        state.view.complete_from = row.list_revision
     for name in [name for name in row.known if name not in row.listed]:
         take(Entry(name, message.revision, Gone()), row, state)
     confirm(row, row.list_began_at, state)
@@ -228,9 +203,8 @@
 def _(message: KindChanged, state: State) -> None:
     row = row_of(message.kind, state)
     sent_at = succeed(row, state)
-    row.revision = max(row.revision, message.revision)
-    for entry in message.entries:
-        take(entry, row, state)
+    row.next_at = max(row.next_at, sent_at + WATCH_INTERVAL)
+    advance(row, message, state)
     confirm(row, sent_at, state)
 
 
@@ -242,11 +216,12 @@
         row.is_unchecked = False
         lost = state.clock.monotonic() - row.unchecked_at
         state.note(CheckRegained(row.kind, lost // MILLISECOND))
-    for entry in message.entries:
-        take(entry, row, state)
+    for other in state.kinds.values():
+        if other.failures:
+            other.next_at = state.clock.monotonic()
     if sent_at is None or not row.revision:
         return
-    row.revision = max(row.revision, message.revision)
+    advance(row, message, state)
     confirm(row, sent_at, state)
     for kind in CONFIRMING:
         other = row_of(kind, state)
@@ -301,7 +276,7 @@
     row.sent_at = None
     row.listed_after = ""
     row.failures += 1
-    pause = min(FIRST_PAUSE * 2 ** min(row.failures, 6), LONGEST_PAUSE)
+    pause = min(FIRST_PAUSE * 2 ** min(row.failures, 6), LONGEST_WATCH_PAUSE)
     # Spreads the return of many instances after an outage.
     row.next_at = now + pause * state.random.uniform(0.5, 1.0)
     state.counters["store.watch_failures"] += 1
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -120,7 +120,8 @@
     `age_ms` is the time since the store last confirmed the relay's copy. `number` is
     that of the subscriber's last `Subscribe`. The items are all changes after `after`
     up to `version`, so a subscriber whose copy is older than `after` has missed some.
-    `version` is 0 while more items follow.
+    `version` is 0 while more items follow. Where the store keeps the configuration
+    apart, the relay knows of no change of it after `configured_at`.
     """
 
     version: int
@@ -128,6 +129,7 @@
     number: int = 0
     after: int = 0
     items: tuple[StoreObject, ...] = ()
+    configured_at: int = 0
 
 
 @frozen(order=True)
--- a/pimentodrift/registration.py
+++ b/pimentodrift/registration.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from . import kind_watch
+from . import kind_rows
 from .kind_messages import WatchedKind
 from .log_events import InstanceListed
 from .messages import StoreObject
@@ -24,7 +24,7 @@
     now = state.clock.monotonic()
     if state.stopping or now < state.registration_at:
         return
-    if not kind_watch.row_of(WatchedKind.OWN, state).revision:
+    if not kind_rows.row_of(WatchedKind.OWN, state).revision:
         return
     settings = state.settings
     value = {
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -10,6 +10,7 @@
     allocation,
     draining,
     heartbeats,
+    kind_rows,
     kind_watch,
     membership,
     operation_steps,
@@ -69,5 +70,5 @@
 
 def is_ready(state: State) -> bool:
     """Return whether the load balancer should send clients here."""
-    is_known = kind_watch.is_complete(state) and state.configuration.version > 0
+    is_known = kind_rows.is_complete(state) and state.configuration.version > 0
     return is_known and is_fresh(state) and not state.stopping
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -70,6 +70,7 @@
 
     version: int = 0
     objects: dict[tuple[str, str], StoreObject] = field(factory=dict)
+    complete_from: int = 0  # Deletions before this version may be unknown.
     confirmed_at: timedelta = NEVER  # When the store last confirmed the copy.
     watch_sent_at: timedelta | None = None  # Of the watch in progress.
     watch_after: timedelta = NEVER  # No watch before this time.
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
-from . import configuration, membership, peers
+from . import configuration, kind_rows, membership, peers
 from .dispatch import handle, handle_peer
 from .messages import ObjectsReceived, SendPeer, StoreObject, WatchStore
 from .peer_messages import Subscribe, ViewUpdate
@@ -141,6 +141,13 @@
 
 def run(state: State) -> None:
     """Keep the watch or the subscription alive."""
+    if not follow_relay(state):
+        watch(state)
+    forget_subscribers(state)
+
+
+def follow_relay(state: State) -> bool:
+    """Keep the subscription alive; return whether a relay answers."""
     now = state.clock.monotonic()
     relay = choose_relay(state)
     if relay != state.view.relay:
@@ -149,10 +156,7 @@
         state.view.subscribe_at = now
     if relay:
         subscribe(relay, state)
-    relay_silent = now - state.view.relay_heard_at > RELAY_TIMEOUT
-    if not relay or relay_silent:
-        watch(state)
-    forget_subscribers(state)
+    return bool(relay) and now - state.view.relay_heard_at <= RELAY_TIMEOUT
 
 
 def watch(state: State) -> None:
@@ -209,9 +213,12 @@
     age_ms = max(0, int(age(state).total_seconds() * 1000))
     if state.view.confirmed_at < timedelta(0):
         age_ms = int(timedelta(days=1).total_seconds() * 1000)
+    configured_at = kind_rows.configured_at(state)
     for part, is_last in parts(items):
         version = state.view.version if is_last else 0
-        message = ViewUpdate(version, age_ms, row.number, row.version, tuple(part))
+        message = ViewUpdate(
+            version, age_ms, row.number, row.version, tuple(part), configured_at
+        )
         if row.instance in state.instances:
             peers.send(row.instance, message, state)
         else:
@@ -265,7 +272,9 @@
 @handle_peer.register
 def _(message: Subscribe, sender: str, state: State) -> None:
     now = state.clock.monotonic()
-    row = SubscriberRow(sender, message.version, message.number, now)
+    # A subscriber whose copy is older may have missed deletions.
+    known = max(message.version, state.view.complete_from)
+    row = SubscriberRow(sender, known, message.number, now)
     state.view.subscribers[sender] = row
     newer = []
     if message.version < newest_version(state):
@@ -283,6 +292,12 @@
     if complete:
         state.view.version = max(state.view.version, message.version)
     apply(message.items, state)
+    if state.kinds:
+        kind_rows.learn(message.items, complete, state)
     sent_at = state.view.subscriptions_sent.get(message.number)
     if complete and sent_at is not None and message.version >= state.view.version:
-        confirm(sent_at - timedelta(milliseconds=message.age_ms), state)
+        since = sent_at - timedelta(milliseconds=message.age_ms)
+        if state.kinds:
+            kind_rows.confirm_relayed(since, message.configured_at, state)
+        else:
+            confirm(since, state)
--- a/tests/kind_network.py
+++ b/tests/kind_network.py
@@ -39,12 +39,16 @@
 
 @define
 class KindNetwork(Network):
-    """The store answers each kind; `calls` counts the calls by type."""
+    """The store answers each kind; `calls` counts them by type and instance."""
 
     core: ModuleType = session_core
-    calls: Counter[str] = field(factory=Counter)
+    calls: Counter[tuple[type, str]] = field(factory=Counter)
     contents: dict[WatchedKind, dict[str, Entry]] = field(factory=dict)
 
+    def count(self, call: type) -> int:
+        """Return how often the store was asked in a way."""
+        return sum(count for (kind, _), count in self.calls.items() if kind is call)
+
     def configure(self, content: object) -> None:
         """Write the configuration."""
         self.version += 1
@@ -55,7 +59,7 @@
     def perform(self, name: str, message: object) -> None:
         match message:
             case ListKind() | CheckKind() | WatchKind() | DeleteStore():
-                self.calls[type(message).__name__] += 1
+                self.calls[type(message), name] += 1
                 self.answer(name, message)
             case _:
                 super().perform(name, message)
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -4,6 +4,7 @@
 from string import ascii_lowercase
 
 from pimentodrift import membership, view
+from pimentodrift.messages import DeleteStore
 
 from .kind_network import KindNetwork, make_network
 
@@ -32,7 +33,7 @@
     for _ in range(15):
         talk(network)
         network.run(SECOND)
-    assert network.calls["DeleteStore"] == 0
+    assert network.count(DeleteStore) == 0
     assert listed(network) == set(FLEET)
 
 
