Do not relay objects before they are listed

Cause: an instance that had not listed the product's objects answered subscriptions, and one that had not listed them took such an answer for complete. After a restart of relays, a deletion could stay unknown.

--- a/pimentodrift/kind_rows.py
+++ b/pimentodrift/kind_rows.py
@@ -66,6 +66,11 @@
     state.view.confirmed_at = max(state.view.confirmed_at, min(times))
 
 
+def is_listed(state: State) -> bool:
+    """Return whether all objects of the product are known, as far as they are kept."""
+    return not state.kinds or row_of(WatchedKind.OWN, state).revision > 0
+
+
 def configured_at(state: State) -> int:
     """Return the revision after which no change of the configuration is known."""
     row = state.kinds.get(WatchedKind.CONFIGURATION)
@@ -73,7 +78,7 @@
 
 
 def learn(items: Iterable[StoreObject], is_all: bool, state: State) -> None:
-    """Note objects of the product that a relay sent; tell whether none was missed."""
+    """Note objects of the product that a relay sent; `is_all` if none was missed."""
     row = row_of(WatchedKind.OWN, state)
     for item in items:
         name = stored_name(item.kind, item.name)
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -271,6 +271,8 @@
 
 @handle_peer.register
 def _(message: Subscribe, sender: str, state: State) -> None:
+    if not kind_rows.is_listed(state):
+        return
     now = state.clock.monotonic()
     # A subscriber whose copy is older may have missed deletions.
     known = max(message.version, state.view.complete_from)
@@ -288,7 +290,7 @@
     now = state.clock.monotonic()
     if sender == state.view.relay:
         state.view.relay_heard_at = now
-    complete = message.after <= state.view.version
+    complete = message.after <= state.view.version and kind_rows.is_listed(state)
     if complete:
         state.view.version = max(state.view.version, message.version)
     apply(message.items, state)
--- a/tests/kind_network.py
+++ b/tests/kind_network.py
@@ -34,7 +34,9 @@
 
 CALL_TIME = timedelta(milliseconds=4)
 FAILURE_TIME = timedelta(milliseconds=50)
+ZERO = timedelta(0)
 OWN = WatchedKind.OWN
+Call = ListKind | CheckKind | WatchKind | DeleteStore
 
 
 @define
@@ -64,19 +66,53 @@
             case _:
                 super().perform(name, message)
 
-    def answer(
-        self, name: str, message: ListKind | CheckKind | WatchKind | DeleteStore
-    ) -> None:
+    def answer(self, name: str, message: Call) -> None:
+        """Answer a call of a process, unless it is restarted before."""
+        node = self.nodes[name]
+        end = self.time + (message.wait if isinstance(message, WatchKind) else ZERO)
+
+        def try_to_answer() -> None:
+            if self.nodes[name] is not node:
+                return
+            if not self.reaches_store(name):
+                failed = failure(message)
+                self.at(FAILURE_TIME, lambda: self.deliver(name, failed))
+                return
+            result = self.result(message, self.time >= end)
+            if result is None:
+                self.at(self.core.TICK, try_to_answer)
+            else:
+                self.deliver(name, result)
+
+        self.at(CALL_TIME, try_to_answer)
+
+    def result(self, message: Call, is_due: bool) -> object:
+        """Return the answer to a call, or None for a watch that waits on."""
         match message:
             case ListKind():
-                self.at(CALL_TIME, lambda: self.list_kind(name, message))
+                entries = self.changes(message.kind, 0)
+                live = tuple(
+                    row for row in entries if not isinstance(row.content, Gone)
+                )
+                return KindListed(message.kind, live, self.version, False)
             case CheckKind():
-                self.at(CALL_TIME, lambda: self.check_kind(name, message))
+                entries = self.changes(message.kind, message.revision)
+                return KindChecked(message.kind, entries, self.version)
             case WatchKind():
-                end = self.time + message.wait
-                self.at(CALL_TIME, lambda: self.watch_kind(name, message, end))
+                entries = self.changes(message.kind, message.revision)
+                changed = KindChanged(message.kind, entries, self.version)
+                return changed if entries or is_due else None
             case DeleteStore():
-                self.at(CALL_TIME, lambda: self.delete(name, message))
+                return self.delete(message)
+
+    def delete(self, message: DeleteStore) -> object:
+        """Delete an object if its version is as expected."""
+        known = self.objects.get((message.kind, message.name))
+        if known is None or known.version != message.version:
+            return StoreConflict(message.call, None)
+        self.put(message.kind, message.name, None)
+        gone = StoreObject(message.kind, message.name, message.version + 1, None)
+        return StoreWritten(message.call, gone)
 
     def changes(self, kind: WatchedKind, after: int) -> tuple[Entry, ...]:
         """Return what changed after a revision, oldest first."""
@@ -94,44 +130,16 @@
         newer = [entry for entry in found if entry.revision > after]
         return tuple(sorted(newer, key=lambda entry: entry.revision))
 
-    def list_kind(self, name: str, message: ListKind) -> None:
-        if not self.reaches_store(name):
-            failed = KindFailed(message.kind, "down")
-            self.at(FAILURE_TIME, lambda: self.deliver(name, failed))
-            return
-        entries = self.changes(message.kind, 0)
-        live = tuple(item for item in entries if not isinstance(item.content, Gone))
-        self.deliver(name, KindListed(message.kind, live, self.version, False))
-
-    def check_kind(self, name: str, message: CheckKind) -> None:
-        if not self.reaches_store(name):
-            failed = CheckFailed(message.kind, "down")
-            self.at(FAILURE_TIME, lambda: self.deliver(name, failed))
-            return
-        entries = self.changes(message.kind, message.revision)
-        self.deliver(name, KindChecked(message.kind, entries, self.version))
-
-    def watch_kind(self, name: str, message: WatchKind, end: timedelta) -> None:
-        if not self.reaches_store(name):
-            failed = KindFailed(message.kind, "down")
-            self.at(FAILURE_TIME, lambda: self.deliver(name, failed))
-            return
-        entries = self.changes(message.kind, message.revision)
-        if entries or self.time >= end:
-            self.deliver(name, KindChanged(message.kind, entries, self.version))
-        else:
-            self.at(self.core.TICK, lambda: self.watch_kind(name, message, end))
 
-    def delete(self, name: str, message: DeleteStore) -> None:
-        known = self.objects.get((message.kind, message.name))
-        if not self.reaches_store(name):
-            self.deliver(name, StoreFailed(message.call))
-        elif known is None or known.version != message.version:
-            self.deliver(name, StoreConflict(message.call, None))
-        else:
-            self.put(message.kind, message.name, None)
-            gone = StoreObject(message.kind, message.name, message.version + 1, None)
-            self.deliver(name, StoreWritten(message.call, gone))
+def failure(message: Call) -> object:
+    """Return what an instance learns of a call that the store did not answer."""
+    match message:
+        case CheckKind():
+            return CheckFailed(message.kind, "down")
+        case DeleteStore():
+            return StoreFailed(message.call)
+        case _:
+            return KindFailed(message.kind, "down")
 
 
 def make_network(names: tuple[str, ...], data_centres: int = 2) -> KindNetwork:
