Keep keys out of the dump on the users' platform

Cause: the dump shows the copies of the store's kinds, and the operators' configuration in them has the keys of the workspaces in the clear. Found by a new test that searches the dump for the key that a client uses.

Change: fields without a representation are left out; the keys of a declared workspace are such a field, so they cannot enter a log line either.

A second test compares dump, metrics and log lines on the platform's assembly; lines that were left out count by the line that tells so.

--- a/pimentodrift/dump.py
+++ b/pimentodrift/dump.py
@@ -79,7 +79,8 @@
     hidden = set(SECRET_FIELDS)
     if getattr(row, "kind", None) in SECRET_KINDS:
         hidden.add("value")
-    names = (item.name for item in attrs.fields(type(row)))
+    # A field without a representation holds keys.
+    names = (item.name for item in attrs.fields(type(row)) if item.repr)
     return {
         name: plain(getattr(row, name), key_ids) for name in names if name not in hidden
     }
--- a/pimentodrift/route_configuration.py
+++ b/pimentodrift/route_configuration.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from hashlib import sha256
 
-from attrs import frozen
+from attrs import field, frozen
 
 from .configuration import KEY_ID_LENGTH
 from .kind_messages import (
@@ -33,7 +33,7 @@
     """
 
     name: str
-    keys: tuple[str, ...]
+    keys: tuple[str, ...] = field(repr=False)
     rate: float
     burst: float
     priority: int = 0
--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -8,12 +8,16 @@
 import sys
 import time
 import urllib.request
+from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 from attrs import define, field
+from prometheus_client.parser import text_string_to_metric_families
+
+from pimentodrift.dump import fetch_dump
 
 from .platform_standins import Group, LineDatabase, Loop, Store
 
@@ -78,6 +82,7 @@
     processes: list[subprocess.Popen[bytes]] = field(factory=list)
     ports: list[tuple[int, int]] = field(factory=list)  # Clients, readiness.
     metrics: list[int] = field(factory=list)
+    peers: list[int] = field(factory=list)
 
     def start(self, count: int) -> None:
         self.store = self.loop.call(Store)
@@ -145,6 +150,7 @@
             "PIMENTODRIFT_METRICS_PORT": str(metrics),
         }
         self.metrics.append(metrics)
+        self.peers.append(peer)
         log = (self.folder / f"node-{index}.log").open("wb")
         process = subprocess.Popen(
             [sys.executable, "platform/main.py"],
@@ -297,17 +303,61 @@
     assert b"not-a-known-key" not in log.read_bytes()
 
 
-def test_metrics_agree_with_the_log(system: System) -> None:
-    """Guards against counters that tell something else than the lines."""
+def counted(system: System) -> dict[str, float]:
+    """Return the counters of the first instance from its metrics."""
+    url = f"http://127.0.0.1:{system.metrics[0]}/metrics"
+    with urllib.request.urlopen(url) as answer:
+        families = text_string_to_metric_families(answer.read().decode())
+    return {
+        sample.labels.get("name", sample.name): sample.value
+        for family in families
+        for sample in family.samples
+    }
+
+
+def logged(system: System) -> Counter[str]:
+    """Return how many lines of each kind the first instance wrote or left out."""
+    result: Counter[str] = Counter()
+    text = (system.folder / "node-0.log").read_text()
+    for line in text[: text.rfind("\n")].splitlines():
+        event = json.loads(line)
+        result[event["message_type"].rpartition(":")[2]] += 1
+        result.update(event.get("counts", {}))
+    return result
+
+
+def answers(lines: Counter[str]) -> int:
+    return lines["statement_answered"] + lines["statement_late"]
+
+
+def test_dump_metrics_and_log_agree(system: System) -> None:
+    """Guards against three sources that tell different stories of one day."""
     client = system.client()
     client.line()
     for _ in range(5):
         assert client.ask("WRITE a one") == ["DONE signed"]
-    log = system.folder / "node-0.log"
-    wait_for(lambda: log.read_bytes().count(b"statement_answered") == 5)
-    url = f"http://127.0.0.1:{system.metrics[0]}/metrics"
-    with urllib.request.urlopen(url) as answer:
-        lines = answer.read().decode().splitlines()
-    assert 'pimentodrift_events_total{name="operations.answered"} 5.0' in lines
-    count = 'statement_seconds_count{consistency="own-writes",workspace="t"} 5.0'
-    assert f"pimentodrift_{count}" in lines
+    assert system.client(key="not-a-key").line().startswith("ERROR NOAUTH")
+    system.loop.call(lambda: system.configure([KEY], rate=1))
+    while (line := client.ask("READ a")[-1]).startswith("DONE"):
+        time.sleep(STEP_S)
+    assert "over its rate" in line
+    metrics = counted(system)
+    wait_for(lambda: answers(logged(system)) == metrics["operations.answered"])
+    wait_for(lambda: logged(system)["statement_refused"] == metrics["rates.refused"])
+    lines, dump = logged(system), fetch_dump(f"127.0.0.1:{system.peers[0]}")
+    assert metrics["pimentodrift_statement_seconds_count"] == answers(lines)
+    assert metrics["rates.refused"] == 1
+    assert lines["session_refused"] == 1
+    assert metrics["sessions.opened"] == 2
+    for name in ("operations.answered", "rates.refused", "sessions.opened"):
+        assert dump["counters"][name] == metrics[name]
+    assert len(dump["sessions"]) == 1
+
+
+def test_dump_has_no_keys(system: System) -> None:
+    """Guards against keys that an operator's tool shows."""
+    client = system.client(key="key-1")
+    client.line()
+    assert client.ask("WRITE a one") == ["DONE signed"]
+    dump = fetch_dump(f"127.0.0.1:{system.peers[0]}")
+    assert "key-1" not in json.dumps(dump)
