--- a/tests/session_support.py
+++ b/tests/session_support.py
@@ -258,6 +258,15 @@
         self.connections[message.connection] = database
         self.later(PooledOpened(message.connection, database.position))
 
+    def wake(self, name: str) -> None:
+        """Let a dark database answer again, also those who wait for a connection."""
+        database = self.databases[name]
+        database.is_dark = False
+        for row in list(self.state.pooled.values()):
+            if row.endpoint == name and not row.is_open:
+                self.connections[row.connection] = database
+                self.deliver(PooledOpened(row.connection, database.position))
+
     def take_steps(self, message: RunSteps) -> None:
         database = self.connections.get(message.connection)
         if database is None or database.is_dark:
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -15,7 +15,7 @@
     PromoteOutcome,
 )
 from pimentodrift.session_messages import PooledLost
-from pimentodrift.session_rows import EndpointRole
+from pimentodrift.session_rows import Consistency, EndpointRole
 
 from .session_support import (
     GROUP,
@@ -23,7 +23,9 @@
     SECOND,
     WRITE,
     World,
+    make_configuration,
     make_endpoint,
+    make_route,
     make_world,
 )
 
@@ -99,9 +101,15 @@
     assert not world.promotions
 
 
-def test_frozen_instance_does_not_blame_the_primary() -> None:
+@pytest.mark.parametrize("timeout_ms", [800, 10_000])
+def test_frozen_instance_does_not_blame_the_primary(timeout_ms: int) -> None:
     """Guards against silence that was this process's own."""
-    world = make_world()
+    route = make_route(
+        database="own-db",
+        consistency=Consistency.OWN_WRITES,
+        timeout=timeout_ms * MILLISECOND,
+    )
+    world = make_world(make_configuration(routes=(route,)))
     in_use(world)
     world.run(SECOND)
     world.holds = True
@@ -109,8 +117,8 @@
     world.clock.advance(3 * SECOND)
     world.databases["e1"].is_dark = True  # Its answers are still on their way.
     world.run(100 * MILLISECOND)
-    world.databases["e1"].is_dark = world.holds = False
-    world.say(world.connect("own-db"), WRITE)
+    world.holds = False
+    world.wake("e1")
     world.run(3 * SECOND)
     assert not world.promotions
 
