Spend less processor time in the ticks of a large fleet

Cause: on the grown sites each instance looked at 32 of 72 workspaces and at every rate share at each tick; a tick took 358 us in a core network of 59 instances (allocation 193, rates 84).

Change: an epoch is read again only when its object has changed, shares without waiters are not served, 16 workspaces are examined at a tick; watches of a kind begin at least 100 ms apart.

--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -8,6 +8,8 @@
 from datetime import timedelta
 from itertools import islice
 
+from attrs import evolve
+
 from . import membership, peers, view
 from .clock import NEVER
 from .messages import StoreObject
@@ -26,7 +28,7 @@
 SOON = timedelta(seconds=10)
 # Up to this many workspaces are examined for a vacancy at each tick; more are examined
 # in turn within a second, because a walk of 2,300 at each tick took half a core.
-MIN_EXAMINED = 32
+MIN_EXAMINED = 16
 EXAMINATION_TICKS = 50
 
 
@@ -52,15 +54,15 @@
 def claim_if_vacant(workspace: str, state: State) -> None:
     """Become the allocator if there is none and this instance comes first."""
     own = state.settings.name
-    stored = stored_epoch(workspace, state)
-    note_epoch(workspace, stored, state)
     item = state.view.objects.get(("allocator", workspace))
+    seen = note_epoch(workspace, item, state)
     if item is not None and item.value is not None:
         holder = item.value["holder"]
         if holder != own and is_usable(holder, state) and has_store(holder, state):
             return
+    stored = seen.epoch
     now = state.clock.monotonic()
-    if stored.holder not in ("", own) and is_new(workspace, stored, state):
+    if stored.holder not in ("", own) and is_new(seen, state):
         return
     claim = state.claims.get(workspace)
     if claim is not None and now - claim.sent_at < CLAIM_TIMEOUT:
@@ -95,24 +97,30 @@
     return row.store_age + silence <= limit or view.is_outage(state)
 
 
-def note_epoch(workspace: str, stored: Epoch, state: State) -> None:
+def note_epoch(workspace: str, item: StoreObject | None, state: State) -> EpochSeen:
     """Remember since when an epoch has been in the store, and how long it rests."""
-    now = state.clock.monotonic()
     known = state.epochs_seen.get(workspace)
+    if known is not None and known.item is item:
+        return known
+    now = state.clock.monotonic()
+    stored = stored_epoch(workspace, state)
     if known is None:
         # An instance that has just started does not know how old an epoch is.
-        state.epochs_seen[workspace] = EpochSeen(stored, NEVER, ROLE_REST)
-    elif known.epoch != stored:
+        seen = EpochSeen(item, stored, NEVER, ROLE_REST)
+    elif known.epoch == stored:
+        seen = evolve(known, item=item)
+    else:
         is_soon = now - known.since < SOON
         rest = min(2 * known.rest, LONGEST_ROLE_REST) if is_soon else ROLE_REST
-        state.epochs_seen[workspace] = EpochSeen(stored, now, rest)
+        seen = EpochSeen(item, stored, now, rest)
+    state.epochs_seen[workspace] = seen
+    return seen
 
 
-def is_new(workspace: str, stored: Epoch, state: State) -> bool:
+def is_new(seen: EpochSeen, state: State) -> bool:
     """Return whether another's epoch began so lately that it is left alone."""
-    if stored.holder in state.ended:
+    if seen.epoch.holder in state.ended:
         return False
-    seen = state.epochs_seen[workspace]
     return state.clock.monotonic() - seen.since < seen.rest
 
 
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -52,7 +52,7 @@
 # A copy that a relay has confirmed so lately is not checked by this instance too.
 RELAYED_AGE = timedelta(milliseconds=1500)
 # Between two watches of a kind, so that changes in quick succession share an answer.
-WATCH_INTERVAL = timedelta(milliseconds=50)
+WATCH_INTERVAL = timedelta(milliseconds=100)
 MILLISECOND = timedelta(milliseconds=1)
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(milliseconds=500)
--- a/pimentodrift/rate_rows.py
+++ b/pimentodrift/rate_rows.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from .clock import NEVER
+from .messages import StoreObject
 from .peer_messages import Epoch, ShareLower, ShareLowered, ShareRaise
 
 
@@ -96,6 +97,7 @@
 class EpochSeen:
     """An epoch of the store, since when it was seen, and how long it is left alone."""
 
+    item: StoreObject | None  # Whose epoch it is.
     epoch: Epoch
     since: timedelta
     rest: timedelta
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -172,8 +172,6 @@
     """Update the moving average of the demand."""
     now = state.clock.monotonic()
     elapsed = now - row.measured_at
-    if elapsed < DEMAND_STEP:
-        return
     current = row.arrivals / elapsed.total_seconds()
     weight = min(1.0, elapsed / DEMAND_WINDOW)
     row.demand += (current - row.demand) * weight
@@ -193,8 +191,6 @@
 def report(row: ShareRow, state: State) -> None:
     """Tell the allocator what this instance holds and needs."""
     now = state.clock.monotonic()
-    if now < row.report_at:
-        return
     row.report_at = now + (URGENT_INTERVAL if row.waiting else REPORT_INTERVAL)
     epoch = allocator_of(row, state)
     if epoch is None:
@@ -244,12 +240,16 @@
     if holds_all(state):
         for workspace in workspaces:
             share_of(workspace, state)
+    now = state.clock.monotonic()
     for row in list(state.shares.values()):
         if row.workspace in workspaces:
-            serve(row, state)
-            expire(row, state)
-            measure(row, state)
-            report(row, state)
+            if row.waiting:
+                serve(row, state)
+                expire(row, state)
+            if now - row.measured_at >= DEMAND_STEP:
+                measure(row, state)
+            if now >= row.report_at:
+                report(row, state)
             continue
         for waiting in state.shares.pop(row.workspace).waiting:
             refuse(waiting.request, timedelta(seconds=1), state)
