Let changes of the registry in quick succession share an answer; split test files

Change: the next watch of the registry begins 300 ms after the last began, at once after a rest. A field of the registry that nothing used is gone.

--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -51,8 +51,13 @@
 CHECK_INTERVAL = timedelta(milliseconds=700)
 # A copy that a relay has confirmed so lately is not checked by this instance too.
 RELAYED_AGE = timedelta(milliseconds=1500)
-# Between two watches of a kind, so that changes in quick succession share an answer.
-WATCH_INTERVAL = timedelta(milliseconds=100)
+# Between two watches of a kind, so that changes in quick succession share an answer;
+# databases that start or restart change the registry several times in a second.
+WATCH_INTERVALS = {
+    WatchedKind.CONFIGURATION: timedelta(milliseconds=100),
+    WatchedKind.REGISTRY: timedelta(milliseconds=300),
+    WatchedKind.OWN: timedelta(milliseconds=100),
+}
 MILLISECOND = timedelta(milliseconds=1)
 FIRST_PAUSE = timedelta(milliseconds=100)
 LONGEST_PAUSE = timedelta(milliseconds=500)
@@ -203,7 +208,7 @@
 def _(message: KindChanged, state: State) -> None:
     row = row_of(message.kind, state)
     sent_at = succeed(row, state)
-    row.next_at = max(row.next_at, sent_at + WATCH_INTERVAL)
+    row.next_at = max(row.next_at, sent_at + WATCH_INTERVALS[row.kind])
     advance(row, message, state)
     confirm(row, sent_at, state)
 
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -162,7 +162,6 @@
     is_leaving: bool
     role: EndpointRole
     incarnation: int  # When its process started, in Unix milliseconds.
-    cold_for: timedelta
 
 
 @define
--- a/tests/test_kind_watch.py
+++ b/tests/test_kind_watch.py
@@ -158,3 +158,28 @@
     assert not any(isinstance(message, WatchKind) for message in tick(state))
     clock.advance(SECOND)
     assert any(isinstance(message, WatchKind) for message in tick(state))
+
+
+def test_changes_in_quick_succession_share_an_answer() -> None:
+    """Guards against a call of every instance for each change of many at a start."""
+    state, clock = started()
+    watches = 0
+    for number in range(50):
+        watches += sum(
+            isinstance(message, WatchKind) and message.kind is REGISTRY
+            for message in tick(state)
+        )
+        if state.kinds[REGISTRY].sent_at is not None:
+            entry = Entry(f"e{number}", 10 + number, make_endpoint())
+            tell(state, KindChanged(REGISTRY, (entry,), 10 + number))
+        clock.advance(session_core.TICK)
+    assert watches <= 4
+
+
+def test_change_after_a_rest_is_told_at_once() -> None:
+    """Guards against a new primary that is learned late."""
+    state, clock = started()
+    tick(state)
+    clock.advance(SECOND)
+    tell(state, KindChanged(REGISTRY, (), 10))
+    assert [m for m in tick(state) if isinstance(m, WatchKind) and m.kind is REGISTRY]
--- /dev/null
+++ b/tests/test_rates_allocators.py
@@ -0,0 +1,162 @@
+"""Rate shares when allocators are lost, cut off or replaced."""
+
+from datetime import timedelta
+
+import pytest
+
+from pimentodrift import membership
+
+from .rate_support import (
+    NAMES,
+    RATE,
+    SECOND,
+    STEP,
+    allocator,
+    between_regions,
+    make_load,
+    outcomes,
+    suspect_everywhere,
+)
+
+__all__ = ["outcomes"]  # A fixture that every test here uses.
+
+
+def test_death_of_the_allocator() -> None:
+    """Guards against shares that lapse or are granted twice at a change."""
+    load = make_load()
+    load.offer(0.8 * RATE, 5 * SECOND, lambda: load.network.random.choice(NAMES))
+    dead = allocator(load)
+    load.network.kill(dead)
+    rest = [name for name in NAMES if name != dead]
+    before = len(load.admitted)
+    load.offer(0.8 * RATE, 30 * SECOND, lambda: load.network.random.choice(rest))
+    assert allocator(load) != dead
+    assert load.worst_excess() <= 1e-6
+    assert load.refused <= 0.001 * (len(load.admitted) - before + load.refused)
+
+
+@pytest.mark.parametrize("store_down", [False, True])
+def test_paused_allocator_does_not_grant_again(store_down: bool) -> None:
+    """Guards against a stale allocator that resumes after its replacement."""
+    load = make_load()
+    old = allocator(load)
+    load.network.nodes[old].paused = True
+    for node in load.network.nodes.values():
+        node.state.instances[old].suspected_until = timedelta(days=1)
+    rest = [name for name in NAMES if name != old]
+    load.offer(2 * RATE, 8 * SECOND, lambda: load.network.random.choice(rest))
+    load.network.store_down = store_down
+    load.network.resume(old)
+    load.offer(2 * RATE, 20 * SECOND, lambda: load.network.random.choice(NAMES))
+    assert load.worst_excess() <= 1e-6
+
+
+def test_instances_that_suspect_each_other() -> None:
+    """Guards against a role that passes to and fro after a cut has healed."""
+    load = make_load()
+    network, holder = load.network, allocator(load)
+    before = network.objects["allocator", "w"].value
+    for _ in range(50):
+        for name, node in network.nodes.items():
+            for other in NAMES if name == holder else (holder,):
+                membership.suspect(other, node.state)
+        load.offer(0.5 * RATE, 2 * STEP, lambda: network.random.choice(NAMES))
+    after = network.objects["allocator", "w"].value
+    assert before is not None and after is not None
+    assert after["epoch"] - before["epoch"] <= 1
+    assert load.worst_excess() <= 1e-6
+
+
+def test_allocator_that_loses_the_store() -> None:
+    """Guards against a workspace whose allocator lives but may not act."""
+    load = make_load()
+    network, holder = load.network, allocator(load)
+    network.cuts.add(frozenset((holder, "store")))
+    load.offer(0.5 * RATE, 8 * SECOND, lambda: network.random.choice(NAMES))
+    assert allocator(load) != holder
+    load.refused = 0
+    load.offer(0.5 * RATE, 5 * SECOND, lambda: network.random.choice(NAMES))
+    assert load.refused == 0
+    assert load.worst_excess() <= 1e-6
+
+
+@pytest.mark.parametrize("other_half_has_store", [True, False])
+def test_cut_into_halves(other_half_has_store: bool) -> None:
+    """Guards against a half with the store whose allocators are in the other half."""
+    names = tuple("abcdefgh")
+    load = make_load(names)
+    network, holder = load.network, allocator(load)
+    far = [holder, *[name for name in names if name != holder][:3]]
+    near = [name for name in names if name not in far]
+    for one in far:
+        network.cuts.update(frozenset((one, other)) for other in near)
+        if not other_half_has_store:
+            network.cuts.add(frozenset((one, "store")))
+    before = network.objects["allocator", "w"].value
+    load.offer(0.3 * RATE, 10 * SECOND, lambda: network.random.choice(near))
+    assert load.worst_excess() <= 1e-6
+    after = network.objects["allocator", "w"].value
+    assert before is not None and after is not None
+    assert after["epoch"] - before["epoch"] <= 4
+    if not other_half_has_store:
+        load.refused = 0
+        load.offer(0.3 * RATE, 5 * SECOND, lambda: network.random.choice(near))
+        assert load.refused == 0
+
+
+def test_restart_of_all_beside_a_lost_instance() -> None:
+    """Guards against requests that wait for shares that cannot come soon."""
+    load = make_load()
+    network = load.network
+    network.add("lost", "r0")
+    network.nodes["lost"].paused = True  # Dark: its machine refuses nothing.
+    network.delay = between_regions
+    for name in NAMES:
+        network.kill(name)
+    network.run(2 * SECOND)  # What was on its way is lost.
+    for name in NAMES:
+        network.add(name, f"r{ord(name) % 3}")  # Anew, with nothing in memory.
+    network.run(2 * SECOND)
+    load.offer(0.5 * RATE, 2 * SECOND, lambda: network.random.choice(NAMES))
+    assert load.refused > 0
+    assert max(load.refusal_waits) <= timedelta(milliseconds=500)
+    network.run(5 * SECOND)
+    load.refused = 0
+    load.offer(0.5 * RATE, 5 * SECOND, lambda: network.random.choice(NAMES))
+    assert load.refused == 0
+    assert load.worst_excess() <= 1e-6
+
+
+def test_holder_out_of_reach_of_the_successor() -> None:
+    """Guards against handing out what a holder beyond a cut still spends.
+
+    The allocator and a holder with most of the rate are cut off from the others, which
+    choose a successor; both sides are flooded.
+    """
+    load = make_load()
+    old = allocator(load)
+    holder = next(name for name in NAMES if name != old)
+    rest = [name for name in NAMES if name not in (old, holder)]
+    load.offer(RATE, 4 * SECOND, lambda: holder)
+    load.network.cuts.update(
+        frozenset((one, other)) for one in (old, holder) for other in rest
+    )
+    suspect_everywhere(load, old)
+    load.offer(4 * RATE, 30 * SECOND, lambda: load.network.random.choice(NAMES))
+    assert allocator(load) not in (old, holder)
+    assert load.worst_excess() <= 1e-6
+
+
+def test_allocator_without_the_store_after_a_short_pause() -> None:
+    """Guards against a replaced allocator that still believes in its authority."""
+    load = make_load()
+    old = allocator(load)
+    load.network.nodes[old].paused = True
+    load.network.cuts.add(frozenset((old, "store")))
+    suspect_everywhere(load, old)
+    rest = [name for name in NAMES if name != old]
+    load.offer(3 * RATE, 1.5 * SECOND, lambda: load.network.random.choice(rest))
+    load.network.resume(old)
+    for name in rest:
+        load.offer(3 * RATE, 2 * SECOND, lambda name=name: name)
+    assert load.worst_excess() <= 1e-6
--- a/tests/test_rates_fleet.py
+++ b/tests/test_rates_fleet.py
@@ -7,7 +7,7 @@
 
 from pimentodrift import allocator_claims, rates, view
 
-from .test_rates import (
+from .rate_support import (
     BURST,
     RATE,
     SECOND,
