Tell followers of the registry through relays

Change: a subscription tells up to which revision the subscriber knows the registry, and an update brings the changes since.

--- a/pimentodrift/kind_rows.py
+++ b/pimentodrift/kind_rows.py
@@ -12,8 +12,13 @@
 from .clock import NEVER
 from .kind_messages import Entry, WatchedKind, stored_name
 from .messages import StoreObject
+from .peer_messages import RegistryNews, RelayedEndpoint
+from .session_rows import RegisteredEndpoint
 from .tables import State
 
+# A copy that was confirmed so lately needs no call of a follower, and may be passed on.
+RELAYED_AGE = timedelta(milliseconds=1500)
+MAX_GONE = 4096  # Bounds the memory of deletions.
 CONFIRMING = (WatchedKind.CONFIGURATION, WatchedKind.OWN)
 
 
@@ -24,6 +29,9 @@
     kind: WatchedKind
     revision: int = 0
     changed_revision: int = 0  # No change after it was known at the confirmation.
+    complete_from: int = 0  # Deletions before this revision may be unknown.
+    gone: dict[str, int] = field(factory=dict)  # Revisions of later deletions.
+    relayed_at: timedelta = NEVER  # When a relay last told all changes.
     known: dict[str, Entry] = field(factory=dict)
     sent_at: timedelta | None = None  # Of the call in progress.
     next_at: timedelta = NEVER
@@ -71,6 +79,48 @@
     return not state.kinds or row_of(WatchedKind.OWN, state).revision > 0
 
 
+def note_gone(name: str, revision: int, row: KindRow) -> None:
+    """Remember a deletion for those that follow this copy."""
+    if len(row.gone) >= MAX_GONE:
+        row.gone.clear()
+        row.complete_from = row.revision
+    row.gone[name] = revision
+
+
+def complete_from(state: State) -> int:
+    """Return the revision before which deletions of objects may be unknown."""
+    row = state.kinds.get(WatchedKind.OWN)
+    return row.complete_from if row is not None else 0
+
+
+def registry_revision(state: State) -> int:
+    """Return the revision up to which the registry is known; 0 without one."""
+    row = state.kinds.get(WatchedKind.REGISTRY)
+    return row.revision if row is not None else 0
+
+
+def registry_news(known: int, state: State) -> RegistryNews | None:
+    """Return what a follower that knows the registry up to a revision has missed.
+
+    Nothing if this copy is not complete, or may be old because the store is silent.
+    """
+    row = state.kinds.get(WatchedKind.REGISTRY)
+    age = state.clock.monotonic() - state.view.confirmed_at
+    if row is None or not row.revision or age > RELAYED_AGE:
+        return None
+    after = max(known, row.complete_from)
+    changes: list[RelayedEndpoint] = []
+    if after < row.changed_revision:
+        for entry in row.known.values():
+            if entry.revision > after:
+                is_endpoint = isinstance(entry.content, RegisteredEndpoint)
+                content = entry.content if is_endpoint else None
+                changes.append(RelayedEndpoint(entry.name, entry.revision, content))
+        gone = [(name, at) for name, at in row.gone.items() if at > after]
+        changes += [RelayedEndpoint(name, at, None) for name, at in gone]
+    return RegistryNews(after, row.revision, tuple(changes))
+
+
 def configured_at(state: State) -> int:
     """Return the revision after which no change of the configuration is known."""
     row = state.kinds.get(WatchedKind.CONFIGURATION)
@@ -82,10 +132,12 @@
     row = row_of(WatchedKind.OWN, state)
     for item in items:
         name = stored_name(item.kind, item.name)
-        if item.value is None:
+        # The view keeps the newer one of what the relay and the store have told.
+        newest = state.view.objects[item.kind, item.name]
+        if newest.value is None:
             row.known.pop(name, None)
         else:
-            row.known[name] = Entry(name, item.version, item)
+            row.known[name] = Entry(name, newest.version, newest)
     if is_all:
         row.revision = max(row.revision, state.view.version)
 
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -30,7 +30,14 @@
     WatchedKind,
     WatchKind,
 )
-from .kind_rows import CONFIRMING, KindRow, confirm, row_of
+from .kind_rows import (
+    CONFIRMING,
+    RELAYED_AGE,
+    KindRow,
+    confirm,
+    note_gone,
+    row_of,
+)
 from .log_events import (
     CheckLost,
     CheckRegained,
@@ -40,6 +47,7 @@
     StoreRegained,
 )
 from .messages import StoreObject
+from .notices import RegistryRelayed
 from .tables import State
 
 # Watches bring the news; each end of one is a call, so they wait long.
@@ -49,8 +57,6 @@
 # A question without a wait confirms that the copies are current. An outage is borne for
 # the configuration's lease less the age of the last confirmation.
 CHECK_INTERVAL = timedelta(milliseconds=700)
-# A copy that a relay has confirmed so lately is not checked by this instance too.
-RELAYED_AGE = timedelta(milliseconds=1500)
 # Between two watches of a kind, so that changes in quick succession share an answer;
 # databases that start or restart change the registry several times in a second.
 WATCH_INTERVALS = {
@@ -99,12 +105,24 @@
     view.forget_subscribers(state)
     for kind in WatchedKind:
         row = row_of(kind, state)
-        if not (is_led and kind is WatchedKind.OWN and row.revision):
+        if not (is_led and is_relayed(row, state)):
             ask(row, state)
     if not is_led or view.age(state) > RELAYED_AGE:
         check(row_of(WatchedKind.CONFIGURATION, state), state)
 
 
+def is_relayed(row: KindRow, state: State) -> bool:
+    """Return whether a relay that answers keeps a copy current."""
+    match row.kind:
+        case WatchedKind.OWN:
+            return row.revision > 0
+        case WatchedKind.REGISTRY:
+            now = state.clock.monotonic()
+            return row.revision > 0 and now - row.relayed_at <= view.RELAY_TIMEOUT
+        case WatchedKind.CONFIGURATION:
+            return False
+
+
 def ask(row: KindRow, state: State) -> None:
     """Keep one call for a kind in progress."""
     now = state.clock.monotonic()
@@ -140,11 +158,13 @@
     if known is not None and known.revision >= entry.revision:
         return
     if isinstance(entry.content, Gone):
+        note_gone(entry.name, entry.revision, row)
         if known is not None:
             del row.known[entry.name]
             remove(known.content, entry, state)
         return
     row.known[entry.name] = entry
+    row.gone.pop(entry.name, None)
     if isinstance(entry.content, Unreadable):
         note_unreadable(entry, row, state)
         if known is not None:
@@ -159,6 +179,8 @@
         row.changed_revision = max(row.changed_revision, entry.revision)
         take(entry, row, state)
     row.revision = max(row.revision, message.revision)
+    if row.kind is WatchedKind.REGISTRY and message.entries:
+        view.push([], state)
 
 
 def note_unreadable(entry: Entry, row: KindRow, state: State) -> None:
@@ -197,8 +219,8 @@
     row.listed_after = ""
     # Changes made while the parts were read are watched from the first part on.
     row.revision = row.changed_revision = row.list_revision
-    if row.kind is WatchedKind.OWN:
-        state.view.complete_from = row.list_revision
+    row.complete_from = row.list_revision
+    row.gone.clear()
     for name in [name for name in row.known if name not in row.listed]:
         take(Entry(name, message.revision, Gone()), row, state)
     confirm(row, row.list_began_at, state)
@@ -289,3 +311,16 @@
         row.is_lost = True
         row.lost_at = now
         state.note(StoreLost(row.kind, message.detail))
+
+
+@handle.register
+def _(message: RegistryRelayed, state: State) -> None:
+    row = row_of(WatchedKind.REGISTRY, state)
+    news = message.news
+    if not row.revision or news.after > row.revision:
+        return  # Deletions may be missing; the own watch goes on.
+    row.relayed_at = state.clock.monotonic()
+    entries = tuple(
+        Entry(item.name, item.revision, item.content or Gone()) for item in news.changes
+    )
+    advance(row, KindChanged(row.kind, entries, news.revision), state)
--- a/pimentodrift/notices.py
+++ b/pimentodrift/notices.py
@@ -6,6 +6,7 @@
 from .messages import (
     StatementResult,
 )
+from .peer_messages import RegistryNews
 
 
 @frozen
@@ -123,3 +124,10 @@
     instance: str
     unsent: frozenset[int]
     refused: bool = False
+
+
+@frozen
+class RegistryRelayed(Notice):
+    """A relay has told the changes of the registry."""
+
+    news: RegistryNews
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -17,6 +17,7 @@
     Statement,
     StoreObject,
 )
+from .session_rows import RegisteredEndpoint
 
 
 @frozen
@@ -107,10 +108,31 @@
     """Ask a relay for all objects changed after `version`, now and later.
 
     Sent again each second; `number` tells the subscriber which request was answered.
+    `registry` is the revision up to which the subscriber knows the registry, if it has
+    one apart from the objects.
     """
 
     version: int
     number: int = 0
+    registry: int = 0
+
+
+@frozen
+class RelayedEndpoint:
+    """An entry of the registry at a revision; one without content is gone."""
+
+    name: str
+    revision: int
+    content: RegisteredEndpoint | None
+
+
+@frozen
+class RegistryNews:
+    """All changes of the registry after a revision up to another one."""
+
+    after: int
+    revision: int
+    changes: tuple[RelayedEndpoint, ...]
 
 
 @frozen
@@ -130,6 +152,7 @@
     after: int = 0
     items: tuple[StoreObject, ...] = ()
     configured_at: int = 0
+    registry: RegistryNews | None = None
 
 
 @frozen(order=True)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -62,6 +62,7 @@
     version: int
     number: int
     heard_at: timedelta
+    registry: int = 0  # The revision up to which it knows the registry.
 
 
 @define
@@ -70,7 +71,6 @@
 
     version: int = 0
     objects: dict[tuple[str, str], StoreObject] = field(factory=dict)
-    complete_from: int = 0  # Deletions before this version may be unknown.
     confirmed_at: timedelta = NEVER  # When the store last confirmed the copy.
     watch_sent_at: timedelta | None = None  # Of the watch in progress.
     watch_after: timedelta = NEVER  # No watch before this time.
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -16,6 +16,7 @@
 from . import configuration, kind_rows, membership, peers
 from .dispatch import handle, handle_peer
 from .messages import ObjectsReceived, SendPeer, StoreObject, WatchStore
+from .notices import RegistryRelayed
 from .peer_messages import Subscribe, ViewUpdate
 from .rendezvous import newest_version
 from .tables import InstanceRow, State, SubscriberRow
@@ -187,7 +188,7 @@
     sent[number] = now
     for old in [key for key, at in sent.items() if now - at > FRESH]:
         del sent[old]
-    return Subscribe(state.view.version, number)
+    return Subscribe(state.view.version, number, kind_rows.registry_revision(state))
 
 
 def ask_seeds(state: State) -> None:
@@ -214,16 +215,25 @@
     if state.view.confirmed_at < timedelta(0):
         age_ms = int(timedelta(days=1).total_seconds() * 1000)
     configured_at = kind_rows.configured_at(state)
+    news = kind_rows.registry_news(row.registry, state) if row.registry else None
     for part, is_last in parts(items):
         version = state.view.version if is_last else 0
         message = ViewUpdate(
-            version, age_ms, row.number, row.version, tuple(part), configured_at
+            version,
+            age_ms,
+            row.number,
+            row.version,
+            tuple(part),
+            configured_at,
+            news if is_last else None,
         )
         if row.instance in state.instances:
             peers.send(row.instance, message, state)
         else:
             state.outbox.append(SendPeer(row.instance, row.instance, message))
     row.version = state.view.version
+    if news is not None:
+        row.registry = news.revision
 
 
 def parts(items: list[StoreObject]) -> Iterator[tuple[list[StoreObject], bool]]:
@@ -275,8 +285,8 @@
         return
     now = state.clock.monotonic()
     # A subscriber whose copy is older may have missed deletions.
-    known = max(message.version, state.view.complete_from)
-    row = SubscriberRow(sender, known, message.number, now)
+    known = max(message.version, kind_rows.complete_from(state))
+    row = SubscriberRow(sender, known, message.number, now, message.registry)
     state.view.subscribers[sender] = row
     newer = []
     if message.version < newest_version(state):
@@ -303,3 +313,5 @@
             kind_rows.confirm_relayed(since, message.configured_at, state)
         else:
             confirm(since, state)
+    if message.registry is not None:
+        handle(RegistryRelayed(message.registry), state)
--- a/tests/kind_network.py
+++ b/tests/kind_network.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from random import Random
 from types import ModuleType
+from typing import Any
 
 from attrs import define, field
 
@@ -28,8 +29,15 @@
     StoreObject,
     StoreWritten,
 )
+from pimentodrift.promotion_messages import (
+    PromoteEnded,
+    PromoteEndpoint,
+    PromoteOutcome,
+)
+from pimentodrift.session_messages import ClosePooled, OpenPooled
+from pimentodrift.tables import State
 
-from .network import Network
+from .network import Network, Node, SkewedClock
 from .session_support import make_configuration
 
 CALL_TIME = timedelta(milliseconds=4)
@@ -46,23 +54,45 @@
     core: ModuleType = session_core
     calls: Counter[tuple[type, str]] = field(factory=Counter)
     contents: dict[WatchedKind, dict[str, Entry]] = field(factory=dict)
+    # When each object changed last: by kind of the store and the object's key.
+    changed_at: dict[tuple[WatchedKind, str], timedelta] = field(factory=dict)
 
     def count(self, call: type) -> int:
         """Return how often the store was asked in a way."""
         return sum(count for (kind, _), count in self.calls.items() if kind is call)
 
+    def change(self, kind: WatchedKind, name: str, content: object) -> None:
+        """Write or delete an object of another's kind."""
+        self.version += 1
+        entry = Entry(name, self.version, content)
+        self.contents.setdefault(kind, {})[name] = entry
+        self.changed_at[kind, name] = self.time
+
     def configure(self, content: object) -> None:
         """Write the configuration."""
-        self.version += 1
-        kind = WatchedKind.CONFIGURATION
-        entry = Entry("main", self.version, content)
-        self.contents.setdefault(kind, {})["main"] = entry
+        self.change(WatchedKind.CONFIGURATION, "main", content)
+
+    def put(self, kind: str, name: str, value: dict[str, Any] | None) -> StoreObject:
+        self.changed_at[OWN, f"{kind}.{name}"] = self.time
+        return super().put(kind, name, value)
+
+    def restart(self, name: str) -> State:
+        """Start an instance that knows nothing, under the name of one that ends."""
+        before = self.nodes[name].state.settings
+        state = State(before, SkewedClock(self), Random(name))
+        self.nodes[name] = Node(state)
+        return state
 
     def perform(self, name: str, message: object) -> None:
         match message:
             case ListKind() | CheckKind() | WatchKind() | DeleteStore():
                 self.calls[type(message), name] += 1
                 self.answer(name, message)
+            case OpenPooled() | ClosePooled():
+                pass  # The databases are silent.
+            case PromoteEndpoint():
+                failed = PromoteEnded(message.call, PromoteOutcome.NOT_DONE, "")
+                self.at(CALL_TIME, lambda: self.deliver(name, failed))
             case _:
                 super().perform(name, message)
 
--- a/tests/test_kind_relays.py
+++ b/tests/test_kind_relays.py
@@ -6,13 +6,16 @@
 import pytest
 
 from pimentodrift import view
-from pimentodrift.kind_messages import CheckKind, WatchKind
+from pimentodrift.kind_messages import CheckKind, Gone, WatchedKind, WatchKind
+from pimentodrift.tables import State
 
 from .kind_network import KindNetwork, make_network
-from .session_support import SECOND, make_configuration
+from .session_support import SECOND, make_configuration, make_endpoint
 
 NAMES = tuple(ascii_lowercase[:12])
 LEASE = timedelta(seconds=3.5)
+REGISTRY = WatchedKind.REGISTRY
+HELD = {"epoch": 1, "holder": "a"}
 
 
 def settled(names: tuple[str, ...] = NAMES) -> KindNetwork:
@@ -63,6 +66,106 @@
     assert network.count(WatchKind) <= len(NAMES) + 2 * len(relays(network))
 
 
+def endpoints(network: KindNetwork, name: str) -> set[str]:
+    """Return the databases that an instance takes for registered."""
+    registry = network.nodes[name].state.registry.values()
+    return {row.name for row in registry if row.missing_since is None}
+
+
+def test_registry_reaches_followers_without_calls() -> None:
+    """Guards against a call of every instance for each change of a database."""
+    network = settled()
+    for number in range(5):
+        network.change(REGISTRY, f"e{number}", make_endpoint())
+        network.run(SECOND)
+    network.change(REGISTRY, "e0", Gone())
+    network.run(2 * SECOND)
+    for name in NAMES:
+        assert endpoints(network, name) == {"e1", "e2", "e3", "e4"}
+    # Each has one watch from before it found its relay.
+    asked = relays(network)
+    rest = {
+        name: count
+        for (call, name), count in network.calls.items()
+        if call is WatchKind
+    }
+    assert all(count <= 3 for name, count in rest.items() if name not in asked)
+
+
+def test_registry_without_a_current_relay() -> None:
+    """Guards against followers that keep the registry of a relay without the store."""
+    network = settled()
+    network.change(REGISTRY, "e1", make_endpoint())
+    network.run(SECOND)
+    lost = relays(network)
+    cut(network, lost)
+    network.run(2 * SECOND)
+    network.change(REGISTRY, "e2", make_endpoint())
+    network.change(REGISTRY, "e1", Gone())
+    network.run(2 * SECOND)
+    for name in set(NAMES) - lost:
+        assert endpoints(network, name) == {"e2"}
+
+
+def check_confirmed(network: KindNetwork) -> None:
+    """Assert that no copy is taken for newer than it is."""
+    for name, node in network.nodes.items():
+        if node.paused:
+            continue
+        confirmed_at = node.state.view.confirmed_at
+        for (kind, key), changed_at in network.changed_at.items():
+            if kind is not REGISTRY and changed_at < confirmed_at:
+                assert knows(node.state, network, kind, key), (name, key)
+
+
+def knows(state: State, network: KindNetwork, kind: WatchedKind, key: str) -> bool:
+    """Return whether an instance has the newest content of an object."""
+    entry = next(item for item in network.changes(kind, 0) if item.name == key)
+    known = state.kinds[kind].known.get(key)
+    if isinstance(entry.content, Gone):
+        return known is None
+    return known is not None and known.revision >= entry.revision
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_copies_are_as_new_as_they_seem(seed: int) -> None:
+    """Guards against confirmations that cover more than was received."""
+    network = settled()
+    random = network.random
+    random.seed(seed)
+    actions = (
+        lambda: network.put(
+            "allocator", f"x{random.randrange(4)}", {"epoch": 1, "holder": "a"}
+        ),
+        lambda: network.put("allocator", f"x{random.randrange(4)}", None),
+        lambda: network.configure(make_configuration(version=network.version)),
+        lambda: network.change(REGISTRY, f"e{random.randrange(4)}", make_endpoint()),
+        lambda: network.change(REGISTRY, f"e{random.randrange(4)}", Gone()),
+        lambda: network.restart(random.choice(NAMES)),
+        lambda: cut(network, set(random.sample(NAMES, 3))),
+        lambda: network.cuts.add(frozenset(random.sample(NAMES, 2))),
+        network.cuts.clear,
+        lambda: setattr(network.nodes[random.choice(NAMES)], "paused", True),
+        lambda: [network.resume(name) for name in NAMES],
+    )
+    for _ in range(40):
+        random.choice(actions)()
+        for _ in range(random.randrange(1, 8)):
+            network.run(2 * network.core.TICK)
+            check_confirmed(network)
+    network.cuts.clear()
+    for name in NAMES:
+        network.resume(name)
+    network.run(6 * SECOND)
+    check_confirmed(network)
+    assert max(ages(network, set(NAMES))) < 2 * SECOND
+    current = network.contents.get(REGISTRY, {}).items()
+    live = {name for name, entry in current if not isinstance(entry.content, Gone)}
+    for name in NAMES:
+        known = network.nodes[name].state.kinds[REGISTRY].known
+        assert set(known) == live
+
+
 @pytest.mark.parametrize("is_killed", [False, True])
 def test_lost_relays(is_killed: bool) -> None:
     """Guards against followers that go stale with their relay."""
@@ -129,7 +232,7 @@
     node.paused = True
     network.put("allocator", "w9", None)
     for relay in relays(network):
-        network.add(relay, network.nodes[relay].state.settings.region)
+        network.restart(relay)
     network.run(4 * SECOND)
     network.resume(name)
     network.run(2 * SECOND)
