Load the metrics library when the metrics are asked for

Change: the core keeps the latency histograms itself, with the same buckets and the same bound of series; the library makes the text from them when somebody asks. They are in the dump now.

Test: test_latencies.

--- a/pimentodrift/dump.py
+++ b/pimentodrift/dump.py
@@ -21,9 +21,7 @@
 CLIENT_TIMEOUT_S = 10.0
 MAX_REPLY_BYTES = 256 * 1024 * 1024
 # Not tables: what the shell has passed in, and what is on its way out.
-OMITTED = frozenset(
-    {"clock", "random", "outbox", "events", "typed_events", "latencies"}
-)
+OMITTED = frozenset({"clock", "random", "outbox", "events", "typed_events"})
 # Fields that hold keys or their digests; headers carry the caller's key.
 SECRET_FIELDS = frozenset({"digest", "headers", "authorization"})
 # Kinds of the store's objects whose values hold digests of keys.
--- a/pimentodrift/exposition.py
+++ b/pimentodrift/exposition.py
@@ -1,33 +1,37 @@
 """Offers counters and latency histograms in the text format of Prometheus.
 
-Counters are those of the core, so that the dump, the log and the metrics agree. The
-latency of statements is observed by consistency of the route and workspace; the number
-of workspaces with a series of their own is bounded, the rest share one.
+Counters and histograms are those of the core, so that the dump, the log and the
+metrics agree. Loaded when the metrics are asked for first.
 """
 
-from collections import Counter
 from collections.abc import Iterator
+from itertools import accumulate
 
-from prometheus_client import CollectorRegistry, Histogram, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from attrs import frozen
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
 from prometheus_client.registry import Collector
 
+from .latencies import BUCKETS
 from .tables import State
 
-# Series of a workspace: one histogram for each consistency.
-MAX_WORKSPACES = 100
-OTHER_WORKSPACES = "other"
-# Seconds, around the objectives of 0.4 to 1 s and the limits of statements.
-LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+TABLES = ("sessions", "operations", "pooled", "registry", "instances")
+BOUNDS = (*map(str, BUCKETS), "+Inf")
 
 
+@frozen(eq=False)
 class CoreCollector(Collector):
-    """Reads the core's counters and sizes when they are asked for."""
+    """Reads the core's counters, sizes and histograms when they are asked for."""
 
-    def __init__(self, state: State) -> None:
-        self.state = state
+    state: State
 
-    def collect(self) -> Iterator[CounterMetricFamily | GaugeMetricFamily]:
+    def collect(
+        self,
+    ) -> Iterator[CounterMetricFamily | GaugeMetricFamily | HistogramMetricFamily]:
         """Yield the families."""
         events = CounterMetricFamily(
             "pimentodrift_events", "What the instance has counted.", labels=["name"]
@@ -38,42 +42,26 @@
         sizes = GaugeMetricFamily(
             "pimentodrift_rows", "Rows that the instance keeps.", labels=["table"]
         )
-        for name in ("sessions", "operations", "pooled", "registry", "instances"):
+        for name in TABLES:
             sizes.add_metric([name], len(getattr(self.state, name)))
         yield sizes
+        yield self.latencies()
 
-
-class Exposition:
-    """The metrics of an instance."""
-
-    def __init__(self, state: State) -> None:
-        self.state = state
-        self.registry = CollectorRegistry()
-        self.registry.register(CoreCollector(state))
-        self.workspaces: set[str] = set()
-        self.latency = Histogram(
+    def latencies(self) -> HistogramMetricFamily:
+        """Return the histograms."""
+        family = HistogramMetricFamily(
             "pimentodrift_statement_seconds",
             "Time from a statement's arrival to its answer.",
-            ["consistency", "workspace"],
-            buckets=LATENCY_BUCKETS,
-            registry=self.registry,
+            labels=["consistency", "workspace"],
         )
+        for labels, row in self.state.latencies.items():
+            buckets = list(zip(BOUNDS, accumulate(row.counts), strict=True))
+            family.add_metric(list(labels), buckets, row.total_s)
+        return family
 
-    def take_latencies(self) -> None:
-        """Observe what was answered since the last call."""
-        latencies, self.state.latencies = self.state.latencies, Counter()
-        for (consistency, workspace, seconds), count in latencies.items():
-            series = self.latency.labels(consistency, self.label(workspace))
-            for _ in range(count):
-                series.observe(seconds)
-
-    def label(self, workspace: str) -> str:
-        """Return the label of a workspace, within the bound of series."""
-        if len(self.workspaces) < MAX_WORKSPACES:
-            self.workspaces.add(workspace)
-        return workspace if workspace in self.workspaces else OTHER_WORKSPACES
 
-    def text(self) -> bytes:
-        """Return the metrics as text."""
-        self.take_latencies()
-        return generate_latest(self.registry)
+def metrics_text(state: State) -> bytes:
+    """Return the metrics of an instance as text."""
+    registry = CollectorRegistry()
+    registry.register(CoreCollector(state))
+    return generate_latest(registry)
--- /dev/null
+++ b/pimentodrift/latencies.py
@@ -0,0 +1,45 @@
+"""Histograms of the time that statements take, kept without a metrics library.
+
+The library takes memory and time at each start; it is loaded by whoever is asked for
+the metrics.
+"""
+
+from bisect import bisect_left
+
+from attrs import define, field
+
+# Seconds, around the objectives of 0.4 to 1 s and the limits of statements.
+BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+# Series of a workspace: one histogram for each consistency.
+MAX_WORKSPACES = 100
+OTHER_WORKSPACES = "other"
+
+
+def no_counts() -> list[int]:
+    """Return the counts of an empty histogram; the last is that of longer times."""
+    return [0] * (len(BUCKETS) + 1)
+
+
+@define
+class LatencyRow:
+    """The histogram of a consistency and workspace."""
+
+    counts: list[int] = field(factory=no_counts)
+    total_s: float = 0.0
+
+
+Latencies = dict[tuple[str, str], LatencyRow]  # By consistency and workspace.
+
+
+def observe(
+    consistency: str, workspace: str, seconds: float, latencies: Latencies
+) -> None:
+    """Count a time, for a workspace within the bound of series."""
+    row = latencies.get((consistency, workspace))
+    if row is None:
+        known = {name for _, name in latencies} - {OTHER_WORKSPACES}
+        if workspace not in known and len(known) >= MAX_WORKSPACES:
+            workspace = OTHER_WORKSPACES
+        row = latencies.setdefault((consistency, workspace), LatencyRow())
+    row.counts[bisect_left(BUCKETS, seconds)] += 1
+    row.total_s += seconds
--- a/pimentodrift/operation_ends.py
+++ b/pimentodrift/operation_ends.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from typing import Any
 
-from . import pools, view
+from . import latencies, pools, view
 from .clock import NEVER
 from .dispatch import handle
 from .request_events import (
@@ -69,9 +69,12 @@
     took = state.clock.monotonic() - operation.arrived_at
     is_late = took > operation.route.objective
     state.counters["operations.late"] += is_late
-    seconds = round(took.total_seconds(), 3)
-    route = operation.route
-    state.latencies[route.consistency, operation.workspace, seconds] += 1
+    latencies.observe(
+        operation.route.consistency,
+        operation.workspace,
+        took.total_seconds(),
+        state.latencies,
+    )
     kind = StatementLate if is_late else StatementAnswered
     state.note(kind(**facts(operation, state)))
 
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -26,6 +26,7 @@
     WaitingWrite,
 )
 from .kept_rows import EMPTY, KeptSession
+from .latencies import Latencies
 from .log_lines import Event
 from .messages import Access, Action, Durability, Position, Statement, StoreObject
 from .rate_rows import AllocationRow, ClaimRow, EpochSeen, ShareRow
@@ -365,9 +366,7 @@
     leaderships: dict[str, LeadershipRow] = field(factory=dict)  # By group.
     promotions: dict[str, PromotionRow] = field(factory=dict)  # By group.
 
-    # Statements answered since the metrics took them: by consistency of the route,
-    # workspace and seconds, rounded to milliseconds.
-    latencies: Counter[tuple[str, str, float]] = field(factory=Counter)
+    latencies: Latencies = field(factory=dict)
 
     def note(self, event: Event) -> None:
         """Keep an event for the log."""
