--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -30,7 +30,7 @@
 MILLISECOND = timedelta(milliseconds=1)
 # A primary that fails for this long is reported; a shorter stall heals by itself. It
 # counts from the first question without an answer.
-FAILING_AFTER = timedelta(milliseconds=700)
+FAILING_AFTER = timedelta(milliseconds=550)
 # So long if another instance has reported it.
 AGREEING_AFTER = timedelta(milliseconds=400)
 # A group in whose registry no endpoint calls itself primary for this long has none.
