Choose ports for the platform's tests outside the ephemeral range

Cause: an instance of test_session found its port taken (start_failed in its log). The file had a copy of free_ports that took ephemeral ports, which a connection of another process may have by then; the one of standin_processes avoids them. Starting such an instance again is not needed any more.

--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -20,6 +20,7 @@
 from pimentodrift.dump import fetch_dump
 
 from .platform_standins import Group, LineDatabase, Loop, Store
+from .standin_processes import free_ports
 
 ROOT = Path(__file__).resolve().parent.parent
 WAIT_S = 30.0
@@ -27,14 +28,6 @@
 KEY = "key-1"
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 @define
 class Client:
     """A client of the line protocol, one statement at a time."""
@@ -99,18 +92,8 @@
         """Start instances and wait until they are ready."""
         for index in range(count):
             self.start_instance(index)
-        for index in range(count):
-            wait_for(lambda index=index: self.is_up(index))
-
-    def is_up(self, index: int) -> bool:
-        """Return whether an instance is ready; start it again if its port was taken."""
-        if self.processes[index].poll() is None:
-            return is_ready(self.ports[index][1])
-        assert "start_failed" in (self.folder / f"node-{index}.log").read_text()
-        self.start_instance(index)
-        for rows in (self.processes, self.ports, self.metrics, self.peers):
-            rows[index] = rows.pop()  # type: ignore[index]
-        return False
+        for _, port in self.ports:
+            wait_for(lambda port=port: is_ready(port))
 
     def promote(self, body: dict[str, Any], token: int) -> int:
         self.group.primary = body["id"]
