Keep a replaced primary out of use where a promotion does not depose it

Cause: on the site `further` a promote does not depose the old primary, and the platform checks no fences.

After an unclear call the same target is decided on again. Nothing changes elsewhere.

Ruled out: fencing by tokens (the platform doesn't check them), DEMOTE alone (the coordinator may not reach a primary that others reach). docs/platform.md has the ways.

--- /dev/null
+++ b/pimentodrift/fencing/coordination.py
@@ -0,0 +1,175 @@
+"""Waits until no instance uses another primary than the one that was decided on.
+
+The instance that wrote the decision asks all listed ones to stop, and the old primary
+to step down. `decisions` tells when that is enough.
+"""
+
+from datetime import timedelta
+
+from .. import leadership, peers, pools, registry
+from ..dispatch import handle, handle_peer
+from ..log_events import PrimaryFenced
+from ..operation_completion import send_steps
+from ..session_messages import BeginWork, EndWork
+from ..session_rows import EndpointRole, PoolRow
+from ..tables import State
+from .decisions import (
+    FenceProgress,
+    FenceResult,
+    PromotionDecision,
+    fence_result,
+)
+from .messages import DemoteEndpoint, FenceCompleted, FenceConfirmed, FenceRequest
+from .rows import CoordinationRow
+
+MILLISECOND = timedelta(milliseconds=1)
+# Between two requests to the instances that did not confirm yet.
+REQUEST_INTERVAL = timedelta(milliseconds=100)
+# Between two demands that the old primary steps down.
+DEMOTE_INTERVAL = timedelta(milliseconds=300)
+
+
+def begin(
+    group: str,
+    decision: PromotionDecision,
+    version: int,
+    previous: PromotionDecision | None,
+    previous_age: timedelta,
+    state: State,
+) -> None:
+    """Begin to wait until only the target of a decision can be in use.
+
+    `previous_age` is the time since this instance first saw the previous decision.
+    """
+    now = state.clock.monotonic()
+    row = CoordinationRow(group, decision, version, started_at=now)
+    row.only_primary = only_primary(group, previous, previous_age, state)
+    state.coordinations[group] = row
+    for pool in old_primaries(row, state):
+        if not pools.idle_connections(pool, state):
+            pools.probe(pool, state)
+    request_stops(row, state)
+
+
+def only_primary(
+    group: str,
+    previous: PromotionDecision | None,
+    previous_age: timedelta,
+    state: State,
+) -> str:
+    """Return the only endpoint that can be in use as primary; empty if unknown."""
+    if previous is not None:
+        lease = state.settings.configuration_lease
+        return previous.target if previous_age >= lease else ""
+    claimants = [
+        member.name
+        for member in registry.group_members(group, state)
+        if member.entry.role is EndpointRole.PRIMARY
+    ]
+    return claimants[0] if len(claimants) == 1 else ""
+
+
+def old_primaries(row: CoordinationRow, state: State) -> list[PoolRow]:
+    """Return the pools of endpoints that may take themselves for the primary."""
+    return [
+        state.pools[member.name]
+        for member in registry.group_members(row.group, state)
+        if member.name != row.decision.target
+        and (
+            member.entry.role is EndpointRole.PRIMARY or member.name == row.only_primary
+        )
+        and member.name in state.pools
+    ]
+
+
+def run(state: State) -> None:
+    """Advance the decisions whose old primaries may still be in use."""
+    for row in list(state.coordinations.values()):
+        advance(row, state)
+
+
+def advance(row: CoordinationRow, state: State) -> None:
+    """Report that the old primary is out of use, or ask on."""
+    now = state.clock.monotonic()
+    unconfirmed = unconfirmed_instances(row, state)
+    progress = FenceProgress(
+        now - row.started_at,
+        # The list of instances must be as new as the decision.
+        len(unconfirmed) if state.view.version >= row.version else len(unconfirmed) + 1,
+        bool(row.only_primary) and row.only_primary in row.deposed,
+    )
+    result = fence_result(progress, state.settings.configuration_lease)
+    if result is not None:
+        complete(row, result, len(unconfirmed), state)
+        return
+    if now - row.requested_at >= REQUEST_INTERVAL:
+        request_stops(row, state)
+    demand_step_down(row, state)
+
+
+def unconfirmed_instances(row: CoordinationRow, state: State) -> list[str]:
+    """Return the listed instances that did not confirm that they stopped."""
+    return [name for name in state.instances if name not in row.confirmed]
+
+
+def complete(
+    row: CoordinationRow, result: FenceResult, unconfirmed: int, state: State
+) -> None:
+    """Report that only the target of a decision can be in use."""
+    del state.coordinations[row.group]
+    waited = state.clock.monotonic() - row.started_at
+    state.log_event(
+        PrimaryFenced(
+            row.group, row.decision.token, result, unconfirmed, waited // MILLISECOND
+        )
+    )
+    handle(FenceCompleted(row.group, row.decision.token), state)
+
+
+def request_stops(row: CoordinationRow, state: State) -> None:
+    """Ask the instances that did not confirm."""
+    row.requested_at = state.clock.monotonic()
+    message = FenceRequest(row.group, row.decision.token, row.decision.target)
+    for name in unconfirmed_instances(row, state):
+        peers.send(name, message, state)
+
+
+def demand_step_down(row: CoordinationRow, state: State) -> None:
+    """Tell the old primaries to step down, and see if they begin transactions."""
+    now = state.clock.monotonic()
+    if now - row.demoted_at < DEMOTE_INTERVAL:
+        return
+    for pool in old_primaries(row, state):
+        idle = pools.idle_connections(pool, state)
+        term = newest_term(row.group, state)
+        if not idle or term is None:
+            continue
+        row.demoted_at = now
+        connection = idle[0]
+        # A refusal to begin proves that the endpoint is not the primary any more.
+        steps = [DemoteEndpoint(term + 1), BeginWork(), EndWork()]
+        send_steps(connection, steps, state)
+        pools.release(connection, state)
+
+
+def newest_term(group: str, state: State) -> int | None:
+    """Return the newest term that an endpoint of the group has told."""
+    rows = [pool for pool in state.pools.values() if pool.group == group]
+    known = [pool.position for pool in rows] + [
+        leadership.row_of(group, state).position
+    ]
+    return max((item.term for item in known if item is not None), default=None)
+
+
+def record_refusal(group: str, endpoint: str, sent_at: timedelta, state: State) -> None:
+    """Record that an endpoint refused to begin a transaction as primary."""
+    row = state.coordinations.get(group)
+    if row is not None and sent_at >= row.started_at:
+        row.deposed.add(endpoint)
+
+
+@handle_peer.register
+def _(message: FenceConfirmed, sender: str, state: State) -> None:
+    row = state.coordinations.get(message.group)
+    if row is not None and row.decision.token == message.token:
+        row.confirmed.add(sender)
--- /dev/null
+++ b/pimentodrift/fencing/decisions.py
@@ -0,0 +1,64 @@
+"""Decides when an endpoint can be promoted without a second primary beside it.
+
+The decision to promote is an object in the store. An instance uses a primary only
+while its copy of the store is younger than the configuration lease, so the old primary
+is out of use once every instance has confirmed that it stopped, once the old primary
+itself refuses to begin a transaction, or at the latest when the lease of every
+instance that did not confirm has ended.
+"""
+
+from datetime import timedelta
+from enum import StrEnum
+
+from attrs import frozen
+
+# Added to the lease: the last statement sent within it may still be on its way.
+IN_FLIGHT_MARGIN = timedelta(milliseconds=500)
+
+
+class PrimaryFencing(StrEnum):
+    """Who makes sure that a replaced primary takes no more work."""
+
+    PLATFORM = "platform"  # The platform deposes it with the promotion.
+    INSTANCES = "instances"  # The instances stop using it before the promotion.
+
+
+@frozen
+class PromotionDecision:
+    """The decision that an endpoint becomes its group's only primary."""
+
+    token: int
+    target: str
+
+
+@frozen
+class FenceProgress:
+    """What is known of the work at endpoints other than the target of a decision."""
+
+    elapsed: timedelta  # Since the store acknowledged the decision.
+    unconfirmed: int  # Instances that did not confirm that they stopped.
+    is_deposed: bool  # The only endpoint that could be in use refused to be primary.
+
+
+class FenceResult(StrEnum):
+    """Why no instance can use the old primary any more."""
+
+    CONFIRMED = "confirmed"
+    DEPOSED = "deposed"
+    LEASE_ENDED = "lease-ended"
+
+
+def lease_end(lease: timedelta) -> timedelta:
+    """Return how long after a decision an unaware instance may use the old primary."""
+    return lease + IN_FLIGHT_MARGIN
+
+
+def fence_result(progress: FenceProgress, lease: timedelta) -> FenceResult | None:
+    """Return why the old primary is out of use; None if it may still be in use."""
+    if not progress.unconfirmed:
+        return FenceResult.CONFIRMED
+    if progress.is_deposed:
+        return FenceResult.DEPOSED
+    if progress.elapsed >= lease_end(lease):
+        return FenceResult.LEASE_ENDED
+    return None
--- a/pimentodrift/leadership.py
+++ b/pimentodrift/leadership.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 
 from . import registry
+from .fencing.permissions import may_lead
 from .log_events import PrimaryChosen
 from .messages import Position
 from .session_rows import EndpointRole, LeadershipRow, RegistryRow
@@ -51,7 +52,7 @@
 ) -> None:
     """Record that an endpoint was the primary at `sent_at` or later."""
     row = row_of(group, state)
-    if sent_at < row.sampled_at:
+    if sent_at < row.sampled_at or not may_lead(group, endpoint, state):
         return
     row.denied.pop(endpoint, None)
     if row.primary != endpoint:
@@ -74,12 +75,18 @@
     row = row_of(group, state)
     now = state.clock.monotonic()
     known = state.registry.get(row.primary)
-    if known is not None and known.entry.group == group:
+    if (
+        known is not None
+        and known.entry.group == group
+        and may_lead(group, known.name, state)
+    ):
         return known
     for member in registry.group_members(group, state):
         refused_at = row.denied.get(member.name)
         if refused_at is not None and now - refused_at < DENIAL_LIFETIME:
             continue
+        if not may_lead(group, member.name, state):
+            continue
         if member.entry.role is EndpointRole.PRIMARY:
             return member
     return None
--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -148,6 +148,28 @@
     outcome: str
 
 
+@frozen
+class PrimaryWorkStopped(Event):
+    """This instance uses no other primary than the one that a decision names."""
+
+    group: str
+    token: int
+    target: str
+    aborted: int
+    closed: int
+
+
+@frozen
+class PrimaryFenced(Event):
+    """No instance can use another primary than the one that a decision names."""
+
+    group: str
+    token: int
+    result: str
+    unconfirmed: int
+    waited_ms: int
+
+
 @frozen
 class PromotionEnded(Event):
     """The platform answered the call for a promotion, or the call failed."""
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -8,6 +8,9 @@
 
 from . import connection_setup, leadership, pools
 from .dispatch import handle
+from .fencing.coordination import record_refusal
+from .fencing.messages import DemoteEndpoint
+from .fencing.permissions import may_lead
 from .messages import Access, Position
 from .operation_completion import (
     access_refusal,
@@ -68,10 +71,22 @@
         refuse(operation, refusal, state)
         pools.release(connection, state)
         return
+    # Without a minimum position, only the group's primary may run the statement.
+    connection.needs_primary = operation.minimum is None
+    if is_fenced(connection, state):
+        pools.release(connection, state)
+        handle(PlacementNeeded(operation.operation), state)
+        return
     operation.connection = connection.connection
     send_first_steps(operation, session, connection, state)
 
 
+def is_fenced(connection: PooledRow, state: State) -> bool:
+    """Return whether work that needs the primary must not run on a connection."""
+    group, endpoint = connection.group, connection.endpoint
+    return connection.needs_primary and not may_lead(group, endpoint, state)
+
+
 def send_first_steps(
     operation: OperationRow, session: SessionRow, connection: PooledRow, state: State
 ) -> None:
@@ -131,6 +146,10 @@
         refuse(operation, refusal, state)
         return
     connection = state.pooled[session.connection]
+    if is_fenced(connection, state):
+        detail = f"{connection.endpoint} is not the primary any more"
+        refuse(operation, Refusal(Fault.ABORTED, detail, RETRY_AFTER), state)
+        return
     connection.operation = operation.operation
     operation.connection = connection.connection
     operation.endpoint = connection.endpoint
@@ -158,13 +177,16 @@
         case BeginWork():
             if message.fault is None and not step.read_only:
                 record_primary(connection, message, sent_at, state)
+            elif message.fault is Fault.READ_ONLY:
+                group, endpoint = connection.group, connection.endpoint
+                record_refusal(group, endpoint, sent_at, state)
             if operation is not None:
                 on_transaction_begun(connection, operation, message, state)
         case RunStatement() | RunPrepared() | CommitWork():
             if operation is not None:
                 on_statement_run(connection, operation, sent_at, message, state)
-        case EndWork():
-            pass  # A refusal means that no transaction was open.
+        case EndWork() | DemoteEndpoint():
+            pass  # Refused if no transaction is open, or if the term is too low.
         case _ if message.fault is not None:
             break_connection(connection, state)
             return
@@ -199,6 +221,11 @@
     if message.fault is not None:
         retry_elsewhere(operation, connection, message, state)
         return
+    if is_fenced(connection, state):
+        if not connection.session:
+            send_steps(connection, [EndWork()], state)
+        retry_elsewhere(operation, connection, message, state)
+        return
     refusal = access_refusal(session, operation.route, state)
     if refusal is not None:
         if not connection.session:
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -5,6 +5,7 @@
 leaving, the coordinator takes the next token by a conditional update of the group's
 `promotion` object and asks the platform to promote the replica with the longest log.
 A token is used for one decision of one instance; the platform refuses older tokens.
+Where it does not depose the old primary, `fencing` keeps that out of use first.
 """
 
 from datetime import timedelta
@@ -14,6 +15,9 @@
 from . import leadership, membership, peers, pools, registry, view
 from .clock import NEVER
 from .dispatch import handle, handle_peer
+from .fencing import coordination, permissions
+from .fencing.decisions import PromotionDecision, lease_end
+from .fencing.messages import FenceCompleted
 from .log_events import PromotionDecided, PromotionEnded
 from .messages import Position, StoreObject
 from .promotion_messages import (
@@ -23,7 +27,7 @@
     PromoteEndpoint,
     PromoteOutcome,
 )
-from .session_rows import PromotionRow, RegistryRow
+from .session_rows import EndpointRole, PromotionRow, RegistryRow
 from .store_writes import StoreOutcome, write_ended, write_object
 from .tables import State
 
@@ -54,6 +58,8 @@
 # A coordinator needs the store: its Pong must report a copy that is at most this old.
 MAX_STORE_AGE = timedelta(seconds=3)
 MAX_HEARTBEAT_AGE = timedelta(seconds=2)
+# The platform may carry out a call without an answer up to this much later.
+LATE_CALL_LIFETIME = timedelta(seconds=12)
 
 
 @frozen
@@ -63,6 +69,7 @@
     group: str
     token: int
     target: str
+    previous: PromotionDecision | None  # The decision that it replaces.
 
 
 def promotion_row(group: str, state: State) -> PromotionRow:
@@ -77,6 +84,8 @@
     """Watch the primaries and replace those that have failed."""
     if state.stopping or not view.is_copy_fresh(state):
         return
+    if permissions.is_enabled(state) and state.settings.name not in state.instances:
+        return  # No endpoint counts as the primary before this instance is listed.
     for group in {member.entry.group for member in state.registry.values()}:
         check_primary(promotion_row(group, state), state)
 
@@ -274,18 +283,15 @@
     now = state.clock.monotonic()
     if now < row.next_at or row.call or row.is_writing:
         return
+    if row.group in state.coordinations:
+        return
     token, holder = stored_token(row.group, state)
     other = holder not in ("", state.settings.name)
-    if other and holder not in state.ended and now - row.seen_at < DECISION_LIFETIME:
+    lifetime = decision_lifetime(state)
+    if other and holder not in state.ended and now - row.seen_at < lifetime:
         return
     old = primary.name if primary is not None else ""
-    rows = [
-        member
-        for member in registry.group_members(row.group, state)
-        if member.name != old
-        and member.leaving_since is None
-        and member.missing_since is None
-    ]
+    rows = promotable_members(row, old, state)
     if not rows:
         return
     if row.choosing_since is None:
@@ -301,7 +307,53 @@
     value = {"token": token + 1, "holder": state.settings.name, "target": target}
     item = state.view.objects.get(("promotion", row.group))
     known = item or StoreObject("promotion", row.group, 0, None)
-    write_object(known, value, TokenWrite(row.group, token + 1, target), state)
+    previous = permissions.newest_decision(row.group, state)
+    purpose = TokenWrite(row.group, token + 1, target, previous)
+    write_object(known, value, purpose, state)
+
+
+def decision_lifetime(state: State) -> timedelta:
+    """Return how long another instance's decision blocks a new one."""
+    if not permissions.is_enabled(state):
+        return DECISION_LIFETIME
+    return DECISION_LIFETIME + lease_end(state.settings.configuration_lease)
+
+
+def promotable_members(row: PromotionRow, old: str, state: State) -> list[RegistryRow]:
+    """Return the endpoints of a group that can be promoted in place of `old`."""
+    rows = [
+        member
+        for member in registry.group_members(row.group, state)
+        if member.name != old
+        and member.leaving_since is None
+        and member.missing_since is None
+    ]
+    if not permissions.is_enabled(state):
+        return rows
+    # Of two that call themselves the primary, only the target of the last decision is.
+    decision = permissions.newest_decision(row.group, state)
+    target = decision.target if decision is not None else ""
+    return [
+        member
+        for member in rows
+        if member.entry.role is not EndpointRole.PRIMARY or member.name == target
+    ]
+
+
+def preferred_target(
+    row: PromotionRow, found: dict[str, Position], state: State
+) -> str | None:
+    """Return the target of the last decision if its call may still take effect.
+
+    Such a call would depose another endpoint that was promoted meanwhile.
+    """
+    if not permissions.is_enabled(state):
+        return None
+    decision = permissions.newest_decision(row.group, state)
+    is_recent = state.clock.monotonic() - row.seen_at <= LATE_CALL_LIFETIME
+    if decision is None or not is_recent or decision.target not in found:
+        return None
+    return decision.target
 
 
 def choose_replica(
@@ -324,7 +376,8 @@
         row.choosing_since = None
         row.rejected.clear()
         return None
-    return max(found, key=lambda name: (found[name], name))
+    preferred = preferred_target(row, found, state)
+    return preferred or max(found, key=lambda name: (found[name], name))
 
 
 @write_ended.register
@@ -347,7 +400,27 @@
         row.next_at = now + RETRY_DELAY
         return
     row.token, row.target = purpose.token, purpose.target
-    request_promotion(row, state)
+    if permissions.is_enabled(state):
+        begin_fencing(row, purpose, state)
+    else:
+        request_promotion(row, state)
+
+
+def begin_fencing(row: PromotionRow, purpose: TokenWrite, state: State) -> None:
+    """Wait until the old primary is out of use."""
+    decision = PromotionDecision(purpose.token, purpose.target)
+    item = state.view.objects["promotion", purpose.group]
+    previous_age = state.clock.monotonic() - row.seen_at
+    coordination.begin(
+        purpose.group, decision, item.version, purpose.previous, previous_age, state
+    )
+
+
+@handle.register
+def _(message: FenceCompleted, state: State) -> None:
+    row = promotion_row(message.group, state)
+    if row.token == message.token and not row.call:
+        request_promotion(row, state)
 
 
 def request_promotion(row: PromotionRow, state: State) -> None:
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -27,6 +27,7 @@
     sessions,
 )
 from .dispatch import handle
+from .fencing import coordination, stopping
 from .tables import State
 from .ticks import TICK, take_outbox
 from .view import is_copy_fresh
@@ -43,6 +44,8 @@
     allocation.run,
     rates.run,
     pools.run,
+    stopping.run,
+    coordination.run,
     promotion.run,
     operations.run,
     sessions.run,
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -118,6 +118,7 @@
     is_open: bool = False
     operation: int = 0  # Operation that uses it, or 0.
     session: int = 0  # Session whose transaction is pinned to it, or 0.
+    needs_primary: bool = False  # Only the primary may run what it is used for.
     idle_since: timedelta = NEVER
     # Steps in flight, each with its send time.
     steps: deque[tuple[ApplyStep, timedelta]] = field(factory=deque)
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -13,6 +13,7 @@
 
 from attrs import Attribute, field, frozen
 
+from .fencing.decisions import PrimaryFencing
 from .queue_policy import QueuePolicy
 
 VARIABLE_PREFIX = "PIMENTODRIFT_"
@@ -224,6 +225,11 @@
         validator=OneOf(tuple(QueuePolicy)),
         metadata=help_metadata("When a session's statement is refused, not queued."),
     )
+    primary_fencing: str = field(
+        default=PrimaryFencing.PLATFORM.value,
+        validator=OneOf(tuple(PrimaryFencing)),
+        metadata=help_metadata("Who keeps a replaced primary out of use."),
+    )
     heartbeat_interval: timedelta = field(
         default=timedelta(milliseconds=200),
         validator=Between(timedelta(milliseconds=50), timedelta(seconds=2)),
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -27,6 +27,7 @@
     StoreWrite,
     WaitingWrite,
 )
+from .fencing.rows import CoordinationRow, FenceRow
 from .latencies import Latencies
 from .messages import Access, Action, Durability, Position, Statement, StoreObject
 from .rate_rows import AllocationRow, ClaimRow, EpochSeen, ShareRow
@@ -386,7 +387,8 @@
     registry: dict[str, RegistryRow] = field(factory=dict)  # By endpoint.
     leaderships: dict[str, LeadershipRow] = field(factory=dict)  # By group.
     promotions: dict[str, PromotionRow] = field(factory=dict)  # By group.
-
+    fences: dict[str, FenceRow] = field(factory=dict)  # By group.
+    coordinations: dict[str, CoordinationRow] = field(factory=dict)  # By group.
     latencies: Latencies = field(factory=dict)
 
     def log_event(self, event: Event) -> None:
--- /dev/null
+++ b/tests/test_fencing.py
@@ -0,0 +1,196 @@
+"""A replaced primary is out of use before another endpoint is promoted."""
+
+from datetime import timedelta
+from itertools import pairwise
+from random import Random
+
+import pytest
+
+from pimentodrift.fencing.decisions import (
+    FenceProgress,
+    FenceResult,
+    PrimaryFencing,
+    fence_result,
+    lease_end,
+)
+from pimentodrift.kind_messages import WatchedKind
+from pimentodrift.promotion_messages import PromoteOutcome
+from pimentodrift.session_rows import EndpointRole
+
+from .session_support import MILLISECOND, SECOND, make_endpoint
+from .split_group import DATABASES, SplitNetwork, make_split_network, restart
+
+NAMES = ("a", "b", "c", "d", "e")
+LEASE = timedelta(seconds=3.5)
+
+
+@pytest.mark.parametrize(
+    ("progress", "expected"),
+    [
+        (FenceProgress(0 * SECOND, 0, False), FenceResult.CONFIRMED),
+        (FenceProgress(0 * SECOND, 1, True), FenceResult.DEPOSED),
+        (FenceProgress(LEASE, 1, False), None),
+        (FenceProgress(lease_end(LEASE), 1, False), FenceResult.LEASE_ENDED),
+    ],
+)
+def test_fence_result(progress: FenceProgress, expected: FenceResult | None) -> None:
+    """Guards against a promotion while an instance may still use the old primary."""
+    assert fence_result(progress, LEASE) is expected
+
+
+def leave(network: SplitNetwork) -> None:
+    """Announce the planned end of the primary."""
+    endpoint = make_endpoint(role=EndpointRole.PRIMARY, is_leaving=True)
+    network.change(WatchedKind.REGISTRY, network.leader, endpoint)
+
+
+def test_planned_change_without_fencing_acknowledges_lost_writes() -> None:
+    """Guards against a model of the group that no fault could break."""
+    network = make_split_network(NAMES, PrimaryFencing.PLATFORM)
+    leave(network)
+    network.play(3 * SECOND)
+    assert network.leader != "e1"
+    assert network.stray
+
+
+def test_planned_change() -> None:
+    """Guards against writes at a primary that was replaced as planned."""
+    network = make_split_network(NAMES)
+    leave(network)
+    network.play(SECOND)
+    assert network.leader != "e1"
+    assert not network.wrong
+    before = len(network.acknowledged)
+    network.play(SECOND)
+    assert len(network.acknowledged) > before + len(NAMES)
+
+
+def cut_most_from_primary(network: SplitNetwork) -> None:
+    """Cut the primary from its replicas and from all instances but one."""
+    for name in (*NAMES[1:], *DATABASES[1:]):
+        network.partitions.add(frozenset((name, "e1")))
+
+
+@pytest.mark.parametrize("is_silent", [True, False])
+def test_primary_that_one_instance_still_reaches(is_silent: bool) -> None:
+    """Guards against an instance that alone goes on with the old primary.
+
+    If other instances don't reach it either, it stops at the end of its lease.
+    """
+    network = make_split_network(NAMES)
+    cut_most_from_primary(network)
+    if is_silent:
+        for name in NAMES[1:]:
+            network.partitions.add(frozenset((name, "a")))
+        network.partitions.add(frozenset(("a", "store")))
+    network.play(12 * SECOND)
+    assert network.leader != "e1"
+    assert not network.wrong
+
+
+def test_paused_instance() -> None:
+    """Guards against an instance that wakes up and goes on with the old primary."""
+    network = make_split_network(NAMES)
+    network.play(SECOND)
+    network.nodes["c"].paused = True
+    leave(network)
+    network.play(8 * SECOND)
+    assert network.leader != "e1"
+    network.resume("c")
+    network.play(2 * SECOND)
+    assert not network.wrong
+
+
+def test_started_instance_ignores_what_the_old_primary_says() -> None:
+    """Guards against a new instance that believes the registry entry of a primary."""
+    network = make_split_network(NAMES)
+    cut_most_from_primary(network)
+    network.play(2 * SECOND)
+    assert network.leader != "e1" and network.members["e1"].believes
+    restart(network, "a")
+    network.run(2 * SECOND)
+    network.open_session("a")
+    network.play(2 * SECOND)
+    assert not network.wrong
+    assert any(number.startswith("a-") for number in network.acknowledged)
+
+
+def test_late_call_does_not_depose_the_new_primary() -> None:
+    """Guards against a call without an answer that takes effect after a newer one."""
+    network = make_split_network(NAMES)
+    network.call_outcome = PromoteOutcome.UNCLEAR
+    network.call_delay = 4 * SECOND
+    leave(network)
+    network.play(2 * SECOND)
+    network.call_outcome, network.call_delay = PromoteOutcome.ACCEPTED, 0 * SECOND
+    network.play(10 * SECOND)
+    assert network.leader != "e1"
+    assert not network.wrong
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_faults(seed: int) -> None:
+    """Guards against orders of faults that no single test has."""
+    random = Random(seed)
+    network = make_split_network(NAMES, seed=seed)
+    play_faults(network, random)
+    assert not network.wrong
+    numbers = [token for token, _ in network.tokens]
+    assert all(one < other for one, other in pairwise(numbers))
+    network.lose_answers = False
+    network.play(12 * SECOND)
+    before = len(network.acknowledged)
+    network.play(3 * SECOND)
+    assert len(network.acknowledged) > before
+    assert not network.wrong
+
+
+def play_faults(network: SplitNetwork, random: Random) -> None:
+    """Play overlapping faults with writes through all instances."""
+    for _ in range(25):
+        play_fault(network, random)
+        network.play(random.randrange(100, 1500, 100) * MILLISECOND)
+
+
+def test_random_faults_without_fencing() -> None:
+    """Guards against random faults that break nothing even without fencing."""
+    network = make_split_network(NAMES, PrimaryFencing.PLATFORM)
+    play_faults(network, Random(1))
+    assert network.wrong
+
+
+def play_fault(network: SplitNetwork, random: Random) -> None:
+    """Begin a random fault, which ends by itself."""
+    name = random.choice(NAMES)
+    node = network.nodes[name]
+    length = random.randrange(200, 5000, 100) * MILLISECOND
+    match random.randrange(8):
+        case 0 | 1:
+            leave(network)
+        case 2:
+            places = (*NAMES, *DATABASES, "store")
+            cut(network, name, random.choice(places), length)
+        case 3:
+            for other in random.sample((*NAMES, *DATABASES), 5):
+                cut(network, network.leader, other, length)
+        case 4 if not node.paused:
+            node.paused = True
+            network.schedule(length, lambda: network.resume(name))
+        case 5 if not node.paused:
+            restart(network, name)
+            network.schedule(2 * SECOND, lambda: network.open_session(name))
+        case 6:
+            network.lose_answers = not network.lose_answers
+        case 7:
+            slow = random.random() < 0.5
+            network.call_delay = (3 * SECOND) if slow else 0 * SECOND
+            network.call_outcome = (
+                PromoteOutcome.UNCLEAR if slow else PromoteOutcome.ACCEPTED
+            )
+
+
+def cut(network: SplitNetwork, one: str, other: str, length: timedelta) -> None:
+    """Cut two places from each other for a while."""
+    pair = frozenset((one, other))
+    network.partitions.add(pair)
+    network.schedule(length, lambda: network.partitions.discard(pair))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -20,6 +20,8 @@
 )
 
 from pimentodrift import session_messages as m  # noqa: E402
+from pimentodrift.fencing.decisions import PrimaryFencing  # noqa: E402
+from pimentodrift.fencing.messages import DemoteEndpoint  # noqa: E402
 from pimentodrift.kind_messages import (  # noqa: E402
     CheckExpired,
     CheckFailed,
@@ -170,6 +172,7 @@
         (m.ApplyValue("a", "b c"), "SET a b c"),
         (m.PrepareShape("p1", Access.READ, "q"), "PREPARE p1 READ q"),
         (m.RunPrepared("i", "p1", "x y"), "EXECUTE p1 x y"),
+        (DemoteEndpoint(4), "DEMOTE 4"),
         (m.RunStatement("i", "READ x", Position(3, 4)), "AFTER 3.4 READ x"),
     ],
 )
@@ -242,6 +245,23 @@
     assert read.instance.stop_timeout.total_seconds() < 6
 
 
+@pytest.mark.parametrize(
+    ("bounds", "fencing"),
+    [
+        ({}, PrimaryFencing.PLATFORM),
+        ({"fenceChecked": True}, PrimaryFencing.PLATFORM),
+        ({"fenceChecked": False}, PrimaryFencing.INSTANCES),
+    ],
+)
+def test_fencing_follows_the_platform(
+    bounds: dict[str, Any], fencing: PrimaryFencing
+) -> None:
+    """Guards against two primaries where the platform does not depose the old one."""
+    changed = {**SETTINGS, "bounds": {**SETTINGS["bounds"], **bounds}}
+    read = settings.decode_settings(changed)
+    assert read.instance.primary_fencing == fencing
+
+
 def body(revision: int = 4) -> dict[str, Any]:
     meta = {"name": "allocator.w", "revision": revision}
     return {"meta": meta, "spec": {"epoch": 1}, "status": None}
