Follow a store that comes back from an older copy

Cause: versions were the store's revisions, so after a restore a change with a revision at or below the last known one was dropped for good, a watch missed what differed below its revision, and epochs and tokens were taken from what the copy had, so that one could be given twice. A deleted allocator object could not be created again.

Change: the era (header Store-Era) is the upper part of every version. A new era lets all kinds be listed again, relays first, the others within a second; answers of earlier eras and conditions on their revisions are dropped. Epochs and tokens lie above the era's floor; ledgers whose claim was lost are claimed again with locked shares; lost decisions on primaries are written again.

Ruled out: comparing revisions per connection (relays and peers mix sources); dropping all copies at once (no service until listed).

--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -10,13 +10,19 @@
 
 from attrs import evolve
 
-from . import membership, peers, view
+from . import membership, peers, store_eras, view
 from .clock import NEVER
 from .messages import StoreObject
 from .peer_messages import Epoch, ShareRenew
 from .rate_rows import AllocationRow, ClaimRow, EpochSeen
 from .rates import holds_all_shares, is_allocator_usable
-from .store_writes import StoreOutcome, write_ended, write_object
+from .store_versions import next_token
+from .store_writes import (
+    StoreOutcome,
+    writable_object,
+    write_ended,
+    write_object,
+)
 from .tables import State
 
 CLAIM_TIMEOUT = timedelta(seconds=3)
@@ -93,11 +99,11 @@
     # earlier claim was unknown. This instance claims again.
     if stored.holder != own and first_candidate(workspace, state) != own:
         return
-    epoch = Epoch(stored.number + 1, own)
+    epoch = Epoch(next_token(state.view.era, stored.number), own)
     claim = ClaimRow(workspace, epoch, stored.holder, now)
     state.claims[workspace] = claim
-    target = item or StoreObject("allocator", workspace, 0, None)
     value = {"epoch": epoch.number, "holder": own}
+    target = writable_object("allocator", workspace, state)
     write_object(target, value, claim, state)
 
 
@@ -163,11 +169,20 @@
 
 
 def drop_superseded(row: AllocationRow, state: State) -> bool:
-    """Drop the ledger if the store has a later epoch; return whether it was dropped."""
-    if stored_epoch(row.workspace, state) <= row.epoch:
+    """Drop the ledger if the store has another epoch; return whether it was dropped.
+
+    That is a later one, or after a restore of the store an earlier one.
+    """
+    stored = stored_epoch(row.workspace, state)
+    is_lost = (
+        stored != row.epoch
+        and store_eras.was_restored(state)
+        and store_eras.are_own_objects_current(state)
+    )
+    if stored <= row.epoch and not is_lost:
         return False
     del state.allocations[row.workspace]
-    state.counters["allocator.superseded"] += 1
+    state.counters["allocator.lost" if is_lost else "allocator.superseded"] += 1
     return True
 
 
@@ -192,7 +207,8 @@
         level=workspace.burst,
         level_at=state.clock.monotonic(),
     )
-    if claim.predecessor:
+    # A restored store may have lost the object of an allocator that is still active.
+    if claim.predecessor or store_eras.was_restored(state):
         row.locked_rate = workspace.rate
         row.locked_burst = workspace.burst
         state.counters["allocator.takeovers"] += 1
--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -12,6 +12,7 @@
 from ..operation_completion import send_steps
 from ..session_messages import BeginWork, EndWork
 from ..session_rows import EndpointRole, PoolRow
+from ..store_versions import era_of
 from ..tables import State
 from .decisions import (
     FenceProgress,
@@ -90,6 +91,10 @@
 
 def advance(row: CoordinationRow, state: State) -> None:
     """Report that the old primary is out of use, or ask on."""
+    if era_of(row.version) != state.view.era:
+        # The store was restored, perhaps from a copy without the decision.
+        del state.coordinations[row.group]
+        return
     now = state.clock.monotonic()
     unconfirmed = unconfirmed_instances(row, state)
     progress = FenceProgress(
--- a/pimentodrift/fencing/permissions.py
+++ b/pimentodrift/fencing/permissions.py
@@ -5,6 +5,7 @@
 itself. Callers check the age of the copy of the store before each statement.
 """
 
+from .. import store_eras
 from ..tables import State
 from .decisions import PrimaryFencing, PromotionDecision
 from .rows import FenceRow
@@ -40,6 +41,16 @@
     return max(filter(None, known), key=lambda item: item.token, default=None)
 
 
+def lost_decision(group: str, state: State) -> PromotionDecision | None:
+    """Return the newest decision if a restored store has lost it, else None."""
+    if not store_eras.was_restored(state):
+        return None
+    if not store_eras.are_own_objects_current(state):
+        return None
+    newest, stored = newest_decision(group, state), stored_decision(group, state)
+    return newest if newest != stored else None
+
+
 def may_lead(group: str, endpoint: str, state: State) -> bool:
     """Return whether this instance may use an endpoint as its group's primary."""
     if not is_enabled(state):
--- a/pimentodrift/http_client.py
+++ b/pimentodrift/http_client.py
@@ -63,6 +63,7 @@
         """Reset what is known of the response, for the next call."""
         self.body: list[bytes] = []
         self.response_bytes = 0
+        self.headers: dict[bytes, bytes] = {}  # Of the response, by lower-case name.
         self.is_complete = False
         self.keep_alive = False
         self.status = 0
@@ -159,6 +160,10 @@
         if self.is_complete:
             self.complete_first_call()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header of the response."""
+        self.headers[name.lower()] = value
+
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
         self.body.append(data)
--- a/pimentodrift/instance_registration.py
+++ b/pimentodrift/instance_registration.py
@@ -7,8 +7,12 @@
 from . import kind_rows
 from .kind_messages import WatchedKind
 from .log_events import InstanceListed
-from .messages import StoreObject
-from .store_writes import StoreOutcome, write_ended, write_object
+from .store_writes import (
+    StoreOutcome,
+    writable_object,
+    write_ended,
+    write_object,
+)
 from .tables import Presence, State
 
 RETRY_INTERVAL = timedelta(seconds=1)
@@ -37,9 +41,7 @@
     if known is not None and known.value == value:
         return
     state.registration_at = now + RETRY_INTERVAL
-    target = known or StoreObject("instance", settings.name, 0, None)
-    if target.value is None:
-        target = StoreObject("instance", settings.name, 0, None)
+    target = writable_object("instance", settings.name, state)
     write_object(target, value, Registration(), state)
 
 
--- a/pimentodrift/kind_rows.py
+++ b/pimentodrift/kind_rows.py
@@ -59,6 +59,14 @@
     return row
 
 
+def reset_copy(row: KindRow) -> None:
+    """Let a kind be listed again; what was known stays in use until then."""
+    row.revision = 0
+    row.sent_at = None
+    row.checked_at = None
+    row.listed_after = ""
+
+
 def is_every_kind_listed(state: State) -> bool:
     """Return whether every kind has been listed since the start."""
     return all(row_of(kind, state).revision for kind in WatchedKind)
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 from functools import singledispatch
 
-from . import view
+from . import store_eras, view
 from .clock import NEVER
 from .dispatch import handle
 from .kind_messages import (
@@ -50,6 +50,7 @@
 )
 from .messages import StoreObject
 from .notices import RegistryRelayed
+from .store_versions import era_of
 from .tables import State
 
 # A watch without a change ends after this time. The next one is another call to the
@@ -227,9 +228,26 @@
     return sent_at
 
 
+def is_usable_answer(revision: int, row: KindRow, state: State) -> bool:
+    """Return whether an answer is of the store's era, and to the call in flight.
+
+    An answer that reveals a new era ends the call, since the copy is listed anew.
+    """
+    if not store_eras.observe_version(revision, state):
+        record_answer(row, state)
+        return False
+    return not (store_eras.was_restored(state) and row.sent_at is None)
+
+
 @handle.register
 def _(message: KindListed, state: State) -> None:
     row = row_of(message.kind, state)
+    is_list_begun = row.sent_at is not None and not row.listed_after
+    is_usable = is_usable_answer(message.revision, row, state)
+    # The first part of a list is usable even if it reveals a new era.
+    is_first = is_list_begun and era_of(message.revision) == state.view.era
+    if not (is_usable or is_first):
+        return
     record_answer(row, state)
     if not row.listed_after:
         row.list_revision = message.revision
@@ -253,6 +271,8 @@
 @handle.register
 def _(message: KindChanged, state: State) -> None:
     row = row_of(message.kind, state)
+    if not is_usable_answer(message.revision, row, state):
+        return
     sent_at = record_answer(row, state)
     row.next_at = max(row.next_at, sent_at + WATCH_INTERVALS[row.kind])
     apply_changes(row, message, state)
@@ -262,6 +282,9 @@
 @handle.register
 def _(message: KindChecked, state: State) -> None:
     row = row_of(message.kind, state)
+    if not store_eras.observe_version(message.revision, state):
+        row.checked_at = None
+        return
     sent_at, row.checked_at = row.checked_at, None
     if row.is_unchecked:
         row.is_unchecked = False
@@ -344,6 +367,8 @@
 def _(message: RegistryRelayed, state: State) -> None:
     row = row_of(WatchedKind.REGISTRY, state)
     update = message.update
+    if not store_eras.observe_version(update.revision, state):
+        return
     if not row.revision or update.after > row.revision:
         return  # Changes would be missing; this instance's watch goes on.
     row.relayed_at = state.clock.monotonic()
--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -31,6 +31,13 @@
     lost_ms: int
 
 
+@frozen
+class StoreRestored(Event):
+    """The store came back from an older copy; its objects are listed again."""
+
+    era: int
+
+
 @frozen
 class CheckLost(Event):
     """The store stopped confirming that the copy of a kind of objects is current."""
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -19,7 +19,7 @@
 from .fencing.decisions import PromotionDecision, lease_end
 from .fencing.messages import FenceCompleted
 from .log_events import PromotionDecided, PromotionEnded
-from .messages import Position, StoreObject
+from .messages import Position
 from .promotion_messages import (
     PrimaryQuery,
     PrimaryReport,
@@ -28,7 +28,13 @@
     PromoteOutcome,
 )
 from .session_rows import EndpointRole, PromotionRow, RegistryRow
-from .store_writes import StoreOutcome, write_ended, write_object
+from .store_versions import next_token
+from .store_writes import (
+    StoreOutcome,
+    writable_object,
+    write_ended,
+    write_object,
+)
 from .tables import State
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -97,6 +103,8 @@
     record_newest_token(row, state)
     failing = is_failing(row, primary, state)
     answer_queries(row, primary, failing, state)
+    if restore_decision(row, state):
+        return
     is_leaving = primary is not None and primary.leaving_since is not None
     if primary is not None and failing is not False and not is_leaving:
         probe_primary(row, primary, state)
@@ -112,6 +120,22 @@
         replace_primary(row, primary, state)
 
 
+def restore_decision(row: PromotionRow, state: State) -> bool:
+    """Decide again on a target whose decision a restored store has lost.
+
+    Instances that start now would follow the decision before it. Return whether there
+    is such a decision.
+    """
+    if not permissions.is_enabled(state):
+        return False
+    lost = permissions.lost_decision(row.group, state)
+    if lost is None:
+        return False
+    if coordinator_of(row.group, state) == state.settings.name:
+        take_token(row, lost.target, "", state)
+    return True
+
+
 def update_missing_since(
     row: PromotionRow, primary: RegistryRow | None, state: State
 ) -> None:
@@ -281,11 +305,9 @@
 ) -> None:
     """Choose a replica and take the token for its promotion."""
     now = state.clock.monotonic()
-    if now < row.next_at or row.call or row.is_writing:
+    if is_busy(row, state):
         return
-    if row.group in state.coordinations:
-        return
-    token, holder = stored_token(row.group, state)
+    _, holder = stored_token(row.group, state)
     other = holder not in ("", state.settings.name)
     lifetime = decision_lifetime(state)
     if other and holder not in state.ended and now - row.seen_at < lifetime:
@@ -302,14 +324,30 @@
     if target is None:
         return
     row.choosing_since = None
+    take_token(row, target, old, state)
+
+
+def is_busy(row: PromotionRow, state: State) -> bool:
+    """Return whether a decision is being carried out, or the next one is not due."""
+    is_active = bool(row.call) or row.is_writing or row.group in state.coordinations
+    return is_active or state.clock.monotonic() < row.next_at
+
+
+def take_token(row: PromotionRow, target: str, old: str, state: State) -> None:
+    """Write the decision to promote an endpoint, with a token that no other has."""
+    if is_busy(row, state):
+        return
     row.is_writing = True
     row.old_primary = old
-    value = {"token": token + 1, "holder": state.settings.name, "target": target}
-    item = state.view.objects.get(("promotion", row.group))
-    known = item or StoreObject("promotion", row.group, 0, None)
     previous = permissions.newest_decision(row.group, state)
-    purpose = TokenWrite(row.group, token + 1, target, previous)
-    write_object(known, value, purpose, state)
+    known = [stored_token(row.group, state)[0], row.seen_token]
+    if previous is not None:
+        known.append(previous.token)
+    token = next_token(state.view.era, *known)
+    value = {"token": token, "holder": state.settings.name, "target": target}
+    purpose = TokenWrite(row.group, token, target, previous)
+    item = writable_object("promotion", row.group, state)
+    write_object(item, value, purpose, state)
 
 
 def decision_lifetime(state: State) -> timedelta:
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -73,6 +73,8 @@
     """The instance's copy of the store's objects."""
 
     version: int = 0
+    era: int = 0  # Of the store; older versions confirm nothing any more.
+    restored_at: timedelta = NEVER  # When the era rose while this process ran.
     objects: dict[tuple[str, str], StoreObject] = field(factory=dict)
     confirmed_at: timedelta = NEVER  # When the store last confirmed the copy.
     watch_sent_at: timedelta | None = None  # None if no watch is in progress.
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
-from . import configuration, kind_rows, membership, peers
+from . import configuration, kind_rows, membership, peers, store_eras
 from .dispatch import handle, handle_peer
 from .messages import ObjectsReceived, SendPeer, StoreObject, WatchStore
 from .notices import RegistryRelayed
@@ -323,6 +323,7 @@
 
 @handle_peer.register
 def _(message: Subscribe, sender: str, state: State) -> None:
+    store_eras.observe_version(message.version, state)
     if not kind_rows.is_own_kind_listed(state):
         return
     now = state.clock.monotonic()
@@ -338,6 +339,9 @@
     now = state.clock.monotonic()
     if sender == state.view.relay:
         state.view.relay_heard_at = now
+    versions = [message.version, *(item.version for item in message.items)]
+    if not store_eras.observe_version(max(versions), state):
+        return
     complete = message.after <= state.view.version and kind_rows.is_own_kind_listed(
         state
     )
--- a/tests/kind_network.py
+++ b/tests/kind_network.py
@@ -6,16 +6,18 @@
 from types import ModuleType
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
 from pimentodrift import session_core
 from pimentodrift.kind_messages import (
+    CheckExpired,
     CheckFailed,
     CheckKind,
     Entry,
     Gone,
     KindChanged,
     KindChecked,
+    KindExpired,
     KindFailed,
     KindListed,
     ListKind,
@@ -28,6 +30,7 @@
     StoreFailed,
     StoreObject,
     StoreWritten,
+    WriteStore,
 )
 from pimentodrift.promotion_messages import (
     PromoteEnded,
@@ -35,6 +38,7 @@
     PromoteOutcome,
 )
 from pimentodrift.session_messages import ClosePooled, OpenPooled
+from pimentodrift.store_versions import era_of, pack_version, revision_of
 from pimentodrift.tables import State
 
 from .network import Network, Node, SkewedClock
@@ -47,6 +51,15 @@
 Call = ListKind | CheckKind | WatchKind | DeleteStore
 
 
+@frozen
+class StoreCopy:
+    """What the store had at some time."""
+
+    objects: dict[tuple[str, str], StoreObject]
+    contents: dict[WatchedKind, dict[str, Entry]]
+    version: int
+
+
 @define
 class KindNetwork(Network):
     """A network whose store answers calls by kind.
@@ -59,6 +72,7 @@
     contents: dict[WatchedKind, dict[str, Entry]] = field(factory=dict)
     # When each object last changed, by its kind and name in the store.
     changed_at: dict[tuple[WatchedKind, str], timedelta] = field(factory=dict)
+    list_times: list[tuple[timedelta, str]] = field(factory=list)
 
     def count(self, call: type) -> int:
         """Return the number of calls of a type that instances have sent."""
@@ -71,6 +85,29 @@
         self.contents.setdefault(kind, {})[name] = entry
         self.changed_at[kind, name] = self.time
 
+    def copy_store(self) -> "StoreCopy":
+        """Return a copy of the store, from which it can be restored."""
+        contents = {kind: dict(rows) for kind, rows in self.contents.items()}
+        return StoreCopy(dict(self.objects), contents, self.version)
+
+    def restore_store(self, copy: "StoreCopy") -> None:
+        """Bring back an older copy; its revisions go on from there in a new era."""
+        era = era_of(self.version) + 1
+        self.version = pack_version(era, revision_of(copy.version))
+        self.objects = {
+            key: evolve(item, version=pack_version(era, revision_of(item.version)))
+            for key, item in copy.objects.items()
+        }
+        self.contents = {
+            kind: {
+                name: evolve(
+                    entry, revision=pack_version(era, revision_of(entry.revision))
+                )
+                for name, entry in rows.items()
+            }
+            for kind, rows in copy.contents.items()
+        }
+
     def configure(self, content: object) -> None:
         """Write the configuration."""
         self.change(WatchedKind.CONFIGURATION, "main", content)
@@ -90,6 +127,8 @@
         match message:
             case ListKind() | CheckKind() | WatchKind() | DeleteStore():
                 self.calls[type(message), name] += 1
+                if isinstance(message, ListKind):
+                    self.list_times.append((self.time, name))
                 self.answer(name, message)
             case OpenPooled() | ClosePooled():
                 pass  # No database answers in this network.
@@ -125,6 +164,9 @@
         `is_due` tells that the wait of a watch has ended.
         """
         match message:
+            case CheckKind() | WatchKind() if self.lacks(message.revision):
+                is_check = isinstance(message, CheckKind)
+                return (CheckExpired if is_check else KindExpired)(message.kind)
             case ListKind():
                 entries = self.changes(message.kind, 0)
                 live = tuple(
@@ -141,6 +183,23 @@
             case DeleteStore():
                 return self.delete(message)
 
+    def lacks(self, revision: int) -> bool:
+        """Return whether the store has not given out a revision in this era."""
+        return revision_of(revision) > revision_of(self.version)
+
+    def write(self, name: str, message: WriteStore) -> None:
+        """Write as the platform's store does, which compares only revisions.
+
+        The adapter reports a condition of another era as a write without an outcome.
+        """
+        known = self.objects.get((message.kind, message.name))
+        if known is None or not is_reused_revision(known.version, message.version):
+            super().write(name, message)
+            return
+        self.put(message.kind, message.name, message.value)
+        failed = StoreFailed(message.call)
+        self.schedule(CALL_TIME, lambda: self.deliver(name, failed))
+
     def delete(self, message: DeleteStore) -> object:
         """Delete an object if its version is the expected one."""
         known = self.objects.get((message.kind, message.name))
@@ -163,10 +222,18 @@
             ]
         else:
             found = list(self.contents.get(kind, {}).values())
-        newer = [entry for entry in found if entry.revision > after]
+        newer = [
+            entry for entry in found if revision_of(entry.revision) > revision_of(after)
+        ]
         return tuple(sorted(newer, key=lambda entry: entry.revision))
 
 
+def is_reused_revision(known: int, expected: int) -> bool:
+    """Return whether two versions have the same revision, but of different eras."""
+    is_same = revision_of(known) == revision_of(expected)
+    return expected != 0 and is_same and known != expected
+
+
 def failure(message: Call) -> object:
     """Return the message that reports a call without an answer to the core."""
     match message:
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -17,7 +17,7 @@
 from pimentodrift.promotion_messages import PromoteOutcome
 from pimentodrift.session_rows import EndpointRole
 
-from .session_support import MILLISECOND, SECOND, make_endpoint
+from .session_support import GROUP, MILLISECOND, SECOND, make_endpoint
 from .split_group import DATABASES, SplitNetwork, make_split_network, restart
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -128,6 +128,29 @@
     assert not network.wrong
 
 
+def test_store_that_lost_the_decision() -> None:
+    """Guards against a new instance that follows the decision before a lost one."""
+    network = make_split_network(NAMES)
+    copy = network.copy_store()
+    cut_most_from_primary(network)
+    network.play(2 * SECOND)
+    assert network.leader != "e1" and network.members["e1"].believes
+    tokens = {token for token, _ in network.tokens}
+    network.restore_store(copy)
+    for name in DATABASES:
+        network.register(name)
+    network.play(2 * SECOND)
+    restart(network, "a")
+    network.run(2 * SECOND)
+    network.open_session("a")
+    network.play(2 * SECOND)
+    assert not network.wrong
+    stored = network.objects["promotion", GROUP].value
+    assert stored is not None
+    assert stored["target"] == network.leader
+    assert stored["token"] > max(tokens)
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_random_faults(seed: int) -> None:
     """Guards against orders of faults that no single test has."""
@@ -164,7 +187,7 @@
     name = random.choice(NAMES)
     node = network.nodes[name]
     length = random.randrange(200, 5000, 100) * MILLISECOND
-    match random.randrange(8):
+    match random.randrange(9):
         case 0 | 1:
             leave(network)
         case 2:
@@ -188,6 +211,10 @@
                 PromoteOutcome.UNCLEAR if slow else PromoteOutcome.ACCEPTED
             )
 
+        case 8:
+            copy = network.copy_store()
+            network.schedule(length, lambda: network.restore_store(copy))
+
 
 def cut(network: SplitNetwork, one: str, other: str, length: timedelta) -> None:
     """Cut two places from each other for a while."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -284,26 +284,26 @@
 )
 def test_outcomes_of_writes(status: int, value: Any, expected: object) -> None:
     """Guards against a response that is read as another outcome."""
-    assert object_store.decode_write(WRITE, status, value) == expected
+    assert object_store.decode_write(WRITE, 0, status, value) == expected
 
 
 def test_messages_of_lists_watches_and_checks() -> None:
     """Guards against a response that is converted to the wrong message."""
     own = WatchedKind.OWN
     page = {"items": [body()], "hasMore": True, "currentRev": 9}
-    listed = object_store.decode_list(own, 200, page)
+    listed = object_store.decode_list(own, 0, 200, page)
     assert isinstance(listed, KindListed) and listed.has_more
     assert listed.entries[0].content == OBJECT
     events = [{"object": body(8), "deleted": True}]
     changes = {"events": events, "currentRev": 9}
-    changed = object_store.decode_watch(own, 200, changes)
+    changed = object_store.decode_watch(own, 0, 200, changes)
     assert isinstance(changed, KindChanged)
     assert changed.entries[0].content == Gone()
-    assert object_store.decode_watch(own, 410, None) == KindExpired(own)
-    assert object_store.decode_watch(own, 429, None) == KindFailed(own, "status 429")
-    assert isinstance(object_store.decode_check(own, 200, changes), KindChecked)
-    assert object_store.decode_check(own, 410, None) == CheckExpired(own)
-    assert isinstance(object_store.decode_check(own, 503, None), CheckFailed)
+    assert object_store.decode_watch(own, 0, 410, None) == KindExpired(own)
+    assert object_store.decode_watch(own, 0, 429, None) == KindFailed(own, "status 429")
+    assert isinstance(object_store.decode_check(own, 0, 200, changes), KindChecked)
+    assert object_store.decode_check(own, 0, 410, None) == CheckExpired(own)
+    assert isinstance(object_store.decode_check(own, 0, 503, None), CheckFailed)
 
 
 def test_an_instance_imports_no_more_than_it_needs() -> None:
