Give up idle rate shares in large fleets, and tick slower at rest

Change: a share without a request for 2 s is given up with a final report; the allocator takes back rate and tokens, and a change that meets no share any more is declined. While no statement, failover or stop is in progress, the core ticks each 100 ms instead of 20, and a message ends that rest.

Ruled out: dropping shares in silence (their rate would be locked for 4 s).

--- a/bench/slopes_shell.py
+++ b/bench/slopes_shell.py
@@ -20,6 +20,7 @@
 from pimentodrift.process import Instance
 from pimentodrift.shell import Shell
 from pimentodrift.tables import State
+from pimentodrift.ticks import TICK
 
 from . import slopes_states as states
 from .slopes_measure import MICROSECOND, Row, measure_allocation, sweep
@@ -51,6 +52,10 @@
             headers = {"Content-Type": "application/json"}
             state.outbox.append(CallerAnswer(message.request, 200, headers, ANSWER))
 
+    def tick_interval(self, state: State) -> timedelta:
+        """Return the time until the next tick."""
+        return TICK
+
     def tick(self, state: State) -> None:
         """Do nothing, since there are no systems."""
 
--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -132,9 +132,19 @@
             peers.send(sender, ShareRenew(row.workspace, row.epoch), state)
         return
     holding = row.holdings.get(sender)
+    if holding is None and message.is_final:
+        return
     if holding is None:
         holding = add_holding(row, sender, message, state)
     update_level(row, holding, message.admitted, state)
+    is_newer = message.number > holding.report_number
+    holding.report_number = max(holding.report_number, message.number)
+    if message.is_final:
+        if is_newer:
+            holding.returned += message.tokens
+        if is_newer and not is_change_pending(holding, message):
+            remove_holding(row, holding, state)
+        return
     holding.heard_at = state.clock.monotonic()
     holding.tokens = message.tokens
     holding.demand = message.demand
@@ -149,6 +159,25 @@
         collect_tokens(row, holding, state)
 
 
+def is_change_pending(holding: HoldingRow, report: ShareReport) -> bool:
+    """Return whether a change in flight may still be applied by its holder.
+
+    The holder then declines it with another final report.
+    """
+    operation = holding.operation
+    return operation is not None and operation.number > report.last_number
+
+
+def remove_holding(row: AllocationRow, holding: HoldingRow, state: State) -> None:
+    """Take back the share of a holder that has given it up."""
+    del row.holdings[holding.instance]
+    row.free_tokens += holding.returned
+    if isinstance(holding.operation, ShareRaise):
+        row.free_tokens += holding.operation.tokens  # It was declined.
+    state.counters["allocator.returned"] += 1
+    distribute_free_tokens(row, state)
+
+
 def deny_while_locked(row: AllocationRow, holding: HoldingRow, state: State) -> bool:
     """Deny tokens while the whole rate is locked; return whether they were denied.
 
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -114,8 +114,10 @@
     answers heartbeats. During an outage of the store, it goes on.
     """
     row = state.instances[instance]
-    if row.store_age is None:
-        return True  # No heartbeat so far.
+    contact = state.contacts.get(instance)
+    # Without heartbeats, its silence tells nothing.
+    if row.store_age is None or contact is None or row.last_heard < contact.since:
+        return True
     silence = state.clock.monotonic() - row.last_heard
     limit = state.settings.allocator_lease + STORE_AGE_MARGIN
     return row.store_age + silence <= limit or view.is_store_outage(state)
--- a/pimentodrift/core.py
+++ b/pimentodrift/core.py
@@ -28,7 +28,7 @@
 )
 from .dispatch import handle
 from .tables import State
-from .ticks import TICK, take_outbox
+from .ticks import TICK, take_outbox, tick_interval
 
 # Run in this order at each tick: first those that update what is known about the store,
 # the instances and the databases, then those that decide by it.
@@ -58,6 +58,7 @@
     "peers",
     "take_outbox",
     "tick",
+    "tick_interval",
 ]
 
 
--- a/pimentodrift/failover_rows.py
+++ b/pimentodrift/failover_rows.py
@@ -24,6 +24,7 @@
 
     name: str
     used_at: timedelta = NEVER
+    since: timedelta = NEVER  # When it became a contact.
     pinged_at: timedelta = NEVER
     unanswered: int = 0  # Pings since the last Pong.
 
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -242,8 +242,11 @@
 def track_contact(name: str, state: State) -> None:
     """Add an instance to the contacts, which are pinged, or renew its use."""
     if name != state.settings.name:
-        row = state.contacts.setdefault(name, ContactRow(name))
-        row.used_at = state.clock.monotonic()
+        now = state.clock.monotonic()
+        row = state.contacts.get(name)
+        if row is None:
+            row = state.contacts[name] = ContactRow(name, since=now)
+        row.used_at = now
 
 
 def record_heartbeat(row: InstanceRow, state: State) -> None:
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -181,6 +181,9 @@
     number: int = 0
     admitted: int = 0
     granted: int = 0  # Number of the report that the last `ShareGrant` answered.
+    is_final: bool = False  # The sender has given up its whole share.
+    # In a final report: no change of the share up to this number will be applied.
+    last_number: int = 0
 
 
 @frozen
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -101,6 +101,7 @@
     primary = leadership.primary(row.group, state)
     update_missing_since(row, primary, state)
     record_newest_token(row, state)
+    drop_old_reports(row, state)
     failing = is_failing(row, primary, state)
     answer_queries(row, primary, failing, state)
     if restore_decision(row, state):
@@ -154,6 +155,14 @@
         row.seen_at = state.clock.monotonic()
 
 
+def drop_old_reports(row: PromotionRow, state: State) -> None:
+    """Drop the reports that are too old to count."""
+    now = state.clock.monotonic()
+    for name, (at, _) in list(row.reports.items()):
+        if now - at > REPORT_LIFETIME:
+            del row.reports[name]
+
+
 def stored_token(group: str, state: State) -> tuple[int, str]:
     """Return the newest token of a group and its holder; 0 and "" if there is none."""
     item = state.view.objects.get(("promotion", group))
@@ -256,10 +265,6 @@
     Ask the others again if it fails for some, but not for a majority.
     """
     now = state.clock.monotonic()
-    for name in [
-        name for name, (at, _) in row.reports.items() if now - at > REPORT_LIFETIME
-    ]:
-        del row.reports[name]
     live = [
         item
         for item in state.instances.values()
@@ -327,6 +332,12 @@
     take_token(row, target, old, state)
 
 
+def is_in_progress(row: PromotionRow) -> bool:
+    """Return whether a failure is being examined or a decision carried out."""
+    has_news = bool(row.reports or row.askers or row.choosing_since)
+    return has_news or row.is_writing or bool(row.call)
+
+
 def is_busy(row: PromotionRow, state: State) -> bool:
     """Return whether a decision is being carried out, or the next one is not due."""
     is_active = bool(row.call) or row.is_writing or row.group in state.coordinations
--- a/pimentodrift/rate_rows.py
+++ b/pimentodrift/rate_rows.py
@@ -37,6 +37,7 @@
     last_lowered: ShareLowered | None = None  # Last answer, sent again on a repeat.
     waiting: deque[WaitingRequest] = field(factory=deque)
     arrivals: int = 0  # Requests since `measured_at`.
+    used_at: timedelta = NEVER  # When the last request arrived.
     admitted: int = 0  # Requests since the start of the process.
     demand: float = 0.0  # Requests/s, moving average.
     measured_at: timedelta = NEVER
@@ -47,6 +48,15 @@
     granted: int = 0  # Number of the report that the last grant answered.
 
 
+@define
+class GivenUpShare:
+    """What an instance remembers of a share that it has given up."""
+
+    epoch: Epoch = Epoch(0, "")
+    last_number: int = 0  # As in `ShareRow`.
+    admitted: int = 0  # As in `ShareRow`.
+
+
 @define
 class HoldingRow:
     """What the allocator knows about an instance that holds a share."""
@@ -59,6 +69,8 @@
     tokens_needed: float = 0.0
     admitted: int | None = None  # None before the first report.
     heard_at: timedelta = NEVER  # When its last report arrived.
+    report_number: int = 0  # Number of its last report.
+    returned: float = 0.0  # Tokens of the share that it has given up.
     # The operation in flight, resent until it is answered; None if there is none.
     operation: ShareLower | ShareRaise | None = None
     operation_sent_at: timedelta = NEVER
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -29,7 +29,7 @@
     ShareRenew,
     ShareReport,
 )
-from .rate_rows import ShareRow, WaitingRequest
+from .rate_rows import GivenUpShare, ShareRow, WaitingRequest
 from .tables import State
 
 SHARE_LEASE = timedelta(seconds=2)
@@ -43,6 +43,9 @@
 MAX_REFILL_WAIT = timedelta(milliseconds=250)
 # Longest wait for an allocator that does not answer, because a successor may take over.
 MAX_ALLOCATOR_WAIT = timedelta(milliseconds=1500)
+# In a larger fleet, a share without a request for this long is given up: each one costs
+# two reports and two answers a second.
+IDLE_SHARE_LIFETIME = timedelta(seconds=2)
 # Requests/s; a lower rate is the rounding error of a rate that was given up.
 MIN_REFILL_RATE = 1e-6
 # Rounding error by which a sum of floating-point shares may fall short of a token.
@@ -55,7 +58,17 @@
     row = state.shares.get(workspace)
     if row is None:
         now = state.clock.monotonic()
-        row = ShareRow(workspace, refilled_at=now, measured_at=now, report_at=now)
+        before = state.given_up_shares.pop(workspace, GivenUpShare())
+        row = ShareRow(
+            workspace,
+            before.epoch,
+            last_number=before.last_number,
+            admitted=before.admitted,
+            refilled_at=now,
+            measured_at=now,
+            report_at=now,
+            used_at=now,
+        )
         state.shares[workspace] = row
     return row
 
@@ -99,6 +112,7 @@
     """Admit a request at once if the share has a token and no earlier request waits."""
     row = get_or_create_share(workspace, state)
     row.arrivals += 1
+    row.used_at = state.clock.monotonic()
     return not row.waiting and spend_token(row, state)
 
 
@@ -259,13 +273,69 @@
                 refuse_expired(row, state)
             if now - row.measured_at >= DEMAND_INTERVAL:
                 update_demand(row, state)
-            if now >= row.report_at:
+            if is_share_unused(row, state):
+                give_up_share(row, state)
+            elif now >= row.report_at:
                 send_report(row, state)
             continue
         for waiting in state.shares.pop(row.workspace).waiting:
             refuse_request(waiting.request, timedelta(seconds=1), state)
 
 
+def is_share_unused(row: ShareRow, state: State) -> bool:
+    """Return whether a share can be given up until the workspace's next request."""
+    idle = state.clock.monotonic() - row.used_at
+    if row.waiting or idle <= IDLE_SHARE_LIFETIME or holds_all_shares(state):
+        return False
+    return row.workspace not in state.allocations
+
+
+def give_up_share(row: ShareRow, state: State) -> None:
+    """Drop a share and tell the allocator."""
+    del state.shares[row.workspace]
+    given_up = GivenUpShare(row.epoch, row.last_number, row.admitted)
+    state.given_up_shares[row.workspace] = given_up
+    state.counters["rates.given_up"] += 1
+    if row.epoch.number:
+        send_final_report(row.workspace, given_up, row.tokens, state)
+
+
+def send_final_report(
+    workspace: str, share: GivenUpShare, tokens: float, state: State
+) -> None:
+    """Tell the allocator that this instance has no share any more."""
+    report = ShareReport(
+        workspace,
+        share.epoch,
+        rate=0.0,
+        burst=0.0,
+        tokens=tokens,
+        demand=0.0,
+        tokens_needed=0.0,
+        number=state.new_number(),
+        admitted=share.admitted,
+        is_final=True,
+        last_number=share.last_number,
+    )
+    peers.send(share.epoch.holder, report, state)
+
+
+def decline_change(message: ShareLower | ShareRaise, state: State) -> bool:
+    """Decline to change a share that this instance does not have; return whether so.
+
+    A repetition of the message that arrives later changes nothing either.
+    """
+    if message.workspace in state.shares or holds_all_shares(state):
+        return False
+    share = state.given_up_shares.setdefault(message.workspace, GivenUpShare())
+    if message.epoch > share.epoch:
+        share.epoch, share.last_number = message.epoch, 0
+    if message.epoch == share.epoch:
+        share.last_number = max(share.last_number, message.number)
+        send_final_report(message.workspace, share, 0.0, state)
+    return True
+
+
 def holds_all_shares(state: State) -> bool:
     """Return whether this instance has a share of every workspace.
 
@@ -309,6 +379,8 @@
 
 @handle_peer.register
 def _(message: ShareLower, sender: str, state: State) -> None:
+    if decline_change(message, state):
+        return
     row = get_or_create_share(message.workspace, state)
     if not accept_epoch(message.epoch, row, state):
         return
@@ -335,6 +407,8 @@
 
 @handle_peer.register
 def _(message: ShareRaise, sender: str, state: State) -> None:
+    if decline_change(message, state):
+        return
     row = get_or_create_share(message.workspace, state)
     if not accept_epoch(message.epoch, row, state):
         return
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from datetime import timedelta
 
 from . import (
     allocation,
@@ -29,7 +30,7 @@
 from .dispatch import handle
 from .fencing import coordination, stopping
 from .tables import State
-from .ticks import TICK, take_outbox
+from .ticks import REST_TICK, TICK, take_outbox
 from .view import is_copy_fresh
 
 # Run in this order at each tick: first those that update the instance's knowledge, then
@@ -63,6 +64,7 @@
     "route_configuration",
     "take_outbox",
     "tick",
+    "tick_interval",
 ]
 
 
@@ -72,6 +74,20 @@
         system(state)
 
 
+def tick_interval(state: State) -> timedelta:
+    """Return the time until the next tick; longer while nothing waits for one."""
+    return REST_TICK if is_at_rest(state) else TICK
+
+
+def is_at_rest(state: State) -> bool:
+    """Return whether no statement, change of primary or stop is in progress."""
+    if state.operations or state.coordinations or state.stopping:
+        return False
+    if not kind_rows.is_every_kind_listed(state):
+        return False
+    return not any(promotion.is_in_progress(row) for row in state.promotions.values())
+
+
 def is_ready(state: State) -> bool:
     """Return whether the load balancer should send clients to this instance."""
     is_known = kind_rows.is_every_kind_listed(state) and state.configuration.version > 0
--- a/pimentodrift/session_process.py
+++ b/pimentodrift/session_process.py
@@ -45,8 +45,7 @@
         factories: Sequence[AdapterFactory],
         log: EventLog,
     ) -> None:
-        tick = session_core.TICK
-        super().__init__(state, poller, exit_process, session_core, tick, log)
+        super().__init__(state, poller, exit_process, session_core, log)
         self.add_adapter(PeerStreams(state, poller, self.deliver_all))
         for factory in factories:
             self.add_adapter(factory(state, poller, self.deliver_all))
--- a/pimentodrift/shell.py
+++ b/pimentodrift/shell.py
@@ -26,7 +26,7 @@
         exit_process: Callable[[], None],
         log: EventLog,
     ) -> None:
-        super().__init__(state, poller, exit_process, core, core.TICK, log)
+        super().__init__(state, poller, exit_process, core, log)
         self.http = HttpServer(state, poller, self.deliver_all)
         self.peers = PeerStreams(state, poller, self.deliver_all)
         self.endpoints = EndpointConnections(state, poller, self.deliver_all)
--- a/pimentodrift/shell_base.py
+++ b/pimentodrift/shell_base.py
@@ -17,6 +17,7 @@
 from .messages import ExitProcess
 from .sockets import Poller
 from .tables import State
+from .timers import Timer
 from .untyped_events import write_untyped_events
 
 SECOND = timedelta(seconds=1)
@@ -34,6 +35,9 @@
     def tick(self, state: State) -> None:
         """Run the systems of the core once."""
 
+    def tick_interval(self, state: State) -> timedelta:
+        """Return the time until the next tick."""
+
     def take_outbox(self, state: State) -> list[object]:
         """Remove and return the messages that the shell has to handle."""
 
@@ -60,7 +64,6 @@
         poller: Poller,
         exit_process: Callable[[], None],
         core: Core,
-        tick: timedelta,
         log: EventLog,
     ) -> None:
         self.state = state
@@ -76,7 +79,9 @@
             ExitProcess: lambda _: exit_process()
         }
         poller.on_error = self.report_error
-        poller.timers.call_every(tick / SECOND, self.tick)
+        self.tick_timer = Timer(None)
+        self.next_tick_s = 0.0
+        self.schedule_tick(core.tick_interval(state) / SECOND)
 
     def add_adapter(self, adapter: Adapter) -> None:
         """Register an adapter and its handlers of outbox messages."""
@@ -92,6 +97,26 @@
                 self.report_error(type(message).__name__, error)
                 self.close_sender(message)
         self.process_outbox()
+        self.hasten_tick()
+
+    def schedule_tick(self, delay_s: float) -> None:
+        """Run the next tick after a delay, and not at the time set before."""
+        self.tick_timer.cancel()
+        self.next_tick_s = monotonic() + delay_s
+        self.tick_timer = self.poller.timers.call_later(delay_s, self.run_tick)
+
+    def run_tick(self) -> None:
+        """Run a tick and schedule the next one, counted from the time it was due."""
+        due_s = self.next_tick_s
+        self.tick()
+        interval_s = self.core.tick_interval(self.state) / SECOND
+        self.schedule_tick(max(0.0, due_s + interval_s - monotonic()))
+
+    def hasten_tick(self) -> None:
+        """Run the next tick sooner if a message has ended the rest."""
+        interval_s = self.core.tick_interval(self.state) / SECOND
+        if self.next_tick_s - monotonic() > interval_s:
+            self.schedule_tick(interval_s)
 
     def close_sender(self, message: object) -> None:
         """Close the connection that sent a message which the core failed to handle.
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -30,7 +30,13 @@
 from .fencing.rows import CoordinationRow, FenceRow
 from .latencies import Latencies
 from .messages import Access, Action, Durability, Position, Statement, StoreObject
-from .rate_rows import AllocationRow, ClaimRow, EpochSeen, ShareRow
+from .rate_rows import (
+    AllocationRow,
+    ClaimRow,
+    EpochSeen,
+    GivenUpShare,
+    ShareRow,
+)
 from .session_rows import (
     LeadershipRow,
     OperationRow,
@@ -331,6 +337,7 @@
     pending: dict[int, PendingRequest] = field(factory=dict)
     connections: dict[int, ConnectionRow] = field(factory=dict)
     shares: dict[str, ShareRow] = field(factory=dict)
+    given_up_shares: dict[str, GivenUpShare] = field(factory=dict)  # By workspace.
     allocations: dict[str, AllocationRow] = field(factory=dict)
     claims: dict[str, ClaimRow] = field(factory=dict)
     epochs_seen: dict[str, EpochSeen] = field(factory=dict)
--- a/tests/shell_support.py
+++ b/tests/shell_support.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from datetime import timedelta
 from random import Random
 from time import monotonic
 
@@ -15,6 +16,7 @@
 from pimentodrift.shell import Shell
 from pimentodrift.sockets import Poller
 from pimentodrift.tables import State
+from pimentodrift.ticks import TICK
 
 from .support import make_state
 
@@ -40,6 +42,9 @@
     def tick(self, state: State) -> None:
         pass
 
+    def tick_interval(self, state: State) -> timedelta:
+        return TICK
+
     def take_outbox(self, state: State) -> list[object]:
         messages, state.outbox = state.outbox, []
         return messages
--- a/tests/test_rates_fleet.py
+++ b/tests/test_rates_fleet.py
@@ -49,6 +49,38 @@
     assert load.worst_excess() <= 1e-6
 
 
+def test_idle_share_is_given_up() -> None:
+    """Guards against reports for ever about a workspace that an instance served once.
+
+    Its rate goes back at once, not only when the holder has been silent for long.
+    """
+    load = make_load(NAMES)
+    used = three_other_instances(load)
+    load.offer(0.8 * RATE, 5 * SECOND, lambda: load.network.random.choice(used))
+    load.network.run(rates.IDLE_SHARE_LIFETIME + SECOND)
+    for name in used:
+        assert not load.network.nodes[name].state.shares
+    ledger = load.network.nodes[allocator_name(load)].state.allocations["w"]
+    assert set(ledger.holdings) == {allocator_name(load)}
+    refused = load.refused
+    load.offer(0.8 * RATE, 5 * SECOND, lambda: load.network.random.choice(used))
+    assert load.refused == refused == 0
+    assert load.worst_excess() <= 1e-6
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_shares_given_up_and_taken_again_on_a_bad_network(seed: int) -> None:
+    """Guards against a late or repeated report that frees a share still in use."""
+    load = make_load(NAMES, seed)
+    load.network.loss, load.network.doubled = 0.1, 0.3
+    random = Random(seed)
+    for _ in range(8):
+        used = random.sample(NAMES, 3)
+        load.offer(2 * RATE, SECOND, lambda used=used: random.choice(used))
+        load.network.run(random.uniform(1.8, 2.3) * SECOND)
+    assert load.worst_excess() <= 1e-6
+
+
 @pytest.mark.parametrize("silent", [False, True])
 def test_failed_allocator_of_a_fleet_is_replaced(silent: bool) -> None:
     """Guards against shares that end or are given out twice when allocators change."""
