Notice a lost part of a relay's update

Cause: an update with pieces of the configuration goes in several messages, and only the last one raises the subscriber's version. If one before it was lost with its stream and the last one arrived on the next, the copy counted as complete without the piece, and nobody sent it again: the publication was never applied at that instance, which is what test_two_publishers_at_once showed once. That this was its cause is not proved.

Change: the parts are counted; a gap leaves the version as it is, so that the next subscription asks for all of it. The test failed first.

--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -142,8 +142,9 @@
     `age_ms` is the time since the store last confirmed the relay's copy. `number` is
     that of the subscriber's last `Subscribe`. The items are all changes after `after`
     up to `version`, so a subscriber whose copy is older than `after` has missed some.
-    `version` is 0 while more items follow. Where the configuration is a kind of its own
-    in the store, the relay knows of no change of it after revision `configured_at`.
+    `version` is 0 while more items follow; `part` counts the messages of an update from
+    0, so that a subscriber notices a lost one. Where the configuration is a kind of its
+    own in the store, the relay knows of no change of it after revision `configured_at`.
     """
 
     version: int
@@ -153,6 +154,7 @@
     items: tuple[StoreObject, ...] = ()
     configured_at: int = 0
     registry: RegistryUpdate | None = None
+    part: int = 0
 
 
 @frozen(order=True)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -91,6 +91,8 @@
     # When each recent Subscribe was sent, by number.
     subscriptions_sent: dict[int, timedelta] = field(factory=dict)
     subscribe_at: timedelta = NEVER
+    # Parts of the last update that arrived without a gap, by relay.
+    parts_received: dict[str, int] = field(factory=dict)
     subscribers: dict[str, SubscriberRow] = field(factory=dict)
 
 
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -250,7 +250,7 @@
         age_ms = int(timedelta(days=1).total_seconds() * 1000)
     configured_at = kind_rows.configuration_changed_revision(state)
     update = kind_rows.registry_update(row.registry, state) if row.registry else None
-    for part, is_last in split_update(items):
+    for index, (part, is_last) in enumerate(split_update(items)):
         version = state.view.version if is_last else 0
         message = ViewUpdate(
             version,
@@ -260,6 +260,7 @@
             tuple(part),
             configured_at,
             update if is_last else None,
+            index,
         )
         if row.instance in state.instances:
             peers.send(row.instance, message, state)
@@ -334,6 +335,14 @@
     send_update(row, objects_changed_after(message.version, state), state)
 
 
+def has_all_parts(message: ViewUpdate, sender: str, state: State) -> bool:
+    """Return whether no part of an update before this one is missing."""
+    known = state.view.parts_received
+    is_next = message.part == 0 or message.part == known.get(sender, 0)
+    known[sender] = message.part + 1 if is_next else 0
+    return is_next
+
+
 @handle_peer.register
 def _(message: ViewUpdate, sender: str, state: State) -> None:
     now = state.clock.monotonic()
@@ -342,8 +351,10 @@
     versions = [message.version, *(item.version for item in message.items)]
     if not store_eras.observe_version(max(versions), state):
         return
-    complete = message.after <= state.view.version and kind_rows.is_own_kind_listed(
-        state
+    complete = (
+        has_all_parts(message, sender, state)
+        and message.after <= state.view.version
+        and kind_rows.is_own_kind_listed(state)
     )
     if complete:
         state.view.version = max(state.view.version, message.version)
--- a/tests/test_kind_relays.py
+++ b/tests/test_kind_relays.py
@@ -5,12 +5,15 @@
 
 import pytest
 
-from pimentodrift import view
+from pimentodrift import dispatch, view
 from pimentodrift.kind_messages import CheckKind, Gone, WatchedKind, WatchKind
+from pimentodrift.messages import SendPeer, StoreObject
+from pimentodrift.peer_messages import Subscribe
 from pimentodrift.tables import State
 
 from .kind_network import KindNetwork, make_network
 from .session_support import SECOND, make_configuration, make_endpoint
+from .support import make_state
 
 NAMES = tuple(ascii_lowercase[:12])
 LEASE = timedelta(seconds=3.5)
@@ -228,6 +231,37 @@
     assert min(copy_ages(network, set(NAMES))) > LEASE
 
 
+@pytest.mark.parametrize("lost", [0, 1])
+def test_lost_part_of_an_update(lost: int) -> None:
+    """Guards against a copy that is called complete although a part of it was lost."""
+    relay, follower = make_state("a"), make_state("b")
+    for state in (relay, follower):
+        for name in ("a", "b"):
+            value = {"address": "127.0.0.1:1", "region": "r", "data_centre": "r"}
+            view.apply([StoreObject("instance", name, 1, value)], state)
+    pieces = [StoreObject("piece", f"p{n}", 5 + n, {}) for n in range(2)]
+    view.apply(
+        [
+            *pieces,
+            StoreObject("manifest", "current", 9, {"publication": "1", "pieces": []}),
+        ],
+        relay,
+    )
+    relay.view.version = 9
+    relay.outbox.clear()
+    dispatch.handle_peer(Subscribe(1, 3), "b", relay)
+    parts = [item.message for item in relay.outbox if isinstance(item, SendPeer)]
+    assert len(parts) == 3
+    follower.view.version = 1
+    for index, part in enumerate(parts):
+        if index != lost:
+            dispatch.handle_peer(part, "a", follower)
+    assert follower.view.version == 1
+    for part in parts:
+        dispatch.handle_peer(part, "a", follower)
+    assert follower.view.version == 9
+
+
 def test_deletion_unknown_to_a_restarted_relay() -> None:
     """Guards against deleted objects that stay in the copy of a subscriber.
 
