--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -1,43 +1,29 @@
-"""Replaces a group's primary through a call to the platform, with a fencing token.
+"""Finds out when a group's primary has to be replaced.
 
 Each instance that cannot reach a primary for a while reports it to the group's
 coordinator, which asks the others. When the primary fails for a majority, or is
-leaving, the coordinator takes the next token by a conditional update of the group's
-`promotion` object and asks the platform to promote the replica with the longest log.
-A token is used for one decision of one instance; the platform refuses older tokens.
-Where it does not depose the old primary, `fencing` keeps that out of use first.
+leaving, the coordinator replaces it through `promotion_decisions`.
 """
 
 from datetime import timedelta
 
-from attrs import frozen
-
-from . import leadership, membership, peers, pools, registry, view
+from . import leadership, membership, peers, pools, view
 from .clock import NEVER
-from .dispatch import handle, handle_peer
-from .fencing import coordination, permissions
-from .fencing.decisions import PromotionDecision, lease_end
-from .fencing.messages import FenceCompleted
-from .log_events import PromotionDecided, PromotionEnded
-from .messages import Position
+from .dispatch import handle_peer
+from .fencing import permissions
+from .promotion_decisions import (
+    promotion_row,
+    replace_primary,
+    stored_token,
+    take_token,
+)
 from .promotion_messages import (
     PrimaryQuery,
     PrimaryReport,
-    PromoteEnded,
-    PromoteEndpoint,
-    PromoteOutcome,
-)
-from .session_rows import EndpointRole, PromotionRow, RegistryRow
-from .store_versions import next_token
-from .store_writes import (
-    StoreOutcome,
-    writable_object,
-    write_ended,
-    write_object,
 )
+from .session_rows import PromotionRow, RegistryRow
 from .tables import State
 
-MILLISECOND = timedelta(milliseconds=1)
 # A primary that has failed for this long is reported; a shorter stall ends by itself.
 # Measured from the first request without an answer.
 FAILURE_TIMEOUT = timedelta(milliseconds=550)
@@ -53,37 +39,9 @@
 PROBE_INTERVAL = timedelta(milliseconds=300)
 # An endpoint that answered within this time counts as alive.
 ANSWER_LIFETIME = timedelta(milliseconds=300)
-# How long the coordinator waits for the replicas' positions.
-POSITIONS_TIMEOUT = timedelta(milliseconds=400)
-# If a promotion does not show in the registry within this time, it is decided anew.
-PROMOTION_TIMEOUT = timedelta(seconds=3)
-# The coordinator's wait after a decision that could not be written or carried out.
-RETRY_DELAY = timedelta(milliseconds=300)
-# Another instance's decision blocks a new one for this long, unless its process ended.
-DECISION_LIFETIME = timedelta(seconds=5)
 # A coordinator needs the store: its Pong must report a copy that is at most this old.
 MAX_STORE_AGE = timedelta(seconds=3)
 MAX_HEARTBEAT_AGE = timedelta(seconds=2)
-# The platform may carry out a call without an answer up to this much later.
-LATE_CALL_LIFETIME = timedelta(seconds=12)
-
-
-@frozen
-class TokenWrite:
-    """The purpose of the store write that takes a token."""
-
-    group: str
-    token: int
-    target: str
-    previous: PromotionDecision | None  # The decision that it replaces.
-
-
-def promotion_row(group: str, state: State) -> PromotionRow:
-    """Return the row of a group, creating it if needed."""
-    row = state.promotions.get(group)
-    if row is None:
-        row = state.promotions[group] = PromotionRow(group)
-    return row
 
 
 def run(state: State) -> None:
@@ -163,14 +121,6 @@
             del row.reports[name]
 
 
-def stored_token(group: str, state: State) -> tuple[int, str]:
-    """Return the newest token of a group and its holder; 0 and "" if there is none."""
-    item = state.view.objects.get(("promotion", group))
-    if item is None or item.value is None:
-        return 0, ""
-    return int(item.value["token"]), str(item.value["holder"])
-
-
 def is_failing(
     row: PromotionRow, primary: RegistryRow | None, state: State
 ) -> bool | None:
@@ -300,214 +250,3 @@
         now = state.clock.monotonic()
         reports = promotion_row(message.group, state).reports
         reports[sender] = (now, message.is_failing)
-
-
-# --- The coordinator's decision
-
-
-def replace_primary(
-    row: PromotionRow, primary: RegistryRow | None, state: State
-) -> None:
-    """Choose a replica and take the token for its promotion."""
-    now = state.clock.monotonic()
-    if is_busy(row, state):
-        return
-    _, holder = stored_token(row.group, state)
-    other = holder not in ("", state.settings.name)
-    lifetime = decision_lifetime(state)
-    if other and holder not in state.ended and now - row.seen_at < lifetime:
-        return
-    old = primary.name if primary is not None else ""
-    rows = promotable_members(row, old, state)
-    if not rows:
-        return
-    if row.choosing_since is None:
-        row.choosing_since = now
-        for member in rows:
-            pools.probe(state.pools[member.name], state)
-    target = choose_replica(row, rows, state)
-    if target is None:
-        return
-    row.choosing_since = None
-    take_token(row, target, old, state)
-
-
-def is_in_progress(row: PromotionRow) -> bool:
-    """Return whether a failure is being examined or a decision carried out."""
-    has_news = bool(row.reports or row.askers or row.choosing_since)
-    return has_news or row.is_writing or bool(row.call)
-
-
-def is_busy(row: PromotionRow, state: State) -> bool:
-    """Return whether a decision is being carried out, or the next one is not due."""
-    is_active = bool(row.call) or row.is_writing or row.group in state.coordinations
-    return is_active or state.clock.monotonic() < row.next_at
-
-
-def take_token(row: PromotionRow, target: str, old: str, state: State) -> None:
-    """Write the decision to promote an endpoint, with a token that no other has."""
-    if is_busy(row, state):
-        return
-    row.is_writing = True
-    row.old_primary = old
-    previous = permissions.newest_decision(row.group, state)
-    known = [stored_token(row.group, state)[0], row.seen_token]
-    if previous is not None:
-        known.append(previous.token)
-    token = next_token(state.view.era, *known)
-    value = {"token": token, "holder": state.settings.name, "target": target}
-    purpose = TokenWrite(row.group, token, target, previous)
-    item = writable_object("promotion", row.group, state)
-    write_object(item, value, purpose, state)
-
-
-def decision_lifetime(state: State) -> timedelta:
-    """Return how long another instance's decision blocks a new one."""
-    if not permissions.is_enabled(state):
-        return DECISION_LIFETIME
-    return DECISION_LIFETIME + lease_end(state.settings.configuration_lease)
-
-
-def promotable_members(row: PromotionRow, old: str, state: State) -> list[RegistryRow]:
-    """Return the endpoints of a group that can be promoted in place of `old`."""
-    rows = [
-        member
-        for member in registry.group_members(row.group, state)
-        if member.name != old
-        and member.leaving_since is None
-        and member.missing_since is None
-    ]
-    if not permissions.is_enabled(state):
-        return rows
-    # Of two that call themselves the primary, only the target of the last decision is.
-    decision = permissions.newest_decision(row.group, state)
-    target = decision.target if decision is not None else ""
-    return [
-        member
-        for member in rows
-        if member.entry.role is not EndpointRole.PRIMARY or member.name == target
-    ]
-
-
-def preferred_target(
-    row: PromotionRow, found: dict[str, Position], state: State
-) -> str | None:
-    """Return the target of the last decision if its call may still take effect.
-
-    Such a call would depose another endpoint that was promoted meanwhile.
-    """
-    if not permissions.is_enabled(state):
-        return None
-    decision = permissions.newest_decision(row.group, state)
-    is_recent = state.clock.monotonic() - row.seen_at <= LATE_CALL_LIFETIME
-    if decision is None or not is_recent or decision.target not in found:
-        return None
-    return decision.target
-
-
-def choose_replica(
-    row: PromotionRow, rows: list[RegistryRow], state: State
-) -> str | None:
-    """Return the replica with the longest log, once enough positions are known."""
-    since = row.choosing_since
-    if since is None:
-        return None
-    found: dict[str, Position] = {}
-    for member in rows:
-        pool = state.pools[member.name]
-        is_new = pool.position_at >= since and pool.position is not None
-        if is_new and member.name not in row.rejected and pool.position is not None:
-            found[member.name] = pool.position
-    waited = state.clock.monotonic() - since
-    if len(found) < len(rows) and waited < POSITIONS_TIMEOUT:
-        return None
-    if not found:
-        row.choosing_since = None
-        row.rejected.clear()
-        return None
-    preferred = preferred_target(row, found, state)
-    return preferred or max(found, key=lambda name: (found[name], name))
-
-
-@write_ended.register
-def _(purpose: TokenWrite, outcome: StoreOutcome, state: State) -> None:
-    row = promotion_row(purpose.group, state)
-    now = state.clock.monotonic()
-    row.is_writing = False
-    failing = sum(fails for _, fails in row.reports.values())
-    state.log_event(
-        PromotionDecided(
-            purpose.group,
-            purpose.token,
-            purpose.target,
-            row.old_primary,
-            failing,
-            outcome,
-        )
-    )
-    if outcome is not StoreOutcome.WRITTEN:
-        row.next_at = now + RETRY_DELAY
-        return
-    row.token, row.target = purpose.token, purpose.target
-    if permissions.is_enabled(state):
-        begin_fencing(row, purpose, state)
-    else:
-        request_promotion(row, state)
-
-
-def begin_fencing(row: PromotionRow, purpose: TokenWrite, state: State) -> None:
-    """Wait until the old primary is out of use."""
-    decision = PromotionDecision(purpose.token, purpose.target)
-    item = state.view.objects["promotion", purpose.group]
-    previous_age = state.clock.monotonic() - row.seen_at
-    coordination.begin(
-        purpose.group, decision, item.version, purpose.previous, previous_age, state
-    )
-
-
-@handle.register
-def _(message: FenceCompleted, state: State) -> None:
-    row = promotion_row(message.group, state)
-    if row.token == message.token and not row.call:
-        request_promotion(row, state)
-
-
-def request_promotion(row: PromotionRow, state: State) -> None:
-    """Ask the platform to promote the chosen endpoint."""
-    row.call = state.new_number()
-    row.called_at = state.clock.monotonic()
-    state.counters["promotion.calls"] += 1
-    state.outbox.append(
-        PromoteEndpoint(row.call, row.group, row.target, state.settings.name, row.token)
-    )
-
-
-@handle.register
-def _(message: PromoteEnded, state: State) -> None:
-    rows = state.promotions.values()
-    row = next((row for row in rows if row.call == message.call), None)
-    if row is None:
-        return
-    now = state.clock.monotonic()
-    row.call = 0
-    state.log_event(
-        PromotionEnded(
-            row.group,
-            row.token,
-            row.target,
-            message.outcome,
-            message.detail,
-            (now - row.called_at) // MILLISECOND,
-        )
-    )
-    match message.outcome:
-        case PromoteOutcome.ACCEPTED:
-            row.rejected.clear()
-            row.next_at = now + PROMOTION_TIMEOUT
-        case PromoteOutcome.REFUSED:
-            row.rejected.add(row.target)
-            row.next_at = now + RETRY_DELAY
-        case PromoteOutcome.NOT_DONE:
-            row.next_at = now + RETRY_DELAY
-        case PromoteOutcome.UNCLEAR:
-            row.next_at = now + PROMOTION_TIMEOUT
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -21,6 +21,7 @@
     peers,
     pools,
     promotion,
+    promotion_decisions,
     rates,
     registry,
     route_configuration,
@@ -85,7 +86,9 @@
         return False
     if not kind_rows.is_every_kind_listed(state):
         return False
-    return not any(promotion.is_in_progress(row) for row in state.promotions.values())
+    return not any(
+        promotion_decisions.is_in_progress(row) for row in state.promotions.values()
+    )
 
 
 def is_ready(state: State) -> bool:
--- a/tests/test_shell_ticks.py
+++ b/tests/test_shell_ticks.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from pimentodrift import promotion, session_core
+from pimentodrift import promotion_decisions, session_core
 from pimentodrift.tables import State
 from pimentodrift.ticks import REST_TICK, TICK
 
@@ -58,5 +58,5 @@
     assert session_core.tick_interval(state) == TICK
     harness.answer_held()
     assert session_core.tick_interval(state) == REST_TICK
-    promotion.promotion_row(GROUP, state).askers.add("b")
+    promotion_decisions.promotion_row(GROUP, state).askers.add("b")
     assert session_core.tick_interval(state) == TICK
