Count tokens of a raise once when its holder gives up the share

Cause, found by reading the diff: a raise that was applied, but whose answer was lost, was given back to the allocator with the share's tokens and once more as declined, so that a workspace could get more than its limit. A final report now names the change that it declines. The test has both cases; the second failed before.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -143,7 +143,7 @@
         if is_newer:
             holding.returned += message.tokens
         if is_newer and not is_change_pending(holding, message):
-            remove_holding(row, holding, state)
+            remove_holding(row, holding, message, state)
         return
     holding.heard_at = state.clock.monotonic()
     holding.tokens = message.tokens
@@ -168,12 +168,15 @@
     return operation is not None and operation.number > report.last_number
 
 
-def remove_holding(row: AllocationRow, holding: HoldingRow, state: State) -> None:
+def remove_holding(
+    row: AllocationRow, holding: HoldingRow, report: ShareReport, state: State
+) -> None:
     """Take back the share of a holder that has given it up."""
     del row.holdings[holding.instance]
     row.free_tokens += holding.returned
-    if isinstance(holding.operation, ShareRaise):
-        row.free_tokens += holding.operation.tokens  # It was declined.
+    operation = holding.operation
+    if isinstance(operation, ShareRaise) and operation.number == report.declined:
+        row.free_tokens += operation.tokens
     state.counters["allocator.returned"] += 1
     distribute_free_tokens(row, state)
 
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -186,6 +186,7 @@
     is_final: bool = False  # The sender has given up its whole share.
     # In a final report: no change of the share up to this number will be applied.
     last_number: int = 0
+    declined: int = 0  # Number of a change that was not applied; 0 if there is none.
 
 
 @frozen
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -297,11 +297,15 @@
     state.given_up_shares[row.workspace] = given_up
     state.counters["rates.given_up"] += 1
     if row.epoch.number:
-        send_final_report(row.workspace, given_up, row.tokens, state)
+        send_final_report(row.workspace, given_up, state, tokens=row.tokens)
 
 
 def send_final_report(
-    workspace: str, share: GivenUpShare, tokens: float, state: State
+    workspace: str,
+    share: GivenUpShare,
+    state: State,
+    tokens: float = 0.0,
+    declined: int = 0,
 ) -> None:
     """Tell the allocator that this instance has no share any more."""
     report = ShareReport(
@@ -316,6 +320,7 @@
         admitted=share.admitted,
         is_final=True,
         last_number=share.last_number,
+        declined=declined,
     )
     peers.send(share.epoch.holder, report, state)
 
@@ -331,8 +336,10 @@
     if message.epoch > share.epoch:
         share.epoch, share.last_number = message.epoch, 0
     if message.epoch == share.epoch:
+        # A lower number is that of a change which was applied before.
+        declined = message.number if message.number > share.last_number else 0
         share.last_number = max(share.last_number, message.number)
-        send_final_report(message.workspace, share, 0.0, state)
+        send_final_report(message.workspace, share, state, declined=declined)
     return True
 
 
--- a/tests/test_rates_fleet.py
+++ b/tests/test_rates_fleet.py
@@ -6,6 +6,9 @@
 import pytest
 
 from pimentodrift import allocator_claims, rates, view
+from pimentodrift.dispatch import handle_peer
+from pimentodrift.peer_messages import ShareRaise, ShareReport
+from pimentodrift.rate_rows import HoldingRow
 
 from .rate_support import (
     BURST,
@@ -81,6 +84,37 @@
     assert load.worst_excess() <= 1e-6
 
 
+@pytest.mark.parametrize(("declined", "returned"), [(7, 5.0), (0, 0.0)])
+def test_tokens_of_a_raise_in_flight(declined: int, returned: float) -> None:
+    """Guards against tokens that are counted twice: by the raise and by its holder.
+
+    The holder's answer was lost; it had applied the raise unless it declined it.
+    """
+    load = make_load(NAMES)
+    state = load.network.nodes[allocator_name(load)].state
+    row = state.allocations["w"]
+    other = next(name for name in NAMES if name != state.settings.name)
+    raised = ShareRaise("w", row.epoch, 7, 0.0, 5.0, 5.0)
+    row.holdings[other] = HoldingRow(other, burst=5.0, operation=raised)
+    before = row.free_tokens
+    final = ShareReport(
+        "w",
+        row.epoch,
+        0.0,
+        0.0,
+        0.0,
+        0.0,
+        0.0,
+        9,
+        is_final=True,
+        last_number=7,
+        declined=declined,
+    )
+    handle_peer(final, other, state)
+    assert other not in row.holdings
+    assert row.free_tokens - before == returned
+
+
 @pytest.mark.parametrize("silent", [False, True])
 def test_failed_allocator_of_a_fleet_is_replaced(silent: bool) -> None:
     """Guards against shares that end or are given out twice when allocators change."""
