Let builds with and without eras understand each other

Cause, found by reading the messages as the build before does: relays sent versions with the era in them. An older build would watch the store from such a number, get 410, and keep the objects for ever, since its own revisions are lower. A request to stop using an old primary closes the stream of a build that can't decode it, ten times a second.

Change: relays' messages hold the store's revisions, and the era in a last field; what is of another era is left out, and no completeness is claimed after it. Instances list that they keep replaced primaries out of use, and only those are asked to.

--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -136,7 +136,9 @@
     row.requested_at = state.clock.monotonic()
     message = FenceRequest(row.group, row.decision.token, row.decision.target)
     for name in unconfirmed_instances(row, state):
-        peers.send(name, message, state)
+        # A build that knows no fencing would close the stream.
+        if state.instances[name].can_fence:
+            peers.send(name, message, state)
 
 
 def demand_step_down(row: CoordinationRow, state: State) -> None:
--- a/pimentodrift/instance_registration.py
+++ b/pimentodrift/instance_registration.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from . import kind_rows
+from .fencing import permissions
 from .kind_messages import WatchedKind
 from .log_events import InstanceListed
 from .store_writes import (
@@ -37,6 +38,8 @@
         "data_centre": settings.data_centre,
         "state": Presence.LIVE.value,
     }
+    if permissions.is_enabled(state):
+        value["fencing"] = state.settings.primary_fencing
     known = state.view.objects.get(("instance", settings.name))
     if known is not None and known.value == value:
         return
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -82,6 +82,7 @@
     row.region = value["region"]
     row.data_centre = value["data_centre"]
     row.presence = Presence(value.get("state", "live"))
+    row.can_fence = "fencing" in value
     if name == state.settings.name and state.stopping:
         # The platform's list may lag behind this instance's own stop.
         row.presence = Presence.LEAVING
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -18,6 +18,9 @@
 )
 from .session_rows import RegisteredEndpoint
 
+# The era of a message of a build that knows none.
+NO_ERA = -1
+
 
 @frozen
 class Hello(PeerMessage):
@@ -115,6 +118,7 @@
     version: int
     number: int = 0
     registry: int = 0
+    era: int = NO_ERA
 
 
 @frozen
@@ -155,6 +159,7 @@
     configured_at: int = 0
     registry: RegistryUpdate | None = None
     part: int = 0
+    era: int = NO_ERA
 
 
 @frozen(order=True)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -113,6 +113,7 @@
     store_age: timedelta | None = None  # Age of its view, from its last `Pong`.
     # Set when the instance is suspected, until it answers a ping with a higher number.
     suspected_number: int | None = None
+    can_fence: bool = False  # Its build keeps replaced primaries out of use.
 
 
 @define
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -14,7 +14,14 @@
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
-from . import configuration, kind_rows, membership, peers, store_eras
+from . import (
+    configuration,
+    kind_rows,
+    membership,
+    peers,
+    relay_versions,
+    store_eras,
+)
 from .dispatch import handle, handle_peer
 from .messages import ObjectsReceived, SendPeer, StoreObject, WatchStore
 from .notices import RegistryRelayed
@@ -61,7 +68,9 @@
         membership.apply(item, state)
     if changed:
         configuration.apply_newest_manifest(state)
-        push_updates(state)
+        # While the objects are listed anew, each one would be an update of its own.
+        if kind_rows.is_own_kind_listed(state):
+            push_updates(state)
     return changed
 
 
@@ -200,7 +209,9 @@
         key for key, at in sent.items() if now - at > DEFAULT_CONFIGURATION_LEASE
     ]:
         del sent[old]
-    return Subscribe(state.view.version, number, kind_rows.registry_revision(state))
+    registry = kind_rows.registry_revision(state)
+    message = Subscribe(state.view.version, number, registry)
+    return relay_versions.encode_subscription(message, state.view.era)
 
 
 def subscribe_to_seeds(state: State) -> None:
@@ -254,6 +265,7 @@
             update if is_last else None,
             index,
         )
+        message = relay_versions.encode_update(message, state.view.era)
         if row.instance in state.instances:
             peers.send(row.instance, message, state)
         else:
@@ -316,6 +328,7 @@
 
 @handle_peer.register
 def _(message: Subscribe, sender: str, state: State) -> None:
+    message = relay_versions.decode_subscription(message, state.view.era)
     store_eras.observe_version(message.version, state)
     if not kind_rows.is_own_kind_listed(state):
         return
@@ -340,6 +353,7 @@
     now = state.clock.monotonic()
     if sender == state.view.relay:
         state.view.relay_heard_at = now
+    message = relay_versions.decode_update(message, state.view.era)
     versions = [message.version, *(item.version for item in message.items)]
     if not store_eras.observe_version(max(versions), state):
         return
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -3,8 +3,10 @@
 from datetime import timedelta
 from itertools import pairwise
 from random import Random
+from unittest.mock import patch
 
 import pytest
+from attrs import evolve
 
 from pimentodrift.fencing.decisions import (
     FenceProgress,
@@ -13,7 +15,9 @@
     fence_result,
     lease_end,
 )
+from pimentodrift.fencing.messages import FenceRequest
 from pimentodrift.kind_messages import WatchedKind
+from pimentodrift.messages import SendPeer
 from pimentodrift.promotion_messages import PromoteOutcome
 from pimentodrift.session_rows import EndpointRole
 
@@ -115,6 +119,30 @@
     assert any(number.startswith("a-") for number in network.acknowledged)
 
 
+def test_instance_of_the_build_before() -> None:
+    """Guards against closing the stream of an instance that can't decode a request.
+
+    It gets none; the old primary is out of use when it has stepped down itself.
+    """
+    network = make_split_network(NAMES)
+    state = network.nodes["e"].state
+    state.settings = evolve(state.settings, primary_fencing=PrimaryFencing.PLATFORM)
+    network.run(SECOND)
+    sent: list[SendPeer] = []
+    original = SplitNetwork.send
+
+    def send(self: SplitNetwork, sender: str, message: SendPeer) -> None:
+        sent.append(message)
+        original(self, sender, message)
+
+    with patch.object(SplitNetwork, "send", send):
+        leave(network)
+        network.play(2 * SECOND)
+    assert network.leader != "e1"
+    asked = {item.instance for item in sent if isinstance(item.message, FenceRequest)}
+    assert asked == set(NAMES) - {"e", network.tokens[0][1]}
+
+
 def test_late_call_does_not_depose_the_new_primary() -> None:
     """Guards against a call without an answer that takes effect after a newer one."""
     network = make_split_network(NAMES)
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -4,12 +4,14 @@
 from datetime import timedelta
 from string import ascii_lowercase
 from typing import Any
+from unittest.mock import patch
 
 import pytest
 
 from pimentodrift import view
 from pimentodrift.kind_messages import WatchedKind
-from pimentodrift.messages import StoreObject, StoreWritten
+from pimentodrift.messages import SendPeer, StoreObject, StoreWritten
+from pimentodrift.peer_messages import ViewUpdate
 from pimentodrift.store_versions import (
     era_of,
     next_token,
@@ -104,6 +106,26 @@
     assert set(first) <= relays
 
 
+def test_relays_send_few_updates_while_they_list() -> None:
+    """Guards against an update of all subscribers for each object that is listed."""
+    network = running_network()
+    for number in range(60):
+        network.put("note", f"n{number}", {"text": ""})
+    network.run(SECOND)
+    sent: Counter[str] = Counter()
+    original = KindNetwork.send
+
+    def send(self: KindNetwork, sender: str, message: SendPeer) -> None:
+        sent[message.instance] += isinstance(message.message, ViewUpdate)
+        original(self, sender, message)
+
+    with patch.object(KindNetwork, "send", send):
+        network.restore_store(network.copy_store())
+        network.run(2 * SECOND)
+    # One for each subscription, and one for each change of the copy at its relay.
+    assert max(sent.values()) <= 12
+
+
 def test_lost_registrations_are_written_again() -> None:
     """Guards against an instance that runs but is not listed any more."""
     network = make_network(NAMES)
