Move given-up shares to a module of their own; keep ticking after an error

An error in tick_interval ended the ticks, since the next one was not scheduled; seen in a work tree that named a function which had moved. The functions of shares are moved as they were.

--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -18,6 +18,7 @@
 from . import membership, peers, view
 from .dispatch import handle, handle_peer
 from .errors import Problem, not_run
+from .given_up_shares import decline_change, give_up_share
 from .notices import Admitted, Refused
 from .peer_messages import (
     Epoch,
@@ -290,58 +291,6 @@
     return row.can_return and row.workspace not in state.allocations
 
 
-def give_up_share(row: ShareRow, state: State) -> None:
-    """Drop a share and tell the allocator."""
-    del state.shares[row.workspace]
-    given_up = GivenUpShare(row.epoch, row.last_number, row.admitted)
-    state.given_up_shares[row.workspace] = given_up
-    state.counters["rates.given_up"] += 1
-    if row.epoch.number:
-        send_final_report(row.workspace, given_up, state, tokens=row.tokens)
-
-
-def send_final_report(
-    workspace: str,
-    share: GivenUpShare,
-    state: State,
-    tokens: float = 0.0,
-    declined: int = 0,
-) -> None:
-    """Tell the allocator that this instance has no share any more."""
-    report = ShareReport(
-        workspace,
-        share.epoch,
-        rate=0.0,
-        burst=0.0,
-        tokens=tokens,
-        demand=0.0,
-        tokens_needed=0.0,
-        number=state.new_number(),
-        admitted=share.admitted,
-        is_final=True,
-        last_number=share.last_number,
-        declined=declined,
-    )
-    peers.send(share.epoch.holder, report, state)
-
-
-def decline_change(message: ShareLower | ShareRaise, state: State) -> bool:
-    """Decline to change a share that was given up; return whether it was.
-
-    A repetition of the message that arrives later changes nothing either. An allocator
-    of another epoch may be of a build that knows no final reports.
-    """
-    share = state.given_up_shares.get(message.workspace)
-    if share is None or message.epoch > share.epoch:
-        return False
-    if message.epoch == share.epoch:
-        # A lower number is that of a change which was applied before.
-        declined = message.number if message.number > share.last_number else 0
-        share.last_number = max(share.last_number, message.number)
-        send_final_report(message.workspace, share, state, declined=declined)
-    return True
-
-
 def holds_all_shares(state: State) -> bool:
     """Return whether this instance has a share of every workspace.
 
--- a/pimentodrift/shell_base.py
+++ b/pimentodrift/shell_base.py
@@ -17,6 +17,7 @@
 from .messages import ExitProcess
 from .sockets import Poller
 from .tables import State
+from .ticks import TICK
 from .timers import Timer
 from .untyped_events import write_untyped_events
 
@@ -81,7 +82,7 @@
         poller.on_error = self.report_error
         self.tick_timer = Timer(None)
         self.next_tick_s = 0.0
-        self.schedule_tick(core.tick_interval(state) / SECOND)
+        self.schedule_tick(self.tick_interval_s())
 
     def add_adapter(self, adapter: Adapter) -> None:
         """Register an adapter and its handlers of outbox messages."""
@@ -109,15 +110,22 @@
         """Run a tick and schedule the next one, counted from the time it was due."""
         due_s = self.next_tick_s
         self.tick()
-        interval_s = self.core.tick_interval(self.state) / SECOND
-        self.schedule_tick(max(0.0, due_s + interval_s - monotonic()))
+        self.schedule_tick(max(0.0, due_s + self.tick_interval_s() - monotonic()))
 
     def hasten_tick(self) -> None:
         """Run the next tick sooner if a message has ended the rest."""
-        interval_s = self.core.tick_interval(self.state) / SECOND
+        interval_s = self.tick_interval_s()
         if self.next_tick_s - monotonic() > interval_s:
             self.schedule_tick(interval_s)
 
+    def tick_interval_s(self) -> float:
+        """Return the seconds until the next tick; an error must not end the ticks."""
+        try:
+            return self.core.tick_interval(self.state) / SECOND
+        except Exception as error:  # noqa: BLE001
+            self.report_error("tick_interval", error)
+            return TICK / SECOND
+
     def close_sender(self, message: object) -> None:
         """Close the connection that sent a message which the core failed to handle.
 
--- a/tests/test_shell_ticks.py
+++ b/tests/test_shell_ticks.py
@@ -47,6 +47,20 @@
         rig.until(lambda: core.ticks >= 3)
 
 
+def test_error_does_not_end_the_ticks() -> None:
+    """Guards against an instance whose ticks end with one error of the core."""
+
+    class FailingCore(CountingCore):
+        def tick_interval(self, state: State) -> timedelta:
+            raise RuntimeError("a fault of the core")
+
+    with running() as rig:
+        core = FailingCore()
+        rig.shell.core = core
+        rig.until(lambda: core.ticks >= 3)
+        assert rig.state.counters["shell.errors"] >= 1
+
+
 def test_rest_of_an_instance() -> None:
     """Guards against ticks that are wasted at rest, or missing when one is awaited."""
     harness = make_harness()
