Let sessions wait for the first copies of the store

Cause: an instance listens before it has listed the store.

Change: such a session waits while the lists are on their way, at most 0.5 s, and is refused at once when a list fails. Statements sent ahead are kept, within the limit of pipelined ones; a stop answers who still waits.

--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -204,6 +204,18 @@
     outcome: str
 
 
+# --- Sessions
+
+
+@frozen
+class OpeningsEnded(Event):
+    """Sessions that waited for the first copies of the store were opened or refused."""
+
+    opened: int
+    refused: int
+    longest_ms: int
+
+
 # --- The process
 
 
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -26,6 +26,7 @@
     registry,
     route_configuration,
     session_draining,
+    session_opening,
     sessions,
 )
 from .dispatch import handle
@@ -50,6 +51,7 @@
     coordination.run,
     promotion.run,
     operations.run,
+    session_opening.run,
     sessions.run,
     session_draining.run,
 )
@@ -82,7 +84,7 @@
 
 def is_at_rest(state: State) -> bool:
     """Return whether no statement, change of primary or stop is in progress."""
-    if state.operations or state.coordinations or state.stopping:
+    if state.operations or state.openings or state.coordinations or state.stopping:
         return False
     if state.events or state.typed_events:
         return False  # Log lines are written at ticks.
--- a/pimentodrift/session_draining.py
+++ b/pimentodrift/session_draining.py
@@ -29,7 +29,8 @@
     if waited >= UNLISTED_AFTER:
         close_idle_sessions(state)
     is_timed_out = waited >= state.settings.stop_timeout
-    if is_timed_out or (waited >= UNLISTED_AFTER and not state.sessions):
+    has_clients = state.sessions or state.openings
+    if is_timed_out or (waited >= UNLISTED_AFTER and not has_clients):
         state.exit_sent = True
         waited_ms = waited // timedelta(milliseconds=1)
         state.log_event(StopComplete(len(state.sessions), waited_ms))
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -46,6 +46,18 @@
     connections: dict[str, int] = field(factory=dict)
 
 
+@define
+class OpeningRow:
+    """A session that waits for the first copies of the store."""
+
+    session: int
+    database: str
+    key_digest: str
+    since: timedelta
+    # Statements that arrived before the session was open.
+    statements: list[SessionStatement] = field(factory=list)
+
+
 @define
 class SessionRow:
     """A client's session."""
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -12,15 +12,12 @@
 from .dispatch import handle
 from .messages import Access
 from .operation_completion import (
-    UNCONFIRMED_RETRY_AFTER,
     abandon_operation,
     access_refusal,
     end_transaction,
 )
-from .request_events import SessionRefused, StatementDenied, TransactionEnded
-from .route_configuration import key_digest
+from .request_events import StatementDenied, TransactionEnded
 from .session_messages import (
-    AcceptSession,
     AnswerStatement,
     Begin,
     Commit,
@@ -31,12 +28,10 @@
     Phase,
     Prepare,
     Refusal,
-    RefuseSession,
     RefuseStatement,
     Rollback,
     Run,
     SessionClosed,
-    SessionOpened,
     SessionStatement,
     SetValue,
     StatementEnded,
@@ -44,66 +39,16 @@
 )
 from .session_rows import Consistency, OperationRow, Route, SessionRow, Stage
 from .tables import State
-from .view import copy_age, is_copy_fresh
+from .view import copy_age
 
 MILLISECOND = timedelta(milliseconds=1)
-# The load balancer sends a client that retries to another instance.
-STOPPED_RETRY_AFTER = timedelta(milliseconds=100)
 MAX_PIPELINED = 16  # Statements that a client may send ahead of the answers.
 MAX_SESSION_ITEMS = 64  # Limit of a session's values, and of its prepared statements.
 
 
-@handle.register
-def _(message: SessionOpened, state: State) -> None:
-    state.counters["sessions.opened"] += 1
-    digest = key_digest(message.key)
-    refusal = opening_refusal(message.database, digest, state)
-    if refusal is not None:
-        state.counters[f"sessions.refused.{refusal.fault}"] += 1
-        state.log_event(
-            SessionRefused(
-                message.session,
-                message.database,
-                refusal.fault,
-                refusal.detail,
-                state.configuration.version,
-                copy_age(state) // MILLISECOND,
-            )
-        )
-        state.outbox.append(RefuseSession(message.session, refusal))
-        return
-    route = state.routes[message.database]
-    key = state.configuration.keys.get(digest)
-    workspace = key.workspace if key is not None else ""
-    state.sessions[message.session] = SessionRow(
-        message.session,
-        message.database,
-        "" if route.is_open and key is None else workspace,
-        digest,
-        state.clock.monotonic(),
-    )
-    state.outbox.append(AcceptSession(message.session))
-
-
-def opening_refusal(database: str, digest: str, state: State) -> Refusal | None:
-    """Return why a session must not be opened, or None if it may."""
-    if state.exit_sent:
-        return Refusal(
-            Fault.OVERLOADED, "this instance has stopped", STOPPED_RETRY_AFTER
-        )
-    if not is_copy_fresh(state):
-        detail = "the configuration is not confirmed"
-        return Refusal(Fault.OVERLOADED, detail, UNCONFIRMED_RETRY_AFTER)
-    route = state.routes.get(database)
-    if route is None:
-        return Refusal(Fault.DATABASE_UNKNOWN, "there is no such database")
-    if not route.is_open and digest not in state.configuration.keys:
-        return Refusal(Fault.KEY_INVALID, "the key is unknown or withdrawn")
-    return None
-
-
 @handle.register
 def _(message: SessionClosed, state: State) -> None:
+    state.openings.pop(message.session, None)
     session = state.sessions.pop(message.session, None)
     if session is None:
         return
@@ -120,6 +65,11 @@
 def _(message: SessionStatement, state: State) -> None:
     session = state.sessions.get(message.session)
     if session is None:
+        opening = state.openings.get(message.session)
+        if opening is not None and len(opening.statements) < MAX_PIPELINED:
+            opening.statements.append(message)
+        elif opening is not None:
+            end_opening(message.session, state)
         return
     session.used_at = state.clock.monotonic()
     if session.operation or session.waiting:
@@ -139,6 +89,12 @@
         run_command(statement.command, statement, session, state)
 
 
+def end_opening(session: int, state: State) -> None:
+    """Close a connection whose session has not been opened yet."""
+    del state.openings[session]
+    state.outbox.append(EndSession(session))
+
+
 def end_session(session: SessionRow, state: State) -> None:
     """Close a session on the instance's own decision."""
     handle(SessionClosed(session.session), state)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -39,6 +39,7 @@
 )
 from .session_rows import (
     LeadershipRow,
+    OpeningRow,
     OperationRow,
     PooledRow,
     PoolRow,
@@ -83,6 +84,8 @@
     restored_at: timedelta = NEVER  # When the era rose while this process ran.
     objects: dict[tuple[str, str], StoreObject] = field(factory=dict)
     confirmed_at: timedelta = NEVER  # When the store last confirmed the copy.
+    # Since when no confirmation has come later than the allocator lease.
+    steady_since: timedelta = NEVER
     watch_sent_at: timedelta | None = None  # None if no watch is in progress.
     watch_after: timedelta = NEVER  # Earliest time of the next watch.
     watch_failures: int = 0  # Since the last answer.
@@ -391,6 +394,7 @@
     kinds: dict[str, Any] = field(factory=dict)  # Copies of store objects, by kind.
     routes: dict[str, Route] = field(factory=dict)  # By database.
     session_limits: SessionLimits = field(factory=SessionLimits)
+    openings: dict[int, OpeningRow] = field(factory=dict)  # By session.
     sessions: dict[int, SessionRow] = field(factory=dict)
     operations: dict[int, OperationRow] = field(factory=dict)
     pools: dict[str, PoolRow] = field(factory=dict)  # By endpoint.
