Keep allocators through an outage of the store, and survive the loss of one

Each replacement locks the shares. While a part was locked, no token was granted at all; small bursts were at one instance, so its loss cost the workspace everything for six seconds; and shares followed the demand of half a second down to less than a token.

Change: another instance counts as cut off from the store only once this one has had it for 2 s, and no claim is sent with an old copy; grants respect the locked part instead of stopping; up to 10 requests of burst stay undivided by the window (5 before); each share holds a whole token where the burst suffices, and 0.3 of the rate is divided evenly while tokens are not scarce; the last report unlocks at once.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -23,6 +23,7 @@
     workspaces_to_examine,
 )
 from .burst_reduction import effective_limits
+from .clock import NEVER
 from .dispatch import handle_peer
 from .peer_messages import (
     ShareDenied,
@@ -87,8 +88,7 @@
     # A view at least as new as the claim has every instance that was listed before it.
     if state.view.version < row.store_version or not view.is_copy_fresh(state):
         return
-    expected = {name for name in state.instances} | {row.predecessor}
-    missing = expected - row.holdings.keys() - state.ended
+    missing = missing_holders(row, state)
     leases_ended = state.clock.monotonic() - row.taken_at > max_predecessor_lease(state)
     if missing and not (leases_ended and view.reaches_half(state)):
         return
@@ -97,6 +97,12 @@
     state.counters["allocator.unlocked"] += 1
 
 
+def missing_holders(row: AllocationRow, state: State) -> set[str]:
+    """Return the instances that may hold a share and have not reported it yet."""
+    expected = state.instances.keys() | {row.predecessor}
+    return expected - row.holdings.keys() - state.ended
+
+
 def max_predecessor_lease(state: State) -> timedelta:
     """Return how long shares that a predecessor renewed may stay valid."""
     return CLOCK_DRIFT_FACTOR * (SHARE_LEASE + state.settings.allocator_lease)
@@ -225,6 +231,8 @@
     state.ended.discard(sender)
     row.locked_rate = max(0.0, row.locked_rate - message.rate)
     row.locked_burst = max(0.0, row.locked_burst - message.burst)
+    if not missing_holders(row, state):
+        row.balance_at = NEVER  # What nobody holds can be unlocked and divided.
     return holding
 
 
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -27,6 +27,9 @@
 
 CLAIM_TIMEOUT = timedelta(seconds=3)
 STORE_AGE_MARGIN = timedelta(seconds=1)  # Transit time and age of a heartbeat.
+# After an outage of the store, the instances reach it again one after the other, and
+# their next heartbeats tell so. Only after this time has another one lost the store.
+OUTAGE_END_TIME = timedelta(seconds=2)
 # Time for which a new allocator keeps the role. Instances that suspect each other after
 # a network partition would otherwise pass the role back and forth, and each change
 # locks the shares; the time is longer than such suspicions last.
@@ -84,11 +87,10 @@
     claim = state.claims.get(workspace)
     if claim is not None and now - claim.sent_at < CLAIM_TIMEOUT:
         return
-    if (
-        workspace in state.allocations
-        or not view.is_copy_fresh(state)
-        or state.stopping
-    ):
+    if workspace in state.allocations or state.stopping:
+        return
+    # A claim that an outage of the store delays would replace an allocator that lives.
+    if view.copy_age(state) > state.settings.allocator_lease:
         return
     # The smaller side of a network partition would take the role from the larger one
     # again and again. Between equal sides that both reach the store, the check of
@@ -118,11 +120,23 @@
     # Without heartbeats, its silence tells nothing.
     if row.store_age is None or contact is None or row.last_heard < contact.since:
         return True
+    if not has_steady_view(state):
+        return True
     silence = state.clock.monotonic() - row.last_heard
     limit = state.settings.allocator_lease + STORE_AGE_MARGIN
     return row.store_age + silence <= limit or view.is_store_outage(state)
 
 
+def has_steady_view(state: State) -> bool:
+    """Return whether this instance itself has had no outage of the store lately.
+
+    Otherwise the others may have had the same one.
+    """
+    steady = state.clock.monotonic() - state.view.steady_since
+    is_current = view.copy_age(state) <= state.settings.allocator_lease
+    return is_current and steady >= OUTAGE_END_TIME
+
+
 def track_epoch(workspace: str, item: StoreObject | None, state: State) -> EpochSeen:
     """Return the epoch in the store, since when it is known, and its cooldown."""
     known = state.epochs_seen.get(workspace)
--- a/pimentodrift/kind_rows.py
+++ b/pimentodrift/kind_rows.py
@@ -81,7 +81,15 @@
     if row.kind is WatchedKind.OWN:
         state.view.version = max(state.view.version, row.revision)
     times = [row_of(kind, state).confirmed_at for kind in VIEW_KINDS]
-    state.view.confirmed_at = max(state.view.confirmed_at, min(times))
+    confirm_view(min(times), state)
+
+
+def confirm_view(since: timedelta, state: State) -> None:
+    """Record that the view was current at `since`, and whether it had been older."""
+    now = state.clock.monotonic()
+    if now - state.view.confirmed_at > state.settings.allocator_lease:
+        state.view.steady_since = now
+    state.view.confirmed_at = max(state.view.confirmed_at, since)
 
 
 def is_own_kind_listed(state: State) -> bool:
--- a/pimentodrift/rate_windows.py
+++ b/pimentodrift/rate_windows.py
@@ -12,8 +12,9 @@
 # Part of the burst that stays available at once.
 KEPT_BURST_FRACTION = 0.4
 # Requests; a burst up to this stays available at once as a whole, because several
-# instances share it.
-MIN_KEPT_BURST = 5.0
+# instances share it. If all of it had to be at one instance, the workspace would get
+# nothing for seconds after the loss of that instance.
+MIN_KEPT_BURST = 10.0
 
 
 @frozen
--- a/pimentodrift/share_moves.py
+++ b/pimentodrift/share_moves.py
@@ -20,6 +20,9 @@
 # A share is lowered only if it exceeds its target by more than this part of an even
 # share, so that shares do not move back and forth without end.
 DEAD_BAND = 0.1
+# Part of the rate that is divided evenly while tokens are not scarce. A holder may need
+# it as soon as its allocator is lost, and its demand of the last moment says little.
+EVEN_FRACTION = 0.3
 EPSILON = 1e-9  # Rounding error of rates (requests/s), bursts and tokens.
 
 
@@ -49,7 +52,8 @@
     wanted = sum(holding.demand for holding in active) * HEADROOM
     if is_central(row, workspace):
         return {name: available if name == own else 0.0 for name in row.holdings}
-    factor = min(1.0, available / wanted) if wanted > 0 else 0.0
+    followed = available * (1.0 if row.is_scarce else 1.0 - EVEN_FRACTION)
+    factor = min(1.0, followed / wanted) if wanted > 0 else 0.0
     rest = max(0.0, available - wanted * factor)
     targets = dict.fromkeys(row.holdings, 0.0)
     for holding in active:
@@ -58,6 +62,26 @@
     return targets
 
 
+def target_bursts(
+    row: AllocationRow, workspace: WorkspaceRow, targets: dict[str, float]
+) -> dict[str, float]:
+    """Return each holder's target burst: a whole token if possible, the rest by rate.
+
+    A bucket that holds less than a token admits nothing without its allocator.
+    """
+    available = workspace.burst - row.locked_burst
+    total = sum(targets.values())
+    if total <= 0:
+        return dict.fromkeys(targets, 0.0)
+    active = sum(rate > 0 for rate in targets.values())
+    whole = 1.0 if available >= active else 0.0
+    spread = (available - whole * active) / total
+    return {
+        name: whole + rate * spread if rate > 0 else 0.0
+        for name, rate in targets.items()
+    }
+
+
 def may_keep_share(instance: str, state: State) -> bool:
     """Return whether an instance may keep a share; a suspected instance may."""
     row = state.instances.get(instance)
@@ -71,14 +95,14 @@
     state: State,
 ) -> None:
     """Ask holders whose share exceeds its target to give up the difference."""
-    band = DEAD_BAND * workspace.rate / max(1, len(targets))
-    burst_per_rate = workspace.burst / workspace.rate
+    part = DEAD_BAND / max(1, len(targets))
+    bursts = target_bursts(row, workspace, targets)
     for name, target in targets.items():
         holding = row.holdings[name]
         rate = max(0.0, holding.rate - target)
-        burst = max(0.0, holding.burst - target * burst_per_rate)
+        burst = max(0.0, holding.burst - bursts[name])
         leaving = target <= 0 and (rate > 0 or burst > 0)
-        beyond = rate > band or burst > band * burst_per_rate
+        beyond = rate > part * workspace.rate or burst > part * workspace.burst
         if holding.operation is None and (beyond or leaving):
             send_lower(row, holding, rate, burst, state)
 
@@ -91,10 +115,11 @@
 ) -> None:
     """Divide free rate and burst among the shares below their target, in proportion."""
     ratio = workspace.burst / workspace.rate
+    bursts = target_bursts(row, workspace, targets)
     deficits = {
         name: (
             max(0.0, target - row.holdings[name].rate),
-            max(0.0, target * ratio - row.holdings[name].burst),
+            max(0.0, bursts[name] - row.holdings[name].burst),
         )
         for name, target in targets.items()
         if row.holdings[name].operation is None
--- a/pimentodrift/token_grants.py
+++ b/pimentodrift/token_grants.py
@@ -111,9 +111,7 @@
     """
     if holding.instance == state.settings.name or not uses_grants(row, state):
         return False
-    if row.locked_burst > 0:
-        return False
-    held = sum(other.burst for other in row.holdings.values())
+    held = row.locked_burst + sum(other.burst for other in row.holdings.values())
     if held > limits.burst - refill_per_grant(limits) + rates.TOKEN_TOLERANCE:
         return False
     is_answered = report.granted >= holding.grant_number
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -221,11 +221,6 @@
         state.outbox.append(SendPeer(address, address, message))
 
 
-def confirm_copy(since: timedelta, state: State) -> None:
-    """Record that the copy was current at `since`."""
-    state.view.confirmed_at = max(state.view.confirmed_at, since)
-
-
 def push_updates(state: State) -> None:
     """Send all subscribers the objects that they may not have.
 
@@ -305,7 +300,7 @@
     state.view.watch_failures = 0
     state.view.version = max(state.view.version, message.version)
     if sent_at is not None:
-        confirm_copy(sent_at, state)
+        kind_rows.confirm_view(sent_at, state)
     apply(message.items, state)
 
 
@@ -374,6 +369,6 @@
         if state.kinds:
             kind_rows.confirm_relayed(since, message.configured_at, state)
         else:
-            confirm_copy(since, state)
+            kind_rows.confirm_view(since, state)
     if message.registry is not None:
         handle(RegistryRelayed(message.registry), state)
--- a/tests/network.py
+++ b/tests/network.py
@@ -68,9 +68,12 @@
     doubled: float = 0.0  # Probability that a message is delivered twice.
     store_down: bool = False
     lose_answers: bool = False  # The store writes, but its answers are lost.
+    # While it is down, the store keeps calls and carries them out when it is back.
+    delays_calls: bool = False
     objects: dict[tuple[str, str], StoreObject] = field(factory=dict)
     version: int = 0
     core: ModuleType = core  # The module that runs an instance.
+    settings: dict[str, Any] = field(factory=dict)  # Those that differ from defaults.
 
     def add(self, name: str, region: str, speed: float = 1.0) -> State:
         settings = Settings(
@@ -80,6 +83,7 @@
             listen="127.0.0.1:1",
             peer_listen="127.0.0.1:1",
             platform="http://127.0.0.1:1",
+            **self.settings,
         )
         state = State(settings, SkewedClock(self, speed), Random(name))
         self.nodes[name] = Node(state)
@@ -190,6 +194,9 @@
     def write(self, name: str, message: WriteStore) -> None:
         def answer() -> None:
             result: object = StoreFailed(message.call)
+            if self.delays_calls and not self.reaches_store(name):
+                self.schedule(core.TICK, answer)
+                return
             if self.reaches_store(name):
                 known = self.objects.get((message.kind, message.name))
                 version = known.version if known else 0
--- a/tests/rate_support.py
+++ b/tests/rate_support.py
@@ -3,15 +3,17 @@
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 from random import Random
+from typing import Any
 
 import pytest
 from attrs import define, field
-from hypothesis import settings
+from hypothesis import settings as test_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pimentodrift import rates
 from pimentodrift.notices import Admitted, Refused
+from pimentodrift.rate_windows import bucket_for
 from pimentodrift.tables import State
 
 from .network import Network
@@ -20,6 +22,7 @@
 STEP = timedelta(milliseconds=20)
 RATE = 50.0
 BURST = 25.0
+WINDOW = 5 * SECOND
 NAMES = ("a", "b", "c", "d", "e", "f")
 
 
@@ -32,7 +35,10 @@
     burst: float = BURST
     admitted: list[timedelta] = field(factory=list)
     refused: int = 0
-    asked_at: dict[int, timedelta] = field(factory=dict)
+    refused_at: list[timedelta] = field(factory=list)
+    # By instance and number of the request.
+    asked_at: dict[tuple[str, int], timedelta] = field(factory=dict)
+    admission_waits: list[timedelta] = field(factory=list)
     refusal_waits: list[timedelta] = field(factory=list)
     retry_afters: list[timedelta | None] = field(factory=list)
     credit: float = 0.0
@@ -47,7 +53,7 @@
             return
         deadline = state.clock.monotonic() + 10 * SECOND
         number = state.new_number()
-        self.asked_at[number] = self.network.time
+        self.asked_at[name, number] = self.network.time
         rates.queue_for_token("w", number, deadline, state)
         self.network.process_outbox(name)
 
@@ -85,14 +91,19 @@
     """Records how waiting requests end, in place of the modules that queued them."""
 
     def collect(message: object, state: State) -> None:
+        if not isinstance(message, Admitted | Refused):
+            return
+        load = CURRENT[-1]
+        now = load.network.time
+        asked_at = load.asked_at.get((state.settings.name, message.request), now)
         if isinstance(message, Admitted):
-            CURRENT[-1].admitted.append(CURRENT[-1].network.time)
-        elif isinstance(message, Refused):
-            load = CURRENT[-1]
-            load.refused += 1
-            asked_at = load.asked_at.get(message.request, load.network.time)
-            load.refusal_waits.append(load.network.time - asked_at)
-            load.retry_afters.append(message.failure.retry_after)
+            load.admitted.append(now)
+            load.admission_waits.append(now - asked_at)
+            return
+        load.refused += 1
+        load.refused_at.append(now)
+        load.refusal_waits.append(now - asked_at)
+        load.retry_afters.append(message.failure.retry_after)
 
     monkeypatch.setattr(rates, "handle", collect)
 
@@ -102,8 +113,10 @@
     seed: int = 1,
     rate: float = RATE,
     burst: float = BURST,
+    **settings: Any,
 ) -> Load:
-    network = Network(Random(seed))
+    """Start instances with a workspace; `settings` are those that differ."""
+    network = Network(Random(seed), settings=settings)
     workspace = {"rate": rate, "burst": burst, "groups": []}
     network.put("piece", "p", {"workspaces": {"w": workspace}})
     network.put("manifest", "current", {"publication": "1", "pieces": ["p"]})
@@ -115,6 +128,21 @@
     return load
 
 
+def make_window_load(rate: float) -> Load:
+    """Start seven instances with a limit per window, set up as in production."""
+    bucket = bucket_for(rate, rate, WINDOW)
+    load = make_load(
+        tuple("abcdefg"),
+        rate=bucket.rate,
+        burst=bucket.burst,
+        allocator_lease=2 * SECOND,
+        configuration_lease=3.9 * SECOND,
+        heartbeat_interval=0.5 * SECOND,
+    )
+    load.network.delay = regional_delay
+    return load
+
+
 def allocator_name(load: Load) -> str:
     item = load.network.objects["allocator", "w"]
     assert item.value is not None
@@ -193,7 +221,7 @@
         assert self.load.worst_excess() <= 1e-6
 
 
-MACHINE_SETTINGS = settings(
+MACHINE_SETTINGS = test_settings(
     derandomize=True, deadline=None, max_examples=30, stateful_step_count=12
 )
 RateMachine.TestCase.settings = MACHINE_SETTINGS
--- a/tests/test_rate_windows.py
+++ b/tests/test_rate_windows.py
@@ -41,7 +41,7 @@
     """Guards against admitting only the rate, without the burst of each window."""
     bucket = bucket_for(rate, burst, WINDOW)
     assert bucket.rate * 5 + bucket.burst == pytest.approx(rate * 5 + burst)
-    spread = max(0.0, min(0.6 * burst, burst - 5))
+    spread = max(0.0, min(0.6 * burst, burst - 10))
     assert bucket.rate * 5 == pytest.approx(rate * 5 + spread)
 
 
--- a/tests/test_rates_allocators.py
+++ b/tests/test_rates_allocators.py
@@ -13,6 +13,7 @@
     STEP,
     allocator_name,
     make_load,
+    make_window_load,
     outcomes,
     regional_delay,
     suspect_everywhere,
@@ -163,3 +164,71 @@
     for name in rest:
         load.offer(3 * RATE, 2 * SECOND, lambda name=name: name)
     assert load.worst_excess() <= 1e-6
+
+
+@pytest.mark.parametrize("delays_calls", [False, True])
+@pytest.mark.parametrize("outage", [2.5, 3.6, 6.0])
+def test_outage_of_the_store_keeps_the_allocator(
+    outage: float, delays_calls: bool
+) -> None:
+    """Guards against replacing allocators that live when the store comes back.
+
+    Their last heartbeats still tell that they had lost it, or a claim that was sent
+    during the outage takes effect.
+    """
+    load = make_window_load(20.0)
+    network = load.network
+    network.delays_calls = delays_calls
+    load.offer(10.0, 5 * SECOND, lambda: network.random.choice("abcdefg"))
+    before = network.objects["allocator", "w"]
+    network.store_down = True
+    load.offer(10.0, outage * SECOND, lambda: network.random.choice("abcdefg"))
+    network.store_down = False
+    load.offer(10.0, 6 * SECOND, lambda: network.random.choice("abcdefg"))
+    assert network.objects["allocator", "w"] == before
+    assert load.worst_excess() <= 1e-6
+
+
+CALM_LOAD = 0.62  # Part of the rate.
+
+
+@pytest.mark.parametrize("store_down", [False, True])
+@pytest.mark.parametrize("rate", [12.0, 20.0, 40.0])
+def test_calm_workspace_outlives_its_allocator(rate: float, store_down: bool) -> None:
+    """Guards against refusals for seconds after an allocator was lost.
+
+    Its machine does not refuse connections, so it may still use its share.
+    """
+    load = make_window_load(rate)
+    network, lost = load.network, allocator_name(load)
+    rest = [name for name in network.nodes if name != lost]
+    load.offer(CALM_LOAD * rate, 5 * SECOND, lambda: network.random.choice("abcdefg"))
+    network.store_down = store_down
+    load.offer(CALM_LOAD * rate, 1.5 * SECOND, lambda: network.random.choice(rest))
+    network.nodes[lost].paused = True
+    load.refused_at.clear()
+    load.offer(CALM_LOAD * rate, 1.6 * SECOND, lambda: network.random.choice(rest))
+    network.store_down = False
+    load.offer(CALM_LOAD * rate, 9 * SECOND, lambda: network.random.choice(rest))
+    seconds = {at // SECOND for at in load.refused_at}
+    assert len(seconds) <= 1 or load.refused_at[-1] - load.refused_at[0] <= SECOND
+    assert load.worst_excess() <= 1e-6
+
+
+@pytest.mark.parametrize("rate", [12.0, 20.0, 40.0])
+def test_flood_while_a_lost_share_is_locked(rate: float) -> None:
+    """Guards against a whole rate that stands still until a lost part is free.
+
+    In a flood, a small burst is at the allocator's instance and the others get grants.
+    """
+    load = make_window_load(rate)
+    network, lost = load.network, allocator_name(load)
+    rest = [name for name in network.nodes if name != lost]
+    load.offer(CALM_LOAD * rate, 5 * SECOND, lambda: network.random.choice("abcdefg"))
+    network.nodes[lost].paused = True
+    load.offer(CALM_LOAD * rate, 2.2 * SECOND, lambda: network.random.choice(rest))
+    before = len(load.admitted)
+    load.offer(3 * rate, 3.5 * SECOND, lambda: network.random.choice(rest))
+    held = 6 / 7 * 3.5 * load.rate  # Without the part that the lost instance held.
+    assert len(load.admitted) - before >= 0.8 * held
+    assert load.worst_excess() <= 1e-6
