Bound the wait for tokens in a flood, and admit by priority

Cause: a workspace that sends a little more than its rate kept a standing queue. Every request waited 0.65 s for its token, so each token went to one that was late already (338 of 657 answers logged for it were late), and none was refused early.

Change: when requests are admitted and yet wait, a request whose expected wait takes more than half of its objective is refused on arrival with a Retry-After, and one that has waited so long is refused in favour of those still in time. If nothing is admitted, as while an allocator is replaced, requests wait as before.

--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -18,6 +18,7 @@
     QueuePolicy,
     arrival_retry_after,
     max_wait,
+    token_retry_after,
 )
 from .rate_waiters import on_admitted, on_refused
 from .session_messages import EndpointFailed, Fault, PlacementNeeded, Refusal
@@ -30,6 +31,7 @@
 )
 from .tables import State
 
+RATE_EXCEEDED = "the workspace is over its rate"
 # A sample that is nearly too old for a read is not used, because the read also takes
 # time to reach the endpoint; the primary serves the read.
 SAMPLE_MARGIN = timedelta(milliseconds=50)
@@ -57,10 +59,24 @@
     if not operation.workspace or rates.take_token(operation.workspace, state):
         place(operation, state)
         return
+    route = operation.route
+    wait = rates.expected_wait(operation.workspace, route.priority, state)
+    delay = token_retry_after(wait, route.objective)
+    if delay is not None:
+        state.counters["operations.refused_by_rate"] += 1
+        refuse(operation, Refusal(Fault.OVERLOADED, RATE_EXCEEDED, delay), state)
+        return
     operation_steps.set_stage(operation, Stage.RATE, state)
     # `rates` may refuse the statement before this deadline, by its own limits.
-    deadline = operation.arrived_at + operation.route.timeout
-    rates.queue_for_token(operation.workspace, operation.operation, deadline, state)
+    deadline = operation.arrived_at + route.timeout
+    rates.queue_for_token(
+        operation.workspace,
+        operation.operation,
+        deadline,
+        state,
+        route.priority,
+        patience=max_wait(configured_policy(state), route.objective, route.timeout),
+    )
 
 
 @on_admitted.register
@@ -71,8 +87,7 @@
 
 @on_refused.register
 def _(row: OperationRow, failure: Failure, state: State) -> None:
-    detail = "the workspace is over its rate"
-    refuse(row, Refusal(Fault.OVERLOADED, detail, failure.retry_after), state)
+    refuse(row, Refusal(Fault.OVERLOADED, RATE_EXCEEDED, failure.retry_after), state)
 
 
 # --- Placement of a statement on an endpoint
--- a/pimentodrift/queue_policy.py
+++ b/pimentodrift/queue_policy.py
@@ -1,4 +1,4 @@
-"""Decides whether a statement may wait for a connection to an endpoint, and how long.
+"""Decides whether a statement may wait for a token or a connection, and how long.
 
 Guards against an endpoint that gets more statements than its connections can carry. A
 statement that would be late is refused on arrival, so that its client can try another
@@ -23,6 +23,9 @@
 # Fraction of the latency objective that a statement may spend in a queue.
 MAX_QUEUE_FRACTION = 0.5
 MIN_RETRY_AFTER = timedelta(milliseconds=100)
+# A workspace that floods is told to come back after at least this time: an earlier
+# attempt would meet the same flood.
+FLOOD_RETRY_AFTER = timedelta(seconds=1)
 
 
 @frozen
@@ -61,3 +64,17 @@
         case QueuePolicy.EXPECTED_WAIT:
             excess = queue.expected_wait - objective * MAX_QUEUE_FRACTION
             return max(MIN_RETRY_AFTER, excess) if excess > timedelta(0) else None
+
+
+def token_retry_after(
+    expected_wait: timedelta | None, objective: timedelta
+) -> timedelta | None:
+    """Return when to retry a statement without a token; None if it may wait for one.
+
+    Answers to a workspace that constantly sends more than its rate: if all its
+    statements waited, each token would go to one that is late already. `expected_wait`
+    is None if it is not known.
+    """
+    if expected_wait is None or expected_wait <= objective * MAX_QUEUE_FRACTION:
+        return None
+    return max(FLOOD_RETRY_AFTER, expected_wait)
--- a/pimentodrift/rate_rows.py
+++ b/pimentodrift/rate_rows.py
@@ -20,6 +20,8 @@
     request: int
     since: timedelta  # When it was queued.
     deadline: timedelta
+    priority: int = 0  # 0 is the highest.
+    patience: timedelta | None = None  # Longest wait in a flood, if there is a limit.
 
 
 @define
@@ -35,11 +37,13 @@
     renewed_at: timedelta = NEVER  # Start of the current lease.
     last_number: int = 0  # Number of the last share operation applied in this epoch.
     last_lowered: ShareLowered | None = None  # Last answer, sent again on a repeat.
-    waiting: deque[WaitingRequest] = field(factory=deque)
+    waiting: deque[WaitingRequest] = field(factory=deque)  # By priority, then age.
     arrivals: int = 0  # Requests since `measured_at`.
     used_at: timedelta = NEVER  # When the last request arrived.
     admitted: int = 0  # Requests since the start of the process.
     demand: float = 0.0  # Requests/s, moving average.
+    admission_rate: float = 0.0  # Admitted requests/s, moving average.
+    admitted_before: int = 0  # `admitted` at `measured_at`.
     measured_at: timedelta = NEVER
     denied_until: timedelta = NEVER  # The allocator has no tokens before this time.
     report_at: timedelta = NEVER  # When the next report is due.
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -44,6 +44,10 @@
 MAX_REFILL_WAIT = timedelta(milliseconds=250)
 # Longest wait for an allocator that does not answer, because a successor may take over.
 MAX_ALLOCATOR_WAIT = timedelta(milliseconds=1500)
+# A queue whose first request has waited for longer than a round trip to the allocator
+# is one that the allocator cannot empty.
+FLOOD_QUEUE_AGE = timedelta(milliseconds=100)
+MIN_FLOOD_RATE = 1.0  # Requests/s; a lower rate of admissions is no measure of a wait.
 # In a larger fleet, a share without a request for this long is given up: each one costs
 # two reports and two answers a second.
 IDLE_SHARE_LIFETIME = timedelta(seconds=2)
@@ -65,6 +69,7 @@
             before.epoch,
             last_number=before.last_number,
             admitted=before.admitted,
+            admitted_before=before.admitted,
             refilled_at=now,
             measured_at=now,
             report_at=now,
@@ -118,20 +123,51 @@
 
 
 def queue_for_token(
-    workspace: str, request: int, deadline: timedelta, state: State
+    workspace: str,
+    request: int,
+    deadline: timedelta,
+    state: State,
+    priority: int = 0,
+    patience: timedelta | None = None,
 ) -> None:
-    """Queue a request for a token; `Admitted` or `Refused` tells how the wait ended."""
+    """Queue a request for a token; `Admitted` or `Refused` tells how the wait ended.
+
+    Requests with a smaller `priority` are admitted first. In a flood, one that has
+    waited longer than `patience` is refused.
+    """
     row = get_or_create_share(workspace, state)
     now = state.clock.monotonic()
-    row.waiting.append(WaitingRequest(request, now, deadline))
+    waiting = WaitingRequest(request, now, deadline, priority, patience)
+    row.waiting.insert(count_ahead(row, priority), waiting)
     if now < row.denied_until and refill_delay(row) > MAX_REFILL_WAIT:
-        row.waiting.pop()
+        row.waiting.remove(waiting)
         refuse_request(request, row.denied_until - now, state)
         return
     row.report_at = min(row.report_at, now)
     admit_waiting(row, state)
 
 
+def count_ahead(row: ShareRow, priority: int) -> int:
+    """Return how many waiting requests are admitted before a new one."""
+    return sum(other.priority <= priority for other in row.waiting)
+
+
+def expected_wait(workspace: str, priority: int, state: State) -> timedelta | None:
+    """Return how long a new request would wait for a token in a flood; else None.
+
+    In a flood, requests are admitted all the time and yet wait. If none is admitted,
+    the allocator may have been lost, and its successor ends the wait.
+    """
+    row = get_or_create_share(workspace, state)
+    if not row.waiting or row.admission_rate < MIN_FLOOD_RATE:
+        return None
+    oldest = min(other.since for other in row.waiting)
+    if state.clock.monotonic() - oldest < FLOOD_QUEUE_AGE:
+        return None
+    ahead = count_ahead(row, priority)
+    return timedelta(seconds=(ahead + 1) / row.admission_rate)
+
+
 def refill_delay(row: ShareRow) -> timedelta:
     """Return how long the share alone needs for a token for every waiting request."""
     missing = len(row.waiting) - row.tokens
@@ -159,7 +195,7 @@
 
 
 def admit_waiting(row: ShareRow, state: State) -> None:
-    """Admit waiting requests in the order of their arrival while there are tokens."""
+    """Admit waiting requests in their order while there are tokens."""
     while row.waiting and spend_token(row, state):
         handle(Admitted(row.waiting.popleft().request), state)
 
@@ -171,15 +207,25 @@
         handle(Admitted(row.waiting.popleft().request), state)
 
 
+def longest_wait(item: WaitingRequest, row: ShareRow) -> timedelta:
+    """Return how long a request may wait for a token."""
+    is_flood = row.admission_rate >= MIN_FLOOD_RATE
+    if is_flood and item.patience is not None:
+        return min(item.patience, MAX_ALLOCATOR_WAIT)
+    return MAX_ALLOCATOR_WAIT
+
+
 def refuse_expired(row: ShareRow, state: State) -> None:
     """Refuse requests that reached their deadline or the longest wait."""
     now = state.clock.monotonic()
-    while row.waiting:
-        first = row.waiting[0]
-        if now < min(first.deadline, first.since + MAX_ALLOCATOR_WAIT):
-            return
-        row.waiting.popleft()
-        refuse_request(first.request, retry_after(row, state), state)
+    expired = [
+        item
+        for item in row.waiting
+        if now >= min(item.deadline, item.since + longest_wait(item, row))
+    ]
+    for item in expired:
+        row.waiting.remove(item)
+        refuse_request(item.request, retry_after(row, state), state)
 
 
 def retry_after(row: ShareRow, state: State) -> timedelta:
@@ -195,13 +241,16 @@
 
 
 def update_demand(row: ShareRow, state: State) -> None:
-    """Update the share's demand, a moving average of the arrivals per second."""
+    """Update the moving averages of the arrivals and admissions per second."""
     now = state.clock.monotonic()
     elapsed = now - row.measured_at
-    current = row.arrivals / elapsed.total_seconds()
     weight = min(1.0, elapsed / DEMAND_WINDOW)
-    row.demand += (current - row.demand) * weight
+    arrived = row.arrivals / elapsed.total_seconds()
+    admitted = (row.admitted - row.admitted_before) / elapsed.total_seconds()
+    row.demand += (arrived - row.demand) * weight
+    row.admission_rate += (admitted - row.admission_rate) * weight
     row.arrivals = 0
+    row.admitted_before = row.admitted
     row.measured_at = now
 
 
