Fence a replaced primary beside a silent instance within 1.5 s

Change: in a fleet of up to 16, an instance uses a primary only with contact: its copy was confirmed by the store, or more than half of the listed instances answered that they know of no newer decision, both to something sent within 0.9 s. Answers to heartbeats carry the known decisions, so this costs no call. Once so many instances confirmed that the others have no majority among them, 0.9 s x 1.1 + 0.5 s suffice. Instances that were removed lately count as unconfirmed, those that were added lately do not count for the majority, and a build without the limit makes the coordinator wait as before.

Ruled out: a lease of a second on the store alone, which would stop writes in each of its outages.

--- a/pimentodrift/failover_rows.py
+++ b/pimentodrift/failover_rows.py
@@ -27,6 +27,12 @@
     since: timedelta = NEVER  # When it became a contact.
     pinged_at: timedelta = NEVER
     unanswered: int = 0  # Pings since the last Pong.
+    pings_sent: dict[int, timedelta] = field(
+        factory=dict
+    )  # By number, unanswered ones.
+    # When the last ping was sent whose answer told of `decisions`: tokens, by group.
+    attested_at: timedelta = NEVER
+    decisions: dict[str, int] = field(factory=dict)
 
 
 class Channel(StrEnum):
--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -6,7 +6,7 @@
 
 from datetime import timedelta
 
-from .. import leadership, peers, pools, registry
+from .. import leadership, peers, pools, registry, view
 from ..dispatch import handle, handle_peer
 from ..log_events import PrimaryFenced
 from ..operation_completion import send_steps
@@ -15,10 +15,12 @@
 from ..store_versions import era_of
 from ..tables import State
 from .decisions import (
+    CONTACT_LEASE,
     FenceProgress,
     FenceResult,
     PromotionDecision,
     fence_result,
+    lease_end,
 )
 from .messages import DemoteEndpoint, FenceCompleted, FenceConfirmed, FenceRequest
 from .rows import CoordinationRow
@@ -101,6 +103,7 @@
         now - row.started_at,
         # The list of instances must be as new as the decision.
         len(unconfirmed) if state.view.version >= row.version else len(unconfirmed) + 1,
+        time_since_majority(row, state),
         bool(row.only_primary) and row.only_primary in row.deposed,
     )
     result = fence_result(progress, state.settings.configuration_lease)
@@ -117,6 +120,37 @@
     return [name for name in state.instances if name not in row.confirmed]
 
 
+def time_since_majority(row: CoordinationRow, state: State) -> timedelta | None:
+    """Return for how long the unconfirmed instances have had no majority among them."""
+    now = state.clock.monotonic()
+    if row.majority_at is None and has_majority(row, state):
+        row.majority_at = now
+    return now - row.majority_at if row.majority_at is not None else None
+
+
+def has_majority(row: CoordinationRow, state: State) -> bool:
+    """Return whether no unconfirmed instance can have contact through others.
+
+    The copy of an unconfirmed instance may be as old as the configuration lease. So
+    instances that were removed since then count as unconfirmed, and those that were
+    added since then do not count for the majority.
+    """
+    if state.view.version < row.version:
+        return False
+    now = state.clock.monotonic()
+    listed_before = now - lease_end(state.settings.configuration_lease)
+    removed = {name for name, at in state.removed_at.items() if at >= listed_before}
+    listed = state.instances.keys() | removed
+    silent = listed - row.confirmed
+    rows = [state.instances[name] for name in silent if name in state.instances]
+    if len(listed) > view.SMALL_FLEET or silent & removed:
+        return False
+    if not all(item.contact_lease == CONTACT_LEASE for item in rows):
+        return False
+    certain = sum(item.listed_at < listed_before for item in state.instances.values())
+    return len(silent) * 2 <= certain
+
+
 def complete(
     row: CoordinationRow, result: FenceResult, unconfirmed: int, state: State
 ) -> None:
--- a/pimentodrift/fencing/decisions.py
+++ b/pimentodrift/fencing/decisions.py
@@ -5,6 +5,11 @@
 is out of use once every instance has confirmed that it stopped, once the old primary
 itself refuses to begin a transaction, or at the latest when the lease of every
 instance that did not confirm has ended.
+
+In a small fleet, an instance also needs contact: a confirmation of its copy by the
+store, or answers of more than half of the listed instances that know of no newer
+decision, to something sent within `CONTACT_LEASE`. Once a majority knows a decision,
+an instance that does not can have contact for that time only.
 """
 
 from datetime import timedelta
@@ -12,6 +17,10 @@
 
 from attrs import frozen
 
+# How long an instance uses a primary without contact: it needs the store's confirmation
+# or answers from more than half of the listed instances to what it sent since then.
+CONTACT_LEASE = timedelta(milliseconds=900)
+CLOCK_DRIFT_FACTOR = 1.1
 # Added to the lease: the last statement sent within it may still be on its way.
 IN_FLIGHT_MARGIN = timedelta(milliseconds=500)
 
@@ -37,6 +46,9 @@
 
     elapsed: timedelta  # Since the store acknowledged the decision.
     unconfirmed: int  # Instances that did not confirm that they stopped.
+    # Time since so many had confirmed that the others get no answers from a majority;
+    # None if that is not known.
+    since_majority: timedelta | None
     is_deposed: bool  # The only endpoint that could be in use refused to be primary.
 
 
@@ -45,6 +57,7 @@
 
     CONFIRMED = "confirmed"
     DEPOSED = "deposed"
+    CONTACT_LOST = "contact-lost"
     LEASE_ENDED = "lease-ended"
 
 
@@ -59,6 +72,9 @@
         return FenceResult.CONFIRMED
     if progress.is_deposed:
         return FenceResult.DEPOSED
+    contact_end = CONTACT_LEASE * CLOCK_DRIFT_FACTOR + IN_FLIGHT_MARGIN
+    if progress.since_majority is not None and progress.since_majority >= contact_end:
+        return FenceResult.CONTACT_LOST
     if progress.elapsed >= lease_end(lease):
         return FenceResult.LEASE_ENDED
     return None
--- a/pimentodrift/fencing/rows.py
+++ b/pimentodrift/fencing/rows.py
@@ -33,6 +33,8 @@
     # The endpoint whose deposition suffices; empty if others may be in use as well.
     only_primary: str = ""
     confirmed: set[str] = field(factory=set)  # Instances that stopped.
+    # Since when the others get no answers from a majority; None if they may.
+    majority_at: timedelta | None = None
     requested_at: timedelta = NEVER
     demoted_at: timedelta = NEVER  # When the old primary was last told to step down.
     deposed: set[str] = field(factory=set)  # Endpoints that refused to be primary.
--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -8,6 +8,8 @@
 
 from .dispatch import handle, handle_peer
 from .failover_rows import ContactRow
+from .fencing import contact
+from .fencing.decisions import CONTACT_LEASE
 from .membership import (
     instances_with_heartbeat,
     is_instance_usable,
@@ -90,9 +92,13 @@
         handle(InstanceDown(row.name, frozenset()), state)
         return
     row.unanswered += 1
-    row.pinged_at = state.clock.monotonic()
+    now = row.pinged_at = state.clock.monotonic()
     state.counters["heartbeats.pings"] += 1
-    send_heartbeat(instance, Ping(state.new_number()), state)
+    number = state.new_number()
+    for old in [key for key, at in row.pings_sent.items() if now - at > CONTACT_LEASE]:
+        del row.pings_sent[old]
+    row.pings_sent[number] = now
+    send_heartbeat(instance, Ping(number), state)
 
 
 def send_heartbeat(instance: InstanceRow, message: Ping | Pong, state: State) -> None:
@@ -115,9 +121,10 @@
         return
     record_heartbeat(instance, state)
     store_age = (now - state.view.confirmed_at) // MILLISECOND
-    send_heartbeat(
-        instance, Pong(message.number, store_age, owned_samples(state)), state
+    pong = Pong(
+        message.number, store_age, owned_samples(state), contact.known_decisions(state)
     )
+    send_heartbeat(instance, pong, state)
 
 
 def owned_samples(state: State) -> tuple[EndpointSample, ...]:
@@ -149,6 +156,7 @@
     contact_row = state.contacts.get(sender)
     if contact_row is not None:
         contact_row.unanswered = 0
+        contact.record_answer(contact_row, message)
     end_suspicion(instance, message.number, state)
     for received in message.samples:
         apply_sample(received, now - received.age_ms * MILLISECOND, state)
--- a/pimentodrift/instance_registration.py
+++ b/pimentodrift/instance_registration.py
@@ -6,6 +6,7 @@
 
 from . import kind_rows
 from .fencing import permissions
+from .fencing.decisions import CONTACT_LEASE
 from .kind_messages import WatchedKind
 from .log_events import InstanceListed
 from .store_writes import (
@@ -16,6 +17,7 @@
 )
 from .tables import Presence, State
 
+MILLISECOND = timedelta(milliseconds=1)
 RETRY_INTERVAL = timedelta(seconds=1)
 
 
@@ -40,6 +42,7 @@
     }
     if permissions.is_enabled(state):
         value["fencing"] = state.settings.primary_fencing
+        value["contact_lease_ms"] = str(CONTACT_LEASE // MILLISECOND)
     known = state.view.objects.get(("instance", settings.name))
     if known is not None and known.value == value:
         return
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -45,6 +45,7 @@
     "watchers",
 ]
 
+MILLISECOND = timedelta(milliseconds=1)
 SUSPICION = timedelta(seconds=2)
 # Ticks come every 20 ms; a gap as long as this means that the process was paused.
 PAUSE = timedelta(seconds=1)
@@ -61,7 +62,7 @@
     invalidate_index(item.kind, state)
     match item.kind:
         case "instance" if value is None:
-            state.instances.pop(item.name, None)
+            remove_instance(item.name, state)
         case "instance":
             apply_instance(item.name, value or {}, state)
         case "endpoint" if value is None:
@@ -72,17 +73,29 @@
             apply_group(item, value, state)
 
 
+def remove_instance(name: str, state: State) -> None:
+    """Remove an instance; remember when, for as long as it may count as listed."""
+    now = state.clock.monotonic()
+    if state.instances.pop(name, None) is not None:
+        state.removed_at[name] = now
+    limit = now - 2 * state.settings.configuration_lease
+    for other in [other for other, at in state.removed_at.items() if at < limit]:
+        del state.removed_at[other]
+
+
 def apply_instance(name: str, value: dict[str, str], state: State) -> None:
     """Add or change an instance; keep what was observed about it."""
     row = state.instances.get(name)
     if row is None:
-        row = InstanceRow(name, "", "", "")
+        row = InstanceRow(name, "", "", "", listed_at=state.clock.monotonic())
         state.instances[name] = row
     row.address = value["address"]
     row.region = value["region"]
     row.data_centre = value["data_centre"]
     row.presence = Presence(value.get("state", "live"))
     row.can_fence = "fencing" in value
+    lease_ms = value.get("contact_lease_ms")
+    row.contact_lease = None if lease_ms is None else int(lease_ms) * MILLISECOND
     if name == state.settings.name and state.stopping:
         # The platform's list may lag behind this instance's own stop.
         row.presence = Presence.LEAVING
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -8,9 +8,9 @@
 
 from . import connection_setup, leadership, pools
 from .dispatch import handle
+from .fencing.contact import may_use_primary
 from .fencing.coordination import record_refusal
 from .fencing.messages import DemoteEndpoint
-from .fencing.permissions import may_lead
 from .messages import Access, Position
 from .operation_completion import (
     access_refusal,
@@ -84,7 +84,7 @@
 def is_fenced(connection: PooledRow, state: State) -> bool:
     """Return whether work that needs the primary must not run on a connection."""
     group, endpoint = connection.group, connection.endpoint
-    return connection.needs_primary and not may_lead(group, endpoint, state)
+    return connection.needs_primary and not may_use_primary(group, endpoint, state)
 
 
 def send_first_steps(
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -10,6 +10,7 @@
 from . import leadership, operation_steps, placement, pools, rates, registry
 from .dispatch import handle
 from .errors import Failure
+from .fencing import contact
 from .messages import Position
 from .operation_completion import access_refusal, refuse
 from .queue_policy import (
@@ -161,6 +162,8 @@
     row = leadership.primary(group, state)
     if row is None or not registry.accepts_work(row, True, state):
         return None
+    if not contact.may_use_primary(group, row.name, state):
+        return None
     # `promotion` probes a failing primary; a statement would only wait for the outcome.
     return row if state.pools[row.name].failing_since is None else None
 
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -48,17 +48,27 @@
     age_ms: int
 
 
+@frozen
+class KnownDecision(PeerMessage):
+    """The token of the newest decision on a group's primary that the sender knows."""
+
+    group: str
+    token: int
+
+
 @frozen
 class Pong(PeerMessage):
     """Answer a `Ping`; tell the positions of the endpoints that the sender owns.
 
     `store_age_ms` is the time since the sender last had its configuration confirmed
-    by the store, directly or through a relay.
+    by the store, directly or through a relay. `decisions` are all that it knows; None
+    if it has not read the store yet, or keeps no replaced primary out of use.
     """
 
     number: int
     store_age_ms: int
     samples: tuple[EndpointSample, ...] = ()
+    decisions: tuple[KnownDecision, ...] | None = None
 
 
 @frozen
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -117,6 +117,9 @@
     # Set when the instance is suspected, until it answers a ping with a higher number.
     suspected_number: int | None = None
     can_fence: bool = False  # Its build keeps replaced primaries out of use.
+    # How long it uses a primary without contact; None if its build has no such limit.
+    contact_lease: timedelta | None = None
+    listed_at: timedelta = NEVER  # When this instance learned of it.
 
 
 @define
@@ -334,6 +337,8 @@
     stopping: bool = False
     view: View = field(factory=View)
     instances: dict[str, InstanceRow] = field(factory=dict)
+    # When each instance was removed from the list, for recent removals.
+    removed_at: dict[str, timedelta] = field(factory=dict)
     # Instances whose machine refuses connections, so their processes have ended.
     ended: set[str] = field(factory=set)
     endpoints: dict[str, EndpointRow] = field(factory=dict)
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -9,6 +9,7 @@
 from attrs import evolve
 
 from pimentodrift.fencing.decisions import (
+    CONTACT_LEASE,
     FenceProgress,
     FenceResult,
     PrimaryFencing,
@@ -31,10 +32,12 @@
 @pytest.mark.parametrize(
     ("progress", "expected"),
     [
-        (FenceProgress(0 * SECOND, 0, False), FenceResult.CONFIRMED),
-        (FenceProgress(0 * SECOND, 1, True), FenceResult.DEPOSED),
-        (FenceProgress(LEASE, 1, False), None),
-        (FenceProgress(lease_end(LEASE), 1, False), FenceResult.LEASE_ENDED),
+        (FenceProgress(0 * SECOND, 0, None, False), FenceResult.CONFIRMED),
+        (FenceProgress(0 * SECOND, 1, None, True), FenceResult.DEPOSED),
+        (FenceProgress(LEASE, 1, None, False), None),
+        (FenceProgress(lease_end(LEASE), 1, None, False), FenceResult.LEASE_ENDED),
+        (FenceProgress(2 * SECOND, 1, CONTACT_LEASE, False), None),
+        (FenceProgress(2 * SECOND, 1, 1.5 * SECOND, False), FenceResult.CONTACT_LOST),
     ],
 )
 def test_fence_result(progress: FenceProgress, expected: FenceResult | None) -> None:
@@ -105,6 +108,54 @@
     assert not network.wrong
 
 
+def test_dead_instance_delays_a_promotion_little() -> None:
+    """Guards against a failover that waits for the whole lease of a dead instance."""
+    network = make_split_network(NAMES)
+    network.play(6 * SECOND)
+    network.members["e1"].is_up = False
+    network.nodes["c"].paused = True  # Its machine does not refuse connections.
+    began = network.time
+    while not network.objects.get(("promotion", GROUP)):
+        network.play(40 * MILLISECOND)
+    decided = network.time
+    while not network.tokens:
+        network.play(40 * MILLISECOND)
+    assert network.time - decided <= 1.6 * SECOND
+    assert decided - began <= 3 * SECOND
+    network.resume("c")
+    network.play(2 * SECOND)
+    assert not network.wrong
+
+
+@pytest.mark.parametrize("store_down", [True, False])
+def test_primary_is_used_with_either_kind_of_contact(store_down: bool) -> None:
+    """Guards against writes that stop with the store or with most instances."""
+    network = make_split_network(NAMES)
+    network.play(2 * SECOND)
+    if store_down:
+        network.store_down = True
+    else:
+        for name in NAMES[:3]:
+            network.nodes[name].paused = True
+    network.play(2 * SECOND)
+    before = len(network.acknowledged)
+    network.play(SECOND)
+    assert len(network.acknowledged) >= before + 10
+
+
+def test_instance_without_contact_stops_before_its_lease() -> None:
+    """Guards against an instance that could not learn of a decision, and goes on."""
+    network = make_split_network(NAMES)
+    network.play(2 * SECOND)
+    for name in (*NAMES[1:], "store"):
+        network.partitions.add(frozenset((name, "a")))
+    network.play(CONTACT_LEASE + 200 * MILLISECOND)
+    before = {number for number in network.acknowledged if number.startswith("a-")}
+    network.play(SECOND)
+    after = {number for number in network.acknowledged if number.startswith("a-")}
+    assert before and after == before
+
+
 def test_started_instance_ignores_what_the_old_primary_says() -> None:
     """Guards against a new instance that believes the registry entry of a primary."""
     network = make_split_network(NAMES)
