Switch policies off for experiments; give returning clients their tokens

A backlog after an outage was taken for a flood, and buckets started empty although nothing had been admitted for a while.

Change: for 3 s after a share's lease began anew, nothing counts as a flood. A report tells for how long its sender's process has run without admitting anything; when all holders have restarted, the part that the processes before them held refills by the shortest of these times, less clock drift.

tests: no token is given twice over a restart of all in the middle of a flood, with and without a pause; tokens after a restart; a backlog is served.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -49,6 +49,7 @@
 from .tables import State, WorkspaceRow
 from .token_grants import grant_tokens, update_scarcity, usable_limits
 
+MILLISECOND = timedelta(milliseconds=1)
 BALANCE_INTERVAL = timedelta(milliseconds=100)
 # After this silence, a holder's lease has ended; twice the lease, so that the holder's
 # clock may run at half speed.
@@ -92,11 +93,29 @@
     leases_ended = state.clock.monotonic() - row.taken_at > max_predecessor_lease(state)
     if missing and not (leases_ended and view.reaches_half(state)):
         return
+    row.free_tokens += refilled_tokens(row, state)
     row.locked_rate = 0.0
     row.locked_burst = 0.0
     state.counters["allocator.unlocked"] += 1
 
 
+def refilled_tokens(row: AllocationRow, state: State) -> float:
+    """Return the tokens by which the locked part has refilled since it was last used.
+
+    If all instances have restarted, it was held by the processes before them, which
+    ended before the last of the present ones started.
+    """
+    expected = state.instances.keys() | {row.predecessor}
+    if expected - row.holdings.keys():
+        return 0.0
+    starts = [holding.quiet_since for holding in row.holdings.values()]
+    known = [start for start in starts if start is not None]
+    if not known or len(known) < len(starts):
+        return 0.0
+    quiet = state.clock.monotonic() - max(known)
+    return min(row.locked_burst, row.locked_rate * quiet.total_seconds())
+
+
 def missing_holders(row: AllocationRow, state: State) -> set[str]:
     """Return the instances that may hold a share and have not reported it yet."""
     expected = state.instances.keys() | {row.predecessor}
@@ -227,6 +246,9 @@
 ) -> HoldingRow:
     """Add the share that a holder reports for the first time in this epoch."""
     holding = HoldingRow(sender, message.rate, message.burst)
+    if message.quiet_ms:
+        quiet = message.quiet_ms * MILLISECOND / CLOCK_DRIFT_FACTOR
+        holding.quiet_since = state.clock.monotonic() - quiet
     row.holdings[sender] = holding
     state.ended.discard(sender)
     row.locked_rate = max(0.0, row.locked_rate - message.rate)
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -14,6 +14,7 @@
 from .clock import NEVER
 from .messages import StoreObject
 from .peer_messages import Epoch, ShareRenew
+from .policies import Policy
 from .rate_rows import AllocationRow, ClaimRow, EpochSeen
 from .rates import holds_all_shares, is_allocator_usable
 from .store_versions import next_token
@@ -90,7 +91,10 @@
     if workspace in state.allocations or state.stopping:
         return
     # A claim that an outage of the store delays would replace an allocator that lives.
-    if view.copy_age(state) > state.settings.allocator_lease:
+    is_old = view.copy_age(state) > state.settings.allocator_lease
+    if is_old and state.settings.uses(Policy.STEADY_CLAIMS):
+        return
+    if not view.is_copy_fresh(state):
         return
     # The smaller side of a network partition would take the role from the larger one
     # again and again. Between equal sides that both reach the store, the check of
@@ -120,7 +124,7 @@
     # Without heartbeats, its silence tells nothing.
     if row.store_age is None or contact is None or row.last_heard < contact.since:
         return True
-    if not has_steady_view(state):
+    if state.settings.uses(Policy.STEADY_CLAIMS) and not has_steady_view(state):
         return True
     silence = state.clock.monotonic() - row.last_heard
     limit = state.settings.allocator_lease + STORE_AGE_MARGIN
--- a/pimentodrift/burst_reduction.py
+++ b/pimentodrift/burst_reduction.py
@@ -9,6 +9,7 @@
 
 from attrs import evolve
 
+from .policies import Policy
 from .rate_rows import AllocationRow
 from .tables import State, WorkspaceRow
 
@@ -25,7 +26,8 @@
     if declared is None:
         return None
     now = state.clock.monotonic()
-    if declared.burst < row.declared_burst:
+    is_gradual = state.settings.uses(Policy.BURST_REDUCTION)
+    if is_gradual and declared.burst < row.declared_burst:
         row.surplus = remaining_surplus(row, now) + row.declared_burst - declared.burst
         row.surplus_from = now
     row.declared_burst = declared.burst
--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -10,6 +10,7 @@
 from ..dispatch import handle, handle_peer
 from ..log_events import PrimaryFenced
 from ..operation_completion import send_steps
+from ..policies import Policy
 from ..session_messages import BeginWork, EndWork
 from ..session_rows import EndpointRole, PoolRow
 from ..store_versions import era_of
@@ -137,6 +138,8 @@
     """
     if state.view.version < row.version:
         return False
+    if not state.settings.uses(Policy.CONTACT_FENCE):
+        return False
     now = state.clock.monotonic()
     listed_before = now - lease_end(state.settings.configuration_lease)
     removed = {name for name, at in state.removed_at.items() if at >= listed_before}
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -13,6 +13,7 @@
 from .fencing import contact
 from .messages import Position
 from .operation_completion import access_refusal, refuse
+from .policies import Policy
 from .queue_policy import (
     MIN_RETRY_AFTER,
     Queue,
@@ -61,7 +62,11 @@
         place(operation, state)
         return
     route = operation.route
-    wait = rates.expected_wait(operation.workspace, route.priority, state)
+    priority = route.priority if state.settings.uses(Policy.TOKEN_PRIORITY) else 0
+    bounds_waits = state.settings.uses(Policy.FLOOD_REFUSAL)
+    wait = None
+    if bounds_waits:
+        wait = rates.expected_wait(operation.workspace, priority, state)
     delay = token_retry_after(wait, route.objective)
     if delay is not None:
         state.counters["operations.refused_by_rate"] += 1
@@ -70,13 +75,14 @@
     operation_steps.set_stage(operation, Stage.RATE, state)
     # `rates` may refuse the statement before this deadline, by its own limits.
     deadline = operation.arrived_at + route.timeout
+    patience = max_wait(configured_policy(state), route.objective, route.timeout)
     rates.queue_for_token(
         operation.workspace,
         operation.operation,
         deadline,
         state,
-        route.priority,
-        patience=max_wait(configured_policy(state), route.objective, route.timeout),
+        priority,
+        patience if bounds_waits else None,
     )
 
 
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -202,6 +202,8 @@
     # In a final report: no change of the share up to this number will be applied.
     last_number: int = 0
     declined: int = 0  # Number of a change that was not applied; 0 if there is none.
+    # Time since the sender's process started, if it has admitted nothing; else 0.
+    quiet_ms: int = 0
 
 
 @frozen
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -12,6 +12,7 @@
 from . import connection_setup, membership
 from .dispatch import handle
 from .log_events import EndpointAnswers, EndpointFailing
+from .policies import Policy
 from .session_messages import (
     ClosePooled,
     ConnectionAssigned,
@@ -135,6 +136,8 @@
     )
     if not pool.waiting or not is_full:
         return
+    if not state.settings.uses(Policy.STARVATION_GUARD):
+        return
     rows = [state.pooled[number] for number in pool.connections]
     connection_counts = Counter(row.workspace for row in rows)
     for workspace, queue in list(pool.waiting.items()):
@@ -419,8 +422,10 @@
     leaving = state.registry.get(pool.endpoint)
     is_leaving = leaving is None or leaving.leaving_since is not None
     share = fair_share(pool, state)
+    uses_short_timeout = state.settings.uses(Policy.SHORT_IDLE_TIMEOUT)
     for row in idle_connections(pool, state):
-        closes_early = len(pool.connections) * 2 > share or is_leaving
+        is_above = uses_short_timeout and len(pool.connections) * 2 > share
+        closes_early = is_above or is_leaving
         if now - row.idle_since > (
             SHORT_IDLE_TIMEOUT if closes_early else IDLE_TIMEOUT
         ):
--- a/pimentodrift/rate_rows.py
+++ b/pimentodrift/rate_rows.py
@@ -38,6 +38,7 @@
     last_number: int = 0  # Number of the last share operation applied in this epoch.
     last_lowered: ShareLowered | None = None  # Last answer, sent again on a repeat.
     waiting: deque[WaitingRequest] = field(factory=deque)  # By priority, then age.
+    usable_since: timedelta = NEVER  # When the lease began after a gap or the start.
     arrivals: int = 0  # Requests since `measured_at`.
     used_at: timedelta = NEVER  # When the last request arrived.
     admitted: int = 0  # Requests since the start of the process.
@@ -81,6 +82,9 @@
     operation_sent_at: timedelta = NEVER
     grant_number: int = 0  # Number of the report that the last grant answered.
     granted_at: timedelta = NEVER
+    # Since when its process has run without admitting anything, at its first report in
+    # this epoch; None if it had admitted something.
+    quiet_since: timedelta | None = None
 
 
 @define
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -33,6 +33,7 @@
 from .rate_rows import GivenUpShare, ShareRow, WaitingRequest
 from .tables import State
 
+MILLISECOND = timedelta(milliseconds=1)
 SHARE_LEASE = timedelta(seconds=2)
 REPORT_INTERVAL = timedelta(milliseconds=500)
 # Replaces `REPORT_INTERVAL` while requests wait, so that the allocator can help soon.
@@ -47,6 +48,9 @@
 # A queue whose first request has waited for longer than a round trip to the allocator
 # is one that the allocator cannot empty.
 FLOOD_QUEUE_AGE = timedelta(milliseconds=100)
+# After an outage, the clients that were not served return all at once. Their backlog
+# ends by itself, and a late answer is better than none.
+BACKLOG_TIME = timedelta(seconds=3)
 MIN_FLOOD_RATE = 1.0  # Requests/s; a lower rate of admissions is no measure of a wait.
 # In a larger fleet, a share without a request for this long is given up: each one costs
 # two reports and two answers a second.
@@ -159,15 +163,22 @@
     the allocator may have been lost, and its successor ends the wait.
     """
     row = get_or_create_share(workspace, state)
-    if not row.waiting or row.admission_rate < MIN_FLOOD_RATE:
-        return None
-    oldest = min(other.since for other in row.waiting)
-    if state.clock.monotonic() - oldest < FLOOD_QUEUE_AGE:
+    if not is_flooded(row, state):
         return None
     ahead = count_ahead(row, priority)
     return timedelta(seconds=(ahead + 1) / row.admission_rate)
 
 
+def is_flooded(row: ShareRow, state: State) -> bool:
+    """Return whether requests are admitted all the time and yet wait."""
+    now = state.clock.monotonic()
+    if not row.waiting or row.admission_rate < MIN_FLOOD_RATE:
+        return False
+    oldest = min(item.since for item in row.waiting)
+    has_backlog = now - row.usable_since < BACKLOG_TIME
+    return now - oldest >= FLOOD_QUEUE_AGE and not has_backlog
+
+
 def refill_delay(row: ShareRow) -> timedelta:
     """Return how long the share alone needs for a token for every waiting request."""
     missing = len(row.waiting) - row.tokens
@@ -207,9 +218,8 @@
         handle(Admitted(row.waiting.popleft().request), state)
 
 
-def longest_wait(item: WaitingRequest, row: ShareRow) -> timedelta:
+def longest_wait(item: WaitingRequest, is_flood: bool) -> timedelta:
     """Return how long a request may wait for a token."""
-    is_flood = row.admission_rate >= MIN_FLOOD_RATE
     if is_flood and item.patience is not None:
         return min(item.patience, MAX_ALLOCATOR_WAIT)
     return MAX_ALLOCATOR_WAIT
@@ -218,10 +228,11 @@
 def refuse_expired(row: ShareRow, state: State) -> None:
     """Refuse requests that reached their deadline or the longest wait."""
     now = state.clock.monotonic()
+    is_flood = is_flooded(row, state)
     expired = [
         item
         for item in row.waiting
-        if now >= min(item.deadline, item.since + longest_wait(item, row))
+        if now >= min(item.deadline, item.since + longest_wait(item, is_flood))
     ]
     for item in expired:
         row.waiting.remove(item)
@@ -277,7 +288,7 @@
     row.reports_sent[number] = now
     target = report_recipient(epoch.holder, row, state)
     membership.track_contact(target, state)  # Heartbeats then detect its failure.
-    peers.send(target, make_report(row, number), state)
+    peers.send(target, make_report(row, number, state), state)
 
 
 def report_recipient(holder: str, row: ShareRow, state: State) -> str:
@@ -292,7 +303,7 @@
     return holder if successor is None else successor.name
 
 
-def make_report(row: ShareRow, number: int) -> ShareReport:
+def make_report(row: ShareRow, number: int, state: State) -> ShareReport:
     """Return the report of a share; `needed` is the tokens that its queue lacks."""
     needed = max(0.0, len(row.waiting) - row.tokens)
     return ShareReport(
@@ -306,9 +317,17 @@
         number,
         row.admitted,
         row.granted,
+        quiet_ms=quiet_time(row, state) // MILLISECOND,
     )
 
 
+def quiet_time(row: ShareRow, state: State) -> timedelta:
+    """Return how long this process has run without admitting anything, else 0."""
+    if row.admitted:
+        return timedelta(0)
+    return state.clock.monotonic() - state.started_at
+
+
 def run(state: State) -> None:
     """Refill buckets, admit waiting requests and report to the allocators."""
     workspaces = state.configuration.workspaces
@@ -378,6 +397,8 @@
     row.can_return = message.takes_back
     sent_at = row.reports_sent.get(message.number)
     if sent_at is not None:
+        if sent_at - row.renewed_at > SHARE_LEASE:
+            row.usable_since = state.clock.monotonic()
         row.renewed_at = max(row.renewed_at, sent_at)
         admit_waiting(row, state)
 
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -31,6 +31,7 @@
 )
 from .dispatch import handle
 from .fencing import coordination, stopping
+from .policies import Policy
 from .tables import State
 from .ticks import REST_TICK, TICK, take_outbox
 from .view import is_copy_fresh
@@ -79,7 +80,8 @@
 
 def tick_interval(state: State) -> timedelta:
     """Return the time until the next tick; longer while nothing waits for one."""
-    return REST_TICK if is_at_rest(state) else TICK
+    rests = state.settings.uses(Policy.REST_TICKS) and is_at_rest(state)
+    return REST_TICK if rests else TICK
 
 
 def is_at_rest(state: State) -> bool:
--- a/pimentodrift/session_opening.py
+++ b/pimentodrift/session_opening.py
@@ -13,6 +13,7 @@
 from .kind_rows import KindRow
 from .log_events import OpeningsEnded
 from .operation_completion import UNCONFIRMED_RETRY_AFTER
+from .policies import Policy
 from .request_events import SessionRefused
 from .route_configuration import key_digest
 from .session_messages import (
@@ -53,6 +54,8 @@
     """Return whether a session waits until the first copies of the store are here."""
     if state.exit_sent or is_copy_fresh(state):
         return False
+    if not state.settings.uses(Policy.SESSION_WAIT):
+        return False
     unlisted = [
         row
         for row in (kind_rows.row_of(kind, state) for kind in WatchedKind)
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -14,6 +14,7 @@
 from attrs import Attribute, field, frozen
 
 from .fencing.decisions import PrimaryFencing
+from .policies import Policy
 from .queue_policy import QueuePolicy
 
 VARIABLE_PREFIX = "PIMENTODRIFT_"
@@ -143,6 +144,21 @@
         return value in self.names
 
 
+@frozen
+class SomeOf(Validator):
+    """Accept any of the names, separated by commas, or none."""
+
+    names: tuple[str, ...]
+
+    def allowed(self) -> str:
+        """Describe the allowed values."""
+        return f"any of {', '.join(self.names)}, separated by commas, or empty"
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether each part is one of the names."""
+        return not value or all(part in self.names for part in value.split(","))
+
+
 def help_metadata(text: str) -> dict[str, str]:
     """Return the attrs metadata that holds the help text of a setting's flag."""
     return {"help": text}
@@ -225,6 +241,11 @@
         validator=OneOf(tuple(QueuePolicy)),
         metadata=help_metadata("When a session's statement is refused, not queued."),
     )
+    disabled_policies: str = field(
+        default="",
+        validator=SomeOf(tuple(sorted(Policy))),
+        metadata=help_metadata("Policies to switch off, for experiments."),
+    )
     primary_fencing: str = field(
         default=PrimaryFencing.PLATFORM.value,
         validator=OneOf(tuple(PrimaryFencing)),
@@ -246,6 +267,10 @@
         metadata=help_metadata("Size of a request body in bytes."),
     )
 
+    def uses(self, policy: Policy) -> bool:
+        """Return whether a policy is on."""
+        return policy.value not in self.disabled_policies.split(",")
+
 
 def flag(name: str) -> str:
     """Return the command-line flag of a setting."""
--- a/pimentodrift/share_moves.py
+++ b/pimentodrift/share_moves.py
@@ -9,6 +9,7 @@
 
 from . import peers
 from .peer_messages import ShareDenied, ShareLower, ShareRaise
+from .policies import Policy
 from .rate_rows import AllocationRow, HoldingRow
 from .rates import MAX_REFILL_WAIT
 from .tables import Presence, State, WorkspaceRow
@@ -52,7 +53,8 @@
     wanted = sum(holding.demand for holding in active) * HEADROOM
     if is_central(row, workspace):
         return {name: available if name == own else 0.0 for name in row.holdings}
-    followed = available * (1.0 if row.is_scarce else 1.0 - EVEN_FRACTION)
+    follows_all = row.is_scarce or not state.settings.uses(Policy.EVEN_SHARES)
+    followed = available * (1.0 if follows_all else 1.0 - EVEN_FRACTION)
     factor = min(1.0, followed / wanted) if wanted > 0 else 0.0
     rest = max(0.0, available - wanted * factor)
     targets = dict.fromkeys(row.holdings, 0.0)
@@ -63,7 +65,10 @@
 
 
 def target_bursts(
-    row: AllocationRow, workspace: WorkspaceRow, targets: dict[str, float]
+    row: AllocationRow,
+    workspace: WorkspaceRow,
+    targets: dict[str, float],
+    state: State,
 ) -> dict[str, float]:
     """Return each holder's target burst: a whole token if possible, the rest by rate.
 
@@ -74,7 +79,8 @@
     if total <= 0:
         return dict.fromkeys(targets, 0.0)
     active = sum(rate > 0 for rate in targets.values())
-    whole = 1.0 if available >= active else 0.0
+    is_enough = available >= active and state.settings.uses(Policy.WHOLE_TOKENS)
+    whole = 1.0 if is_enough else 0.0
     spread = (available - whole * active) / total
     return {
         name: whole + rate * spread if rate > 0 else 0.0
@@ -96,7 +102,7 @@
 ) -> None:
     """Ask holders whose share exceeds its target to give up the difference."""
     part = DEAD_BAND / max(1, len(targets))
-    bursts = target_bursts(row, workspace, targets)
+    bursts = target_bursts(row, workspace, targets, state)
     for name, target in targets.items():
         holding = row.holdings[name]
         rate = max(0.0, holding.rate - target)
@@ -115,7 +121,7 @@
 ) -> None:
     """Divide free rate and burst among the shares below their target, in proportion."""
     ratio = workspace.burst / workspace.rate
-    bursts = target_bursts(row, workspace, targets)
+    bursts = target_bursts(row, workspace, targets, state)
     deficits = {
         name: (
             max(0.0, target - row.holdings[name].rate),
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Any
 
-from attrs import define, field
+from attrs import Factory, define, field
 
 from .clock import NEVER, Clock
 from .errors import Failure
@@ -332,6 +332,9 @@
     counters: Counter[str] = field(factory=Counter)
     # Log events not yet written: (event name, fields).
     events: list[tuple[str, dict[str, object]]] = field(factory=list)
+    started_at: timedelta = field(
+        default=Factory(lambda self: self.clock.monotonic(), takes_self=True)
+    )
     typed_events: list[Event] = field(factory=list)  # Log events as objects.
     next_number: int = 0
     stopping: bool = False
--- a/pimentodrift/token_grants.py
+++ b/pimentodrift/token_grants.py
@@ -18,6 +18,7 @@
 from .burst_reduction import effective_limits, remaining_surplus
 from .dispatch import handle_peer
 from .peer_messages import ShareGrant, ShareReport
+from .policies import Policy
 from .rate_rows import AllocationRow, HoldingRow
 from .tables import State, WorkspaceRow
 
@@ -54,6 +55,8 @@
 
 def uses_grants(row: AllocationRow, state: State) -> bool:
     """Return whether waiting requests get grants instead of shares with burst."""
+    if not state.settings.uses(Policy.TOKEN_GRANTS):
+        return False
     limits = effective_limits(row, state)
     # While a burst reduction is in progress, holders have more than the declared burst.
     is_reducing = remaining_surplus(row, state.clock.monotonic()) > 0
--- a/tests/test_rate_floods.py
+++ b/tests/test_rate_floods.py
@@ -138,6 +138,20 @@
     assert other.part_in_time >= 0.5
 
 
+def test_backlog_of_an_outage_is_served_late() -> None:
+    """Guards against refusing clients that return after an outage, all at once."""
+    load = make_window_load(100.0)
+    state = load.network.nodes["a"].state
+    share = state.shares["w"]
+    for number in range(20):
+        rates.queue_for_token("w", number, 100 * SECOND, state)
+    share.admission_rate = 20.0
+    load.network.time += SECOND
+    assert rates.expected_wait("w", 0, state) is not None
+    share.usable_since = load.network.time - SECOND
+    assert rates.expected_wait("w", 0, state) is None
+
+
 def test_requests_wait_while_nothing_is_admitted() -> None:
     """Guards against refusals at once while an allocator is being replaced."""
     load = make_window_load(20.0)
--- a/tests/test_rates_allocators.py
+++ b/tests/test_rates_allocators.py
@@ -232,3 +232,38 @@
     held = 6 / 7 * 3.5 * load.rate  # Without the part that the lost instance held.
     assert len(load.admitted) - before >= 0.8 * held
     assert load.worst_excess() <= 1e-6
+
+
+@pytest.mark.parametrize("down", [0.0, 1.0])
+def test_restart_of_all_gives_no_token_twice(down: float) -> None:
+    """Guards against tokens for a time in which the processes before still admitted."""
+    load = make_window_load(100.0)
+    network = load.network
+    names = list(network.nodes)
+    load.offer(300.0, 4 * SECOND, lambda: network.random.choice(names))
+    for name in names:
+        network.kill(name)
+    network.run(down * SECOND)
+    for name in names:
+        network.add(name, network.nodes[name].state.settings.region)
+    load.offer(300.0, 4 * SECOND, lambda: network.random.choice(names))
+    assert load.worst_excess() <= 1e-6
+
+
+def test_returning_clients_find_tokens_after_a_restart() -> None:
+    """Guards against empty buckets although nothing was admitted for a while."""
+    load = make_window_load(100.0)
+    network = load.network
+    names = list(network.nodes)
+    for name in names:
+        network.kill(name)
+    network.run(SECOND)
+    for name in names:
+        network.add(name, network.nodes[name].state.settings.region)
+    began = network.time
+    load.offer(300.0, 0.8 * SECOND, lambda: network.random.choice(names))
+    first = min(load.admitted)
+    assert first - began <= 0.5 * SECOND
+    # More than what the rate alone gives from the first token on.
+    assert len(load.admitted) > load.rate * (network.time - first).total_seconds() + 5
+    assert load.worst_excess() <= 1e-6
