--- a/bench/days/pairs.py
+++ b/bench/days/pairs.py
@@ -55,14 +55,16 @@
     before = fmean(pair.before for pair in pairs)
     after = fmean(pair.after for pair in pairs)
     return (
-        f"{name:12} {len(pairs):3}  {before:6.3f}  {after:6.3f}  "
+        f"{name:18} {len(pairs):3}  {before:6.3f}  {after:6.3f}  "
         f"{fmean(differences):+.3f}  {low:+.3f} to {high:+.3f}"
     )
 
 
 def format_table(pairs: Sequence[Pair]) -> str:
     """Return the table of all days."""
-    lines = ["day            n  before   after    mean   90% interval of the mean"]
+    lines = [
+        "day                  n  before   after    mean   90% interval of the mean"
+    ]
     days = list(dict.fromkeys(pair.day for pair in pairs))
     for day in days:
         lines.append(format_row(day, [pair for pair in pairs if pair.day == day]))
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -2,13 +2,14 @@
 
 import json
 import sys
+import tomllib
 from pathlib import Path
 from typing import Any
 
 import pytest
 from attrs import frozen
 
-from bench.days import pairs
+from bench.days import ablation, pairs
 from bench.days.losses import NO_INSTANCE, UNKNOWN, read_day_log, window_losses
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -133,3 +134,29 @@
     assert [line.split()[0] for line in lines] == ["day", "d1", "d2", "all"]
     assert "+0.100" in lines[1]
     assert "-0.100" in lines[2]
+
+
+def test_ablation_switches_one_policy_off(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an ablation that measures the same code twice."""
+
+    def clone(arguments: list[str], **_: Any) -> None:
+        path = Path(arguments[-1]) / ablation.DEPLOY_FILE
+        path.parent.mkdir(parents=True)
+        path.write_text((ROOT / ablation.DEPLOY_FILE).read_text())
+
+    monkeypatch.setattr(ablation.subprocess, "run", clone)
+    for _ in range(2):
+        tree = ablation.clone_without("session-wait", tmp_path)
+        deployed = tomllib.loads((tree / ablation.DEPLOY_FILE).read_text())
+        environment = deployed["roles"]["proxy"]["env"]
+        assert environment["PIMENTODRIFT_DISABLED_POLICIES"] == "session-wait"
+    whole = ablation.clone_without(ablation.ALL_ON, tmp_path)
+    assert "DISABLED" not in (whole / ablation.DEPLOY_FILE).read_text()
+
+
+def test_ablation_refuses_an_unknown_policy() -> None:
+    """Guards against a misspelt name that switches nothing off."""
+    with pytest.raises(ValueError, match="no-such-policy"):
+        ablation.parse_policies("session-wait,no-such-policy")
