--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -15,7 +15,7 @@
 
 from datetime import timedelta
 
-from . import membership, peers, view
+from . import membership, peers, token_waits, view
 from .dispatch import handle, handle_peer
 from .errors import Problem, not_run
 from .given_up_shares import decline_change, give_up_share
@@ -43,15 +43,6 @@
 # A request whose tokens the allocator has denied still waits if this instance's share
 # refills within this time.
 MAX_REFILL_WAIT = timedelta(milliseconds=250)
-# Longest wait for an allocator that does not answer, because a successor may take over.
-MAX_ALLOCATOR_WAIT = timedelta(milliseconds=1500)
-# A queue whose first request has waited for longer than a round trip to the allocator
-# is one that the allocator cannot empty.
-FLOOD_QUEUE_AGE = timedelta(milliseconds=100)
-# After an outage, the clients that were not served return all at once. Their backlog
-# ends by itself, and a late answer is better than none.
-BACKLOG_TIME = timedelta(seconds=3)
-MIN_FLOOD_RATE = 1.0  # Requests/s; a lower rate of admissions is no measure of a wait.
 # In a larger fleet, a share without a request for this long is given up: each one costs
 # two reports and two answers a second.
 IDLE_SHARE_LIFETIME = timedelta(seconds=2)
@@ -142,7 +133,7 @@
     row = get_or_create_share(workspace, state)
     now = state.clock.monotonic()
     waiting = WaitingRequest(request, now, deadline, priority, patience)
-    row.waiting.insert(count_ahead(row, priority), waiting)
+    row.waiting.insert(token_waits.count_ahead(row, priority), waiting)
     if now < row.denied_until and refill_delay(row) > MAX_REFILL_WAIT:
         row.waiting.remove(waiting)
         refuse_request(request, row.denied_until - now, state)
@@ -151,32 +142,10 @@
     admit_waiting(row, state)
 
 
-def count_ahead(row: ShareRow, priority: int) -> int:
-    """Return how many waiting requests are admitted before a new one."""
-    return sum(other.priority <= priority for other in row.waiting)
-
-
 def expected_wait(workspace: str, priority: int, state: State) -> timedelta | None:
-    """Return how long a new request would wait for a token in a flood; else None.
-
-    In a flood, requests are admitted all the time and yet wait. If none is admitted,
-    the allocator may have been lost, and its successor ends the wait.
-    """
+    """Return how long a new request would wait for a token in a flood; else None."""
     row = get_or_create_share(workspace, state)
-    if not is_flooded(row, state):
-        return None
-    ahead = count_ahead(row, priority)
-    return timedelta(seconds=(ahead + 1) / row.admission_rate)
-
-
-def is_flooded(row: ShareRow, state: State) -> bool:
-    """Return whether requests are admitted all the time and yet wait."""
-    now = state.clock.monotonic()
-    if not row.waiting or row.admission_rate < MIN_FLOOD_RATE:
-        return False
-    oldest = min(item.since for item in row.waiting)
-    has_backlog = now - row.usable_since < BACKLOG_TIME
-    return now - oldest >= FLOOD_QUEUE_AGE and not has_backlog
+    return token_waits.expected_wait(row, priority, state.clock.monotonic())
 
 
 def refill_delay(row: ShareRow) -> timedelta:
@@ -218,23 +187,10 @@
         handle(Admitted(row.waiting.popleft().request), state)
 
 
-def longest_wait(item: WaitingRequest, is_flood: bool) -> timedelta:
-    """Return how long a request may wait for a token."""
-    if is_flood and item.patience is not None:
-        return min(item.patience, MAX_ALLOCATOR_WAIT)
-    return MAX_ALLOCATOR_WAIT
-
-
 def refuse_expired(row: ShareRow, state: State) -> None:
     """Refuse requests that reached their deadline or the longest wait."""
     now = state.clock.monotonic()
-    is_flood = is_flooded(row, state)
-    expired = [
-        item
-        for item in row.waiting
-        if now >= min(item.deadline, item.since + longest_wait(item, is_flood))
-    ]
-    for item in expired:
+    for item in token_waits.expired(row, now):
         row.waiting.remove(item)
         refuse_request(item.request, retry_after(row, state), state)
 
