Ask for contact only when all listed instances can give it

Cause: in a rolling update, the answers of the build before carry no decisions. With three of five instances of that build, an outage of the store stopped the writes of the two others after 0.9 s instead of the configuration lease.

Change: an instance needs contact once its list has no build without it. So whoever waits for the others does so for the whole lease as long as a copy of that age may have such a build: after an update or a removal within the lease.

tests/test_fencing.py: the outage failed before. Without the rule of the lease, an instance whose list has the build before wrote beside the new primary; with it none.

--- a/pimentodrift/fencing/contact.py
+++ b/pimentodrift/fencing/contact.py
@@ -47,9 +47,12 @@
 def needs_contact(state: State) -> bool:
     """Return whether the use of a primary depends on contact.
 
-    In a larger fleet, an instance exchanges heartbeats only with some others.
+    In a larger fleet, an instance exchanges heartbeats only with some others. Builds
+    without this limit can't give contact, so it begins when all have been updated.
     """
-    return is_enabled(state) and len(state.instances) <= view.SMALL_FLEET
+    if not is_enabled(state) or len(state.instances) > view.SMALL_FLEET:
+        return False
+    return all(row.contact_lease is not None for row in state.instances.values())
 
 
 def has_contact(group: str, state: State) -> bool:
--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -14,7 +14,7 @@
 from ..session_messages import BeginWork, EndWork
 from ..session_rows import EndpointRole, PoolRow
 from ..store_versions import era_of
-from ..tables import State
+from ..tables import InstanceRow, State
 from .decisions import (
     CONTACT_LEASE,
     FenceProgress,
@@ -133,27 +133,33 @@
     """Return whether no unconfirmed instance can have contact through others.
 
     The copy of an unconfirmed instance may be as old as the configuration lease. So
-    instances that were removed since then count as unconfirmed, and those that were
-    added since then do not count for the majority.
+    those that were added since then do not count for the majority; and after a removal
+    or an update of an instance, others may not need contact yet.
     """
     if state.view.version < row.version:
         return False
     if not state.settings.uses(Policy.CONTACT_FENCE):
         return False
-    now = state.clock.monotonic()
-    listed_before = now - lease_end(state.settings.configuration_lease)
-    removed = {name for name, at in state.removed_at.items() if at >= listed_before}
-    listed = state.instances.keys() | removed
-    silent = listed - row.confirmed
-    rows = [state.instances[name] for name in silent if name in state.instances]
-    if len(listed) > view.SMALL_FLEET or silent & removed:
+    if len(state.instances) > view.SMALL_FLEET:
+        return False
+    oldest_copy = state.clock.monotonic() - lease_end(
+        state.settings.configuration_lease
+    )
+    if any(at >= oldest_copy for at in state.removed_at.values()):
         return False
-    if not all(item.contact_lease == CONTACT_LEASE for item in rows):
+    if not all(needs_contact(item, oldest_copy) for item in state.instances.values()):
         return False
-    certain = sum(item.listed_at < listed_before for item in state.instances.values())
+    silent = state.instances.keys() - row.confirmed
+    certain = sum(item.listed_at < oldest_copy for item in state.instances.values())
     return len(silent) * 2 <= certain
 
 
+def needs_contact(row: InstanceRow, oldest_copy: timedelta) -> bool:
+    """Return whether all copies that have an instance tell that it needs contact."""
+    was_updated = row.listed_at < row.contact_since and row.contact_since >= oldest_copy
+    return row.contact_lease == CONTACT_LEASE and not was_updated
+
+
 def complete(
     row: CoordinationRow, result: FenceResult, unconfirmed: int, state: State
 ) -> None:
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -95,7 +95,10 @@
     row.presence = Presence(value.get("state", "live"))
     row.can_fence = "fencing" in value
     lease_ms = value.get("contact_lease_ms")
-    row.contact_lease = None if lease_ms is None else int(lease_ms) * MILLISECOND
+    contact_lease = None if lease_ms is None else int(lease_ms) * MILLISECOND
+    if contact_lease != row.contact_lease:
+        row.contact_lease = contact_lease
+        row.contact_since = state.clock.monotonic()
     if name == state.settings.name and state.stopping:
         # The platform's list may lag behind this instance's own stop.
         row.presence = Presence.LEAVING
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -119,6 +119,7 @@
     can_fence: bool = False  # Its build keeps replaced primaries out of use.
     # How long it uses a primary without contact; None if its build has no such limit.
     contact_lease: timedelta | None = None
+    contact_since: timedelta = NEVER  # When this instance learned of that.
     listed_at: timedelta = NEVER  # When this instance learned of it.
 
 
--- a/tests/split_group.py
+++ b/tests/split_group.py
@@ -4,7 +4,7 @@
 is told to step down, or until it has reached the new one for a second.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from random import Random
 
@@ -13,7 +13,8 @@
 from pimentodrift.fencing.decisions import PrimaryFencing
 from pimentodrift.fencing.messages import DemoteEndpoint
 from pimentodrift.kind_messages import WatchedKind
-from pimentodrift.messages import Position
+from pimentodrift.messages import Position, SendPeer, WriteStore
+from pimentodrift.peer_messages import Pong
 from pimentodrift.promotion_messages import (
     PromoteEnded,
     PromoteEndpoint,
@@ -84,6 +85,8 @@
     stray: set[str] = field(factory=set)
     acknowledged: set[str] = field(factory=set)
     sent: dict[str, str] = field(factory=dict)  # Statement in flight, by instance.
+    # Instances of the build before, which knows nothing of contact.
+    old_builds: set[str] = field(factory=set)
     statements: int = 0
 
     @property
@@ -131,6 +134,8 @@
     # --- What instances send
 
     def perform(self, name: str, message: object) -> None:
+        if name in self.old_builds:
+            message = as_build_before(message)
         match message:
             case OpenPooled():
                 self.open(name, message)
@@ -248,13 +253,25 @@
         self.schedule(STEP_DOWN_TIME, reach_new)
 
 
+def as_build_before(message: object) -> object:
+    """Return what a build that knows nothing of contact would have sent."""
+    match message:
+        case SendPeer(message=Pong() as pong):
+            return evolve(message, message=evolve(pong, decisions=None))
+        case WriteStore(kind="instance", value=dict() as value):
+            value = {key: part for key, part in value.items() if "contact" not in key}
+            return evolve(message, value=value)
+    return message
+
+
 def make_split_network(
     names: tuple[str, ...],
     fencing: PrimaryFencing = PrimaryFencing.INSTANCES,
     seed: int = 1,
+    old_builds: Iterable[str] = (),
 ) -> SplitNetwork:
     """Return a network whose instances serve writes."""
-    network = SplitNetwork(Random(seed))
+    network = SplitNetwork(Random(seed), old_builds=set(old_builds))
     network.configure(make_configuration(rate=1e6, burst=1e6))
     for index, name in enumerate(names):
         state = network.add(name, f"r{index % 2}")
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -1,5 +1,6 @@
 """A replaced primary is out of use before another endpoint is promoted."""
 
+from collections import Counter
 from datetime import timedelta
 from itertools import pairwise
 from random import Random
@@ -156,6 +157,53 @@
     assert before and after == before
 
 
+def test_outage_of_the_store_in_a_rolling_update() -> None:
+    """Guards against writes that stop because most instances can't give contact yet."""
+    network = make_split_network(NAMES, old_builds=("c", "d", "e"))
+    network.play(2 * SECOND)
+    network.store_down = True
+    network.play(1.5 * SECOND)
+    before = set(network.acknowledged)
+    network.play(SECOND)
+    served = Counter(number[0] for number in network.acknowledged - before)
+    assert set(served) == set(NAMES)
+    assert min(served.values()) >= 5
+
+
+def test_instance_that_knows_of_a_build_without_contact() -> None:
+    """Guards against an instance that goes on since its list is an older one.
+
+    Its copy has an instance of the build before, which is updated in that moment. It is
+    the allocator, so that its share of the rate holds.
+    """
+    network = make_split_network(NAMES, old_builds=("d",))
+    item = network.objects["allocator", "w1"].value
+    assert item is not None
+    alone = str(item["holder"])
+    assert alone != "d"
+    others = [name for name in NAMES if name != alone]
+    for node in network.nodes.values():
+        node.state.settings = evolve(
+            node.state.settings,
+            configuration_lease=6 * SECOND,
+            allocator_lease=6 * SECOND,
+        )
+    network.play(8 * SECOND)
+    for name in (*others, "store"):
+        network.partitions.add(frozenset((name, alone)))
+    for name in (*others, *DATABASES[1:]):
+        network.partitions.add(frozenset((name, "e1")))
+    network.old_builds.clear()
+    restart(network, "d")
+    before = len(network.acknowledged)
+    network.play(3 * SECOND)
+    # The lone instance goes on: it knows of one that needs no contact.
+    assert len(network.acknowledged) > before
+    network.play(12 * SECOND)
+    assert network.leader != "e1"
+    assert not network.wrong
+
+
 def test_started_instance_ignores_what_the_old_primary_says() -> None:
     """Guards against a new instance that believes the registry entry of a primary."""
     network = make_split_network(NAMES)
