--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -33,6 +33,7 @@
     ShareRaised,
     ShareReport,
 )
+from .policies import Policy
 from .rate_rows import AllocationRow, HoldingRow
 from .rates import SHARE_LEASE
 from .share_moves import (
@@ -106,7 +107,8 @@
     ended before the last of the present ones started.
     """
     expected = state.instances.keys() | {row.predecessor}
-    if expected - row.holdings.keys():
+    is_used = state.settings.uses(Policy.REFILLED_TOKENS)
+    if expected - row.holdings.keys() or not is_used:
         return 0.0
     starts = [holding.quiet_since for holding in row.holdings.values()]
     known = [start for start in starts if start is not None]
--- a/pimentodrift/rate_windows.py
+++ b/pimentodrift/rate_windows.py
@@ -15,6 +15,7 @@
 # instances share it. If all of it had to be at one instance, the workspace would get
 # nothing for seconds after the loss of that instance.
 MIN_KEPT_BURST = 10.0
+UNDIVIDED_KEPT_BURST = 5.0  # The same if it is not to be divided.
 
 
 @frozen
@@ -25,12 +26,15 @@
     burst: float
 
 
-def bucket_for(rate: float, burst: float, window: timedelta) -> Bucket:
+def bucket_for(
+    rate: float, burst: float, window: timedelta, min_kept: float = MIN_KEPT_BURST
+) -> Bucket:
     """Return a bucket that never admits more than the limit in any window.
 
-    If `window` is zero, the bucket has the given rate and burst.
+    A burst up to `min_kept` is kept. If `window` is zero, the bucket has the given rate
+    and burst.
     """
     if window <= timedelta(0):
         return Bucket(rate, burst)
-    kept = max(burst * KEPT_BURST_FRACTION, min(burst, MIN_KEPT_BURST))
+    kept = max(burst * KEPT_BURST_FRACTION, min(burst, min_kept))
     return Bucket(rate + (burst - kept) / window.total_seconds(), kept)
--- a/pimentodrift/route_configuration.py
+++ b/pimentodrift/route_configuration.py
@@ -19,8 +19,10 @@
     remove_content,
 )
 from .log_events import ConfigurationApplied, ConfigurationMissing
-from .rate_windows import bucket_for
+from .policies import Policy
+from .rate_windows import MIN_KEPT_BURST, UNDIVIDED_KEPT_BURST, bucket_for
 from .session_rows import Route, SessionLimits
+from .settings import Settings
 from .tables import Configuration, KeyRow, State, WorkspaceRow
 
 MIN_RATE = 0.001  # Operations/s; a rate of 0 would cause divisions by 0 in the shares.
@@ -57,12 +59,16 @@
 
 
 def build_configuration(
-    declared: RouteConfiguration, rate_window: timedelta
+    declared: RouteConfiguration, settings: Settings
 ) -> Configuration:
     """Return the configuration of the core with the declared workspaces and keys."""
     result = Configuration(publication=str(declared.version), version=declared.version)
+    is_divisible = settings.uses(Policy.DIVISIBLE_BURST)
+    min_kept = MIN_KEPT_BURST if is_divisible else UNDIVIDED_KEPT_BURST
     for workspace in declared.workspaces:
-        bucket = bucket_for(workspace.rate, workspace.burst, rate_window)
+        bucket = bucket_for(
+            workspace.rate, workspace.burst, settings.rate_window, min_kept
+        )
         result.workspaces[workspace.name] = WorkspaceRow(
             workspace.name, max(MIN_RATE, bucket.rate), bucket.burst
         )
@@ -78,7 +84,7 @@
 def _(content: RouteConfiguration, entry: Entry, state: State) -> None:
     if content.version <= state.configuration.version:
         return
-    state.configuration = build_configuration(content, state.settings.rate_window)
+    state.configuration = build_configuration(content, state.settings)
     state.routes = {route.database: route for route in content.routes}
     state.session_limits = SessionLimits(
         content.transaction_idle, dict(content.connections)
--- a/pimentodrift/token_grants.py
+++ b/pimentodrift/token_grants.py
@@ -114,6 +114,8 @@
     """
     if holding.instance == state.settings.name or not uses_grants(row, state):
         return False
+    if row.locked_burst and not state.settings.uses(Policy.LOCKED_GRANTS):
+        return False
     held = row.locked_burst + sum(other.burst for other in row.holdings.values())
     if held > limits.burst - refill_per_grant(limits) + rates.TOKEN_TOLERANCE:
         return False
--- a/tests/test_rolling_update.py
+++ b/tests/test_rolling_update.py
@@ -19,7 +19,6 @@
 from attrs import evolve
 
 import pimentodrift
-from pimentodrift import rate_windows
 from pimentodrift.failover_rows import ContactRow
 from pimentodrift.fencing import contact
 from pimentodrift.fencing.decisions import PrimaryFencing
@@ -202,15 +201,14 @@
 
 @pytest.mark.parametrize("rate", [8.0, 12.0, 16.0, 22.0])
 def test_builds_with_different_buckets_keep_the_limit(
-    monkeypatch: pytest.MonkeyPatch, rate: float
+    rate: float,
 ) -> None:
     """Guards against an update, or its return, that gives a flood more than the limit.
 
     The build before kept less of a burst at once and refilled faster.
     """
     after = bucket_for(rate, rate, WINDOW)
-    monkeypatch.setattr(rate_windows, "MIN_KEPT_BURST", 5.0)
-    before = bucket_for(rate, rate, WINDOW)
+    before = bucket_for(rate, rate, WINDOW, min_kept=5.0)
     assert before != after
     load = make_window_load(rate)
     network, random = load.network, Random(1)
