--- a/bench/days/account.py
+++ b/bench/days/account.py
@@ -27,6 +27,7 @@
 WORST_WINDOWS = 2  # Windows that count as the day's worst.
 LARGEST_CAUSES = 3
 LARGE_LOSS = 0.05  # Windows that lost more are listed.
+SMALL_LOSS = 0.0005  # Causes that lost less are left out.
 
 
 def part_losses(report: DayReport, log: DayLog) -> dict[str, Counter[str]]:
@@ -78,7 +79,7 @@
     lines += [
         f"  {amount:6.3f}  {cause}"
         for cause, amount in losses.most_common()
-        if amount >= 0.0005
+        if amount >= SMALL_LOSS
     ]
     lines.append("windows")
     for window in report.windows:
@@ -115,7 +116,11 @@
     parser.add_argument("output", type=Path)
     options = parser.parse_args()
     report = read_report(options.report)
-    print(format_account(report, read_day_log(read_log(options.output))))
+    unreadable: list[str] = []
+    log = read_day_log(read_log(options.output, unreadable))
+    print(format_account(report, log))
+    if unreadable:
+        print(f"{len(unreadable)} lines of the log could not be read", file=sys.stderr)
     return 0
 
 
--- a/bench/days/trials.py
+++ b/bench/days/trials.py
@@ -15,6 +15,7 @@
 from adapter.day_report import DayReport, read_report  # noqa: E402
 
 TRIAL_TIMEOUT_S = 900
+LOGGED_LINES = 3  # Last lines of the bench's output that tell why a trial failed.
 
 
 @frozen
@@ -59,12 +60,13 @@
                     timeout=TRIAL_TIMEOUT_S,
                     check=False,
                 )
+            except (OSError, subprocess.TimeoutExpired) as error:
+                return TrialFailed(str(error))
+            try:
                 return read_report(report)
-            except subprocess.TimeoutExpired:
-                return TrialFailed(f"no result within {TRIAL_TIMEOUT_S} s")
             except (OSError, ValueError, KeyError, TypeError) as error:
-                output = (done.stdout + done.stderr).strip().splitlines()[-3:]
-                return TrialFailed(f"{error!r}: {' / '.join(output)}")
+                lines = (done.stdout + done.stderr).strip().splitlines()
+                return TrialFailed(f"{error!r}: {' / '.join(lines[-LOGGED_LINES:])}")
 
 
 def play_all(
--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -23,7 +23,7 @@
     workspaces_to_examine,
 )
 from .burst_reduction import effective_limits
-from .clock import NEVER
+from .clock import CLOCK_DRIFT_FACTOR, MILLISECOND, NEVER
 from .dispatch import handle_peer
 from .peer_messages import (
     ShareDenied,
@@ -50,15 +50,12 @@
 from .tables import State, WorkspaceRow
 from .token_grants import grant_tokens, update_scarcity, usable_limits
 
-MILLISECOND = timedelta(milliseconds=1)
 BALANCE_INTERVAL = timedelta(milliseconds=100)
 # After this silence, a holder's lease has ended; twice the lease, so that the holder's
 # clock may run at half speed.
 SILENCE_LIMIT = 2 * SHARE_LEASE
 # Time for the first reports to reach a new allocator.
 REPORT_ARRIVAL_TIME = timedelta(seconds=1)
-# Allows for clock drift while a successor waits for its predecessor's leases to end.
-CLOCK_DRIFT_FACTOR = 1.1
 
 
 def has_authority(state: State) -> bool:
--- a/pimentodrift/clock.py
+++ b/pimentodrift/clock.py
@@ -4,6 +4,9 @@
 from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Protocol
 
+MILLISECOND = timedelta(milliseconds=1)
+# Allows for clocks that run at different speeds where a lease of another instance ends.
+CLOCK_DRIFT_FACTOR = 1.1
 # Before any monotonic time; stands for the time of an event that has not happened.
 NEVER = timedelta(days=-1)
 
--- a/pimentodrift/detection.py
+++ b/pimentodrift/detection.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 from . import peers
+from .clock import MILLISECOND
 from .dispatch import handle_peer
 from .failover_rows import ProbeRow
 from .membership import group_endpoints, is_instance_usable, owns, track_contact
@@ -15,7 +16,6 @@
 from .reservations import own_term
 from .tables import GroupRow, Presence, State
 
-MILLISECOND = timedelta(milliseconds=1)
 # A silent primary may only have stalled, and a failover interrupts writes as well.
 MIN_SILENCE = timedelta(milliseconds=800)
 # The limit is shorter if the primary's machine refuses connections: then no database
--- a/pimentodrift/failover.py
+++ b/pimentodrift/failover.py
@@ -11,6 +11,7 @@
 from attrs import frozen
 
 from . import monitoring, peers
+from .clock import MILLISECOND
 from .database_group import (
     FenceAnswer,
     Role,
@@ -35,7 +36,6 @@
 from .reservations import own_term
 from .tables import GroupRow, Presence, State
 
-MILLISECOND = timedelta(milliseconds=1)
 # A new connection and a round trip between regions take less than 100 ms.
 COMMAND_TIMEOUT = timedelta(milliseconds=500)
 # Extra wait for fence answers after a majority has answered: another endpoint may have
--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from .. import leadership, peers, pools, registry, view
+from ..clock import MILLISECOND
 from ..dispatch import handle, handle_peer
 from ..log_events import PrimaryFenced
 from ..operation_completion import send_steps
@@ -26,7 +27,6 @@
 from .messages import DemoteEndpoint, FenceCompleted, FenceConfirmed, FenceRequest
 from .rows import CoordinationRow
 
-MILLISECOND = timedelta(milliseconds=1)
 # Between two requests to the instances that did not confirm yet.
 REQUEST_INTERVAL = timedelta(milliseconds=100)
 # Between two demands that the old primary steps down.
@@ -147,14 +147,16 @@
     )
     if any(at >= oldest_copy for at in state.removed_at.values()):
         return False
-    if not all(needs_contact(item, oldest_copy) for item in state.instances.values()):
+    if not all(
+        surely_needs_contact(item, oldest_copy) for item in state.instances.values()
+    ):
         return False
     silent = state.instances.keys() - row.confirmed
     certain = sum(item.listed_at < oldest_copy for item in state.instances.values())
     return len(silent) * 2 <= certain
 
 
-def needs_contact(row: InstanceRow, oldest_copy: timedelta) -> bool:
+def surely_needs_contact(row: InstanceRow, oldest_copy: timedelta) -> bool:
     """Return whether all copies that have an instance tell that it needs contact."""
     was_updated = row.listed_at < row.contact_since and row.contact_since >= oldest_copy
     return row.contact_lease == CONTACT_LEASE and not was_updated
--- a/pimentodrift/fencing/decisions.py
+++ b/pimentodrift/fencing/decisions.py
@@ -17,10 +17,11 @@
 
 from attrs import frozen
 
+from ..clock import CLOCK_DRIFT_FACTOR
+
 # How long an instance uses a primary without contact: it needs the store's confirmation
 # or answers from more than half of the listed instances to what it sent since then.
 CONTACT_LEASE = timedelta(milliseconds=900)
-CLOCK_DRIFT_FACTOR = 1.1
 # Added to the lease: the last statement sent within it may still be on its way.
 IN_FLIGHT_MARGIN = timedelta(milliseconds=500)
 
--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -6,6 +6,7 @@
 
 from datetime import timedelta
 
+from .clock import MILLISECOND
 from .dispatch import handle, handle_peer
 from .failover_rows import ContactRow
 from .fencing import contact
@@ -25,7 +26,6 @@
 from .rejoining import is_readable
 from .tables import EndpointRow, InstanceRow, State
 
-MILLISECOND = timedelta(milliseconds=1)
 # A suspected instance is pinged less often, until it is no longer listed.
 SUSPECTED_PING_INTERVAL = timedelta(seconds=1)
 MAX_UNANSWERED = 3  # Pings; a contact that answers none of them is suspected.
--- a/pimentodrift/instance_registration.py
+++ b/pimentodrift/instance_registration.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from . import kind_rows
+from .clock import MILLISECOND
 from .fencing import permissions
 from .fencing.decisions import CONTACT_LEASE
 from .kind_messages import WatchedKind
@@ -17,7 +18,6 @@
 )
 from .tables import Presence, State
 
-MILLISECOND = timedelta(milliseconds=1)
 RETRY_INTERVAL = timedelta(seconds=1)
 
 
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -13,7 +13,7 @@
 from functools import singledispatch
 
 from . import store_eras, view
-from .clock import NEVER
+from .clock import MILLISECOND, NEVER
 from .dispatch import handle
 from .kind_messages import (
     CheckExpired,
@@ -70,7 +70,6 @@
     WatchedKind.REGISTRY: timedelta(milliseconds=300),
     WatchedKind.OWN: timedelta(milliseconds=100),
 }
-MILLISECOND = timedelta(milliseconds=1)
 WATCH_BACKOFF_BASE = timedelta(milliseconds=100)
 CHECK_BACKOFF = timedelta(milliseconds=500)
 # Longer than CHECK_BACKOFF, because a check that succeeds also ends the backoff of the
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -7,7 +7,7 @@
 
 from datetime import timedelta
 
-from .clock import NEVER
+from .clock import MILLISECOND, NEVER
 from .dispatch import handle
 from .failover_rows import ContactRow
 from .messages import StoreObject
@@ -45,8 +45,10 @@
     "watchers",
 ]
 
-MILLISECOND = timedelta(milliseconds=1)
 SUSPICION = timedelta(seconds=2)
+# Configuration leases for which a removal is remembered; a copy of another instance may
+# be as old as one of them.
+REMEMBERED_LEASES = 2
 # Ticks come every 20 ms; a gap as long as this means that the process was paused.
 PAUSE = timedelta(seconds=1)
 # Two different instances must have seen a primary fail before it is replaced.
@@ -78,7 +80,7 @@
     now = state.clock.monotonic()
     if state.instances.pop(name, None) is not None:
         state.removed_at[name] = now
-    limit = now - 2 * state.settings.configuration_lease
+    limit = now - REMEMBERED_LEASES * state.settings.configuration_lease
     for other in [other for other, at in state.removed_at.items() if at < limit]:
         del state.removed_at[other]
 
--- a/pimentodrift/operation_completion.py
+++ b/pimentodrift/operation_completion.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from . import latencies, pools, view
-from .clock import NEVER
+from .clock import MILLISECOND, NEVER
 from .dispatch import handle
 from .request_events import (
     StatementAnswered,
@@ -29,7 +29,6 @@
 from .session_rows import OperationRow, PooledRow, Route, SessionRow, Stage
 from .tables import State
 
-MILLISECOND = timedelta(milliseconds=1)
 # While the store is reachable, the configuration is confirmed each second.
 UNCONFIRMED_RETRY_AFTER = timedelta(seconds=1)
 
--- a/pimentodrift/peer_codec.py
+++ b/pimentodrift/peer_codec.py
@@ -18,6 +18,7 @@
 import msgpack
 import orjson
 
+from .clock import MILLISECOND
 from .errors import Failure
 from .messages import PeerMessage, Ran, Rows, Statement
 from .sockets import READ_BYTES
@@ -27,7 +28,6 @@
 Decoder = Callable[[Any, Any], Any]
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-MILLISECOND = timedelta(milliseconds=1)
 # Types whose values msgpack encodes without conversion.
 NATIVE_TYPES = (str, int, float, bool, bytes, type(None))
 
--- a/pimentodrift/policies.py
+++ b/pimentodrift/policies.py
@@ -16,9 +16,7 @@
     DIVISIBLE_BURST = "divisible-burst"  # More of a burst is kept, to be divided.
     FLOOD_REFUSAL = "flood-refusal"  # In a flood, waits for tokens are bounded.
     LOCKED_GRANTS = "locked-grants"  # Tokens are granted beside a locked part.
-    REFILLED_TOKENS = (
-        "refilled-tokens"  # After a restart, the locked part has refilled.
-    )
+    REFILLED_TOKENS = "refilled-tokens"  # What a restart locked has refilled.
     REST_TICKS = "rest-ticks"  # Ticks are rarer while nothing waits for one.
     SESSION_WAIT = "session-wait"  # Sessions wait for the first copies of the store.
     SHORT_IDLE_TIMEOUT = "short-idle-timeout"  # Above half of the fair share.
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 
 from . import connection_setup, membership
+from .clock import MILLISECOND
 from .dispatch import handle
 from .log_events import EndpointAnswers, EndpointFailing
 from .policies import Policy
@@ -27,7 +28,6 @@
 from .session_rows import OperationRow, PooledRow, PoolRow
 from .tables import State
 
-MILLISECOND = timedelta(milliseconds=1)
 UNREACHABLE = "unreachable"  # Logged as the fault when the endpoint gave none.
 # Covers several round trips between regions and the endpoint's connection setup.
 OPEN_TIMEOUT = timedelta(milliseconds=700)
--- a/pimentodrift/promotion_decisions.py
+++ b/pimentodrift/promotion_decisions.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 
 from . import pools, registry
+from .clock import MILLISECOND
 from .dispatch import handle
 from .fencing import coordination, permissions
 from .fencing.decisions import PromotionDecision, lease_end
@@ -29,7 +30,6 @@
 )
 from .tables import State
 
-MILLISECOND = timedelta(milliseconds=1)
 # How long the coordinator waits for the replicas' positions.
 POSITIONS_TIMEOUT = timedelta(milliseconds=400)
 # If a promotion does not show in the registry within this time, it is decided anew.
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -16,6 +16,7 @@
 from datetime import timedelta
 
 from . import membership, peers, token_waits, view
+from .clock import MILLISECOND
 from .dispatch import handle, handle_peer
 from .errors import Problem, not_run
 from .given_up_shares import decline_change, give_up_share
@@ -33,7 +34,6 @@
 from .rate_rows import GivenUpShare, ShareRow, WaitingRequest
 from .tables import State
 
-MILLISECOND = timedelta(milliseconds=1)
 SHARE_LEASE = timedelta(seconds=2)
 REPORT_INTERVAL = timedelta(milliseconds=500)
 # Replaces `REPORT_INTERVAL` while requests wait, so that the allocator can help soon.
--- a/pimentodrift/request_log.py
+++ b/pimentodrift/request_log.py
@@ -1,9 +1,9 @@
 """Logs how requests of the HTTP interface end, and the state that explains it."""
 
-from datetime import timedelta
 from typing import Any
 
 from . import view
+from .clock import MILLISECOND
 from .errors import Failure
 from .request_events import (
     RequestAnswered,
@@ -15,8 +15,6 @@
 from .tables import PendingRequest, State
 from .work_rows import EndpointQueue, WorkRow
 
-MILLISECOND = timedelta(milliseconds=1)
-
 
 def log_answered(pending: PendingRequest, state: State) -> None:
     """Log a request that is answered with a result."""
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -20,6 +20,7 @@
     work_limits,
 )
 from .answers import refuse_request, send_result
+from .clock import MILLISECOND
 from .dispatch import handle, handle_peer
 from .errors import Failure, Outcome, Problem, not_run, outcome_unknown
 from .messages import Access, Action, Position, Ran
@@ -29,7 +30,6 @@
 from .tables import PendingRequest, State
 from .tokens import SessionPositions, Token, advance_session, reaches
 
-MILLISECOND = timedelta(milliseconds=1)
 INITIAL_BACKOFF = timedelta(milliseconds=10)
 MAX_BACKOFF = timedelta(milliseconds=200)
 # The owner replies at the deadline; its reply has this long to arrive.
--- a/pimentodrift/session_opening.py
+++ b/pimentodrift/session_opening.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 from . import kind_rows
+from .clock import MILLISECOND
 from .dispatch import handle
 from .kind_messages import WatchedKind
 from .kind_rows import KindRow
@@ -27,7 +28,6 @@
 from .tables import State
 from .view import copy_age, is_copy_fresh
 
-MILLISECOND = timedelta(milliseconds=1)
 # The load balancer sends a client that retries to another instance.
 STOPPED_RETRY_AFTER = timedelta(milliseconds=100)
 # A store that has not answered a list after this time counts as unreachable.
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -5,10 +5,10 @@
 statement.
 """
 
-from datetime import timedelta
 from functools import singledispatch
 
 from . import operations, rates
+from .clock import MILLISECOND
 from .dispatch import handle
 from .messages import Access
 from .operation_completion import (
@@ -41,7 +41,6 @@
 from .tables import State
 from .view import copy_age
 
-MILLISECOND = timedelta(milliseconds=1)
 MAX_PIPELINED = 16  # Statements that a client may send ahead of the answers.
 MAX_SESSION_ITEMS = 64  # Limit of a session's values, and of its prepared statements.
 
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -110,9 +110,11 @@
     output.write_text(
         "built in 1 s\n"
         '  -1.5000 front-1 {"message_type":"pimentodrift:started","listen":"x"}\n'
-        "   2.0000 front-1 {cut off\n"
+        "   2.0000 front-1 {cut off}\n"
     )
-    (line,) = read_log(output)
+    unreadable: list[str] = []
+    (line,) = read_log(output, unreadable)
+    assert len(unreadable) == 1
     assert (line.at_s, line.instance, line.event) == (-1.5, "front-1", "started")
 
 
