--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -11,6 +11,7 @@
 
 from bench.days import ablation, pairs
 from bench.days.losses import NO_INSTANCE, UNKNOWN, read_day_log, window_losses
+from bench.days.trials import Bench, Trial, TrialFailed
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.append(str(ROOT / "platform"))
@@ -162,3 +163,12 @@
     """Guards against a misspelt name that switches nothing off."""
     with pytest.raises(ValueError, match="no-such-policy"):
         ablation.parse_policies("session-wait,no-such-policy")
+
+
+def test_trial_without_a_report_fails(tmp_path: Path) -> None:
+    """Guards against a comparison that ends with a traceback at its first fault."""
+    trial = Trial(tmp_path, tmp_path / "site.toml", "quiet-1", 1)
+    missing = Bench(tmp_path / "no-bench", "why").play(trial)
+    assert isinstance(missing, TrialFailed) and "no-bench" in missing.detail
+    silent = Bench(Path("/bin/true"), "why").play(trial)
+    assert isinstance(silent, TrialFailed) and "report.json" in silent.detail
