--- a/bench/days/trials.py
+++ b/bench/days/trials.py
@@ -66,7 +66,8 @@
                 return read_report(report)
             except (OSError, ValueError, KeyError, TypeError) as error:
                 lines = (done.stdout + done.stderr).strip().splitlines()
-                return TrialFailed(f"{error!r}: {' / '.join(lines[-LOGGED_LINES:])}")
+                output = " / ".join(lines[-LOGGED_LINES:])
+                return TrialFailed(f"{type(error).__name__}: {error}; {output}")
 
 
 def play_all(
