--- a/bench/days/ablation.py
+++ b/bench/days/ablation.py
@@ -1,6 +1,6 @@
 """Measures what policies are worth: plays days with each of them switched off.
 
-    python -m bench.days.ablation --bench BENCH --site SITE.toml --scratch DIRECTORY \\
+    .venv/bin/python -m bench.days.ablation --bench BENCH --site SITE.toml --scratch DIRECTORY \\
         --days trouble-1,trouble-3 --seeds 1,2 --policies flood-refusal,session-wait \\
         --why "what the ablation is for"
 
--- a/bench/days/account.py
+++ b/bench/days/account.py
@@ -1,6 +1,6 @@
 """Prints where a played day lost its worth, from the bench's report and output.
 
-    python -m bench.days.account REPORT.json OUTPUT.log
+    .venv/bin/python -m bench.days.account REPORT.json OUTPUT.log
 
 OUTPUT is what the run of the day printed with the logs of all instances.
 """
--- a/bench/days/pairs.py
+++ b/bench/days/pairs.py
@@ -1,6 +1,6 @@
 """Compares two work trees by pairs of days that are played with the same seed.
 
-    python -m bench.days.pairs --bench BENCH --site SITE.toml \\
+    .venv/bin/python -m bench.days.pairs --bench BENCH --site SITE.toml \\
         --before TREE --after TREE --days trouble-1,trouble-3 --seeds 1,2,3 \\
         --why "what the comparison is for"
 
