Count a refused connection only for the process that had the share

A machine that refuses a connection has no process any more. The allocator used that also for what came later: a holder that had restarted once stayed marked as ended until it reported again to this instance, so its share was given out while it was merely cut off and still admitting. Each refusal now has its time and counts for what was known before it: a share, a promise, an epoch, a decision.

Ruled out: dropping the mark when the instance is seen again, since an instance that hears of it only from others never sees it.

--- a/bench/days/ablation.py
+++ b/bench/days/ablation.py
@@ -1,8 +1,8 @@
 """Measures what policies are worth: plays days with each of them switched off.
 
-    .venv/bin/python -m bench.days.ablation --bench BENCH --site SITE.toml --scratch DIRECTORY \\
-        --days trouble-1,trouble-3 --seeds 1,2 --policies flood-refusal,session-wait \\
-        --why "what the ablation is for"
+    .venv/bin/python -m bench.days.ablation --bench BENCH --site SITE.toml \\
+        --scratch DIRECTORY --days trouble-1,trouble-3 --seeds 1,2 \\
+        --policies flood-refusal,session-wait --why "what the ablation is for"
 
 The committed state of this work tree is cloned to the scratch directory, once for each
 policy. The bench cannot play a tree below the temporary directory.
--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -118,7 +118,11 @@
 def missing_holders(row: AllocationRow, state: State) -> set[str]:
     """Return the instances that may hold a share and have not reported it yet."""
     expected = state.instances.keys() | {row.predecessor}
-    return expected - row.holdings.keys() - state.ended
+    return {
+        name
+        for name in expected - row.holdings.keys()
+        if not membership.has_ended_since(name, row.taken_at, state)
+    }
 
 
 def max_predecessor_lease(state: State) -> timedelta:
@@ -137,7 +141,7 @@
     now = state.clock.monotonic()
     for name, holding in list(row.holdings.items()):
         silent = now - holding.heard_at > SILENCE_LIMIT
-        if silent or name in state.ended:
+        if silent or membership.has_ended_since(name, holding.heard_at, state):
             del row.holdings[name]
             state.counters["allocator.reclaimed"] += 1
 
@@ -249,7 +253,6 @@
         quiet = message.quiet_ms * MILLISECOND / CLOCK_DRIFT_FACTOR
         holding.quiet_since = state.clock.monotonic() - quiet
     row.holdings[sender] = holding
-    state.ended.discard(sender)
     row.locked_rate = max(0.0, row.locked_rate - message.rate)
     row.locked_burst = max(0.0, row.locked_burst - message.burst)
     if not missing_holders(row, state):
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -163,7 +163,7 @@
 
 def is_epoch_recent(seen: EpochSeen, state: State) -> bool:
     """Return whether an epoch is in its cooldown and its holder may still be alive."""
-    if seen.epoch.holder in state.ended:
+    if membership.has_ended_since(seen.epoch.holder, seen.since, state):
         return False
     return state.clock.monotonic() - seen.since < seen.rest
 
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -165,6 +165,15 @@
     state.counters["membership.suspected"] += 1
 
 
+def has_ended_since(name: str, since: timedelta, state: State) -> bool:
+    """Return whether the process of an instance has ended since a time or before it.
+
+    A refusal before that time tells nothing: the instance may have started again.
+    """
+    ended_at = state.ended.get(name)
+    return ended_at is not None and ended_at >= since
+
+
 def data_centre_leaders(
     key: str, data_centre: str, count: int, state: State
 ) -> list[InstanceRow]:
--- a/pimentodrift/peers.py
+++ b/pimentodrift/peers.py
@@ -26,5 +26,5 @@
 def _(message: PeerLost, state: State) -> None:
     suspect(message.instance, state)
     if message.refused:
-        state.ended.add(message.instance)
+        state.ended[message.instance] = state.clock.monotonic()
     handle(InstanceDown(message.instance, message.unsent, message.refused), state)
--- a/pimentodrift/promotion_decisions.py
+++ b/pimentodrift/promotion_decisions.py
@@ -11,7 +11,7 @@
 
 from attrs import frozen
 
-from . import pools, registry
+from . import membership, pools, registry
 from .clock import MILLISECOND
 from .dispatch import handle
 from .fencing import coordination, permissions
@@ -78,7 +78,8 @@
     _, holder = stored_token(row.group, state)
     other = holder not in ("", state.settings.name)
     lifetime = decision_lifetime(state)
-    if other and holder not in state.ended and now - row.seen_at < lifetime:
+    has_ended = membership.has_ended_since(holder, row.seen_at, state)
+    if other and not has_ended and now - row.seen_at < lifetime:
         return
     old = primary.name if primary is not None else ""
     rows = promotable_members(row, old, state)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -343,8 +343,9 @@
     instances: dict[str, InstanceRow] = field(factory=dict)
     # When each instance was removed from the list, for recent removals.
     removed_at: dict[str, timedelta] = field(factory=dict)
-    # Instances whose machine refuses connections, so their processes have ended.
-    ended: set[str] = field(factory=set)
+    # When the machine of an instance last refused a connection; its process of before
+    # had ended then.
+    ended: dict[str, timedelta] = field(factory=dict)
     endpoints: dict[str, EndpointRow] = field(factory=dict)
     index: Index = field(factory=Index, repr=False)
     groups: dict[str, GroupRow] = field(factory=dict)
--- a/tests/test_rates_allocators.py
+++ b/tests/test_rates_allocators.py
@@ -279,3 +279,22 @@
     # More than what the rate alone gives from the first token on.
     assert len(load.admitted) > load.rate * (network.time - first).total_seconds() + 5
     assert load.worst_excess() <= 1e-6
+
+
+def test_restarted_holder_is_not_taken_for_ended() -> None:
+    """Guards against giving out the share of a holder that had only restarted before.
+
+    Its machine refused connections then. Now it is cut off, and its allocator is lost.
+    """
+    load = make_load()
+    network, lost = load.network, allocator_name(load)
+    holder, *rest = [name for name in NAMES if name != lost]
+    network.kill(holder)
+    load.offer(0.2 * RATE, 2 * SECOND, lambda: network.random.choice(rest))
+    network.add(holder, network.nodes[holder].state.settings.region)
+    load.offer(RATE, 8 * SECOND, lambda: holder)
+    network.kill(lost)
+    network.partitions.update(frozenset((holder, name)) for name in rest)
+    load.offer(4 * RATE, 8 * SECOND, lambda: network.random.choice([holder, *rest]))
+    assert allocator_name(load) in rest
+    assert load.worst_excess() <= 1e-6
