Share an endpoint's connections while it refuses more

An endpoint accepts 16 connections, each of which serves one workspace, and seven instances with eight workspaces open up to 35.

An instance that was refused now keeps to its fair share for a second, tries again after 40 ms, and gives a connection of a workspace that needs none to one that waits. The policy is connection-shares; the decision is in connection_limits.

--- a/pimentodrift/policies.py
+++ b/pimentodrift/policies.py
@@ -11,6 +11,7 @@
     """A mechanism that is on unless the setting `disabled_policies` names it."""
 
     BURST_REDUCTION = "burst-reduction"  # A lowered burst is withdrawn gradually.
+    CONNECTION_SHARES = "connection-shares"  # Bind while an endpoint refuses others.
     CONTACT_FENCE = "contact-fence"  # A promotion beside a silent instance is quick.
     EVEN_SHARES = "even-shares"  # A part of a rate is divided evenly.
     DIVISIBLE_BURST = "divisible-burst"  # More of a burst is kept, to be divided.
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -1,15 +1,15 @@
 """Connections to the endpoints, each opened for one workspace.
 
-An endpoint limits the connections of all instances together. An instance may exceed
-its fair share while others do not use theirs: the endpoint refuses a connection above
-its limit before anything runs on it. While an instance has more than half of its fair
-share, its idle connections are closed soon after their last use.
+An endpoint limits the connections of all instances together: it refuses a connection
+above its limit before anything runs on it (`connection_limits`). While an instance has
+more than half of its fair share, its idle connections are closed soon after their last
+use.
 """
 
 from collections import Counter, deque
 from datetime import timedelta
 
-from . import connection_setup, membership
+from . import connection_limits, connection_setup, membership
 from .clock import MILLISECOND
 from .dispatch import handle
 from .log_events import EndpointAnswers, EndpointFailing
@@ -36,8 +36,6 @@
 SHORT_IDLE_TIMEOUT = timedelta(milliseconds=250)
 IDLE_TIMEOUT = timedelta(seconds=3)
 IDLE_CHECK_INTERVAL = timedelta(milliseconds=100)  # Finer than both idle timeouts.
-# Other instances close idle connections above their share within twice this time.
-FULL_BACKOFF = timedelta(milliseconds=150)
 # After this wait, a workspace without a connection gets the place of another
 # workspace's idle connection.
 STARVING_AFTER = timedelta(milliseconds=100)
@@ -46,10 +44,6 @@
 BACKOFF_BASE = timedelta(milliseconds=100)
 MAX_BACKOFF = timedelta(seconds=1)
 DEFAULT_CONNECTIONS = 16  # Limit of an endpoint whose group declares none.
-# An instance may open this many times its fair share of an endpoint's connections, and
-# one more.
-MAX_SHARE_FACTOR = 2
-MIN_CONNECTION_LIMIT = 2  # One for a transaction and one for a statement beside it.
 ROUND_TRIP_WEIGHT = 0.2  # Of the newest sample in the average round trip.
 
 
@@ -61,12 +55,25 @@
         for row in state.instances.values()
         if membership.is_instance_usable(row, state)
     ]
-    return max(1, declared // max(1, len(live)))
+    return connection_limits.fair_share(declared, len(live))
 
 
 def connection_limit(pool: PoolRow, state: State) -> int:
     """Return how many connections this instance may open to an endpoint."""
-    return max(MIN_CONNECTION_LIMIT, MAX_SHARE_FACTOR * fair_share(pool, state) + 1)
+    share = fair_share(pool, state)
+    return connection_limits.connection_limit(share, is_crowded(pool, state))
+
+
+def is_crowded(pool: PoolRow, state: State) -> bool:
+    """Return whether the instances compete for an endpoint's connections."""
+    if not state.settings.uses(Policy.CONNECTION_SHARES):
+        return False
+    return connection_limits.is_crowded(state.clock.monotonic() - pool.full_until)
+
+
+def is_full(pool: PoolRow, state: State) -> bool:
+    """Return whether an endpoint has just refused a connection above its limit."""
+    return state.clock.monotonic() < pool.full_until
 
 
 def is_available(pool: PoolRow, state: State) -> bool:
@@ -130,14 +137,12 @@
     A workspace that keeps every connection busy would starve the others: each
     connection that becomes idle would be assigned to that workspace's next statement.
     """
-    now = state.clock.monotonic()
-    is_full = (
-        len(pool.connections) >= connection_limit(pool, state) or now < pool.full_until
-    )
-    if not pool.waiting or not is_full:
+    if not pool.waiting or not state.settings.uses(Policy.STARVATION_GUARD):
         return
-    if not state.settings.uses(Policy.STARVATION_GUARD):
+    has_room = len(pool.connections) < connection_limit(pool, state)
+    if has_room and not is_full(pool, state):
         return
+    now = state.clock.monotonic()
     rows = [state.pooled[number] for number in pool.connections]
     connection_counts = Counter(row.workspace for row in rows)
     for workspace, queue in list(pool.waiting.items()):
@@ -195,8 +200,7 @@
 
 def open_needed(pool: PoolRow, state: State) -> None:
     """Open connections for waiting operations, within the connection limit."""
-    now = state.clock.monotonic()
-    if now < pool.retry_at or now < pool.full_until:
+    if not is_available(pool, state):
         return
     if pool.endpoint not in state.registry:
         return
@@ -212,8 +216,15 @@
 
 
 def make_room(pool: PoolRow, state: State) -> bool:
-    """Return whether a connection may be opened; at the limit, close an idle one."""
-    if len(pool.connections) < connection_limit(pool, state):
+    """Return whether a connection may be opened.
+
+    At the limit, or that of the endpoint, a connection of a workspace that needs none
+    is closed first.
+    """
+    if is_full(pool, state):
+        if not state.settings.uses(Policy.CONNECTION_SHARES):
+            return False
+    elif len(pool.connections) < connection_limit(pool, state):
         return True
     unused = [
         row
@@ -346,7 +357,8 @@
         elif fault is Fault.TOO_MANY_CONNECTIONS:
             state.counters["pools.full"] += 1
             pool.answered_at = state.clock.monotonic()
-            pool.full_until = pool.answered_at + FULL_BACKOFF
+            uses_shares = state.settings.uses(Policy.CONNECTION_SHARES)
+            pool.full_until = pool.answered_at + connection_limits.backoff(uses_shares)
             if not any(state.pooled[number].is_open for number in pool.connections):
                 reroute_waiting(pool, state)
         else:
