Let a statement's wait go on when it is put back into the same queue

An endpoint that refuses a connection makes the instance place the waiting statements anew. After a loss of power the vanished connections fill the limit for seconds.

The stage of a statement keeps its time if endpoint and stage stay the same.

test_statement_without_a_connection_is_refused_in_time: no refusal within two seconds before, at most half of the objective and two ticks after.

--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -120,9 +120,11 @@
         detail = f"the queue of {target.name} takes longer than the objective allows"
         refuse(operation, Refusal(Fault.OVERLOADED, detail, delay), state)
         return
-    operation.endpoint = target.name
-    operation.attempts += 1
-    operation_steps.set_stage(operation, Stage.QUEUED, state)
+    # A statement that is put back into the same queue has not begun a new wait.
+    if operation.stage is not Stage.QUEUED or operation.endpoint != target.name:
+        operation.endpoint = target.name
+        operation.attempts += 1
+        operation_steps.set_stage(operation, Stage.QUEUED, state)
     pools.enqueue(operation, pool, state)
 
 
--- a/tests/capped_database.py
+++ b/tests/capped_database.py
@@ -49,6 +49,7 @@
     workspace: str
     command: Command
     sent_at: timedelta
+    submitted_at: timedelta  # To the instance that has it now.
     tries: int = 1
 
 
@@ -79,9 +80,11 @@
     working: int = 0  # Slots in use.
     sessions: int = 0
     pending: dict[tuple[str, int], Request] = field(factory=dict)
+    measured_from: timedelta = timedelta(0)
     latencies: dict[str, list[timedelta]] = field(factory=dict)
     given_up: Counter[str] = field(factory=Counter)
     refused_connections: int = 0
+    refusal_waits: list[timedelta] = field(factory=list)
 
     def start(self, workspaces: int) -> None:
         """Configure the workspaces and start the database."""
@@ -107,9 +110,10 @@
     # --- Clients
 
     def request(self, name: str, workspace: str, command: Command) -> None:
-        self.submit(name, Request(workspace, command, self.time))
+        self.submit(name, Request(workspace, command, self.time, self.time))
 
     def submit(self, name: str, request: Request) -> None:
+        request = evolve(request, submitted_at=self.time)
         self.sessions += 1
         number = self.sessions
         self.pending[name, number] = request
@@ -121,12 +125,24 @@
     def repeat(self, request: Request, retry_after: timedelta) -> None:
         """Send a refused request to another instance when it may come back."""
         if request.tries == MAX_TRIES:
-            self.given_up[request.workspace] += 1
+            if request.sent_at >= self.measured_from:
+                self.given_up[request.workspace] += 1
             return
         again = evolve(request, tries=request.tries + 1)
         name = self.random.choice(list(self.nodes))
         self.schedule(retry_after, lambda: self.submit(name, again))
 
+    def occupy(self, count: int) -> None:
+        """Let connections of vanished machines count against the limit."""
+        for number in range(count):
+            self.backends["gone", number] = Backend("gone", number)
+
+    def measure_from_now(self) -> None:
+        """Leave the requests sent so far out of the results."""
+        self.measured_from = self.time
+        self.latencies.clear()
+        self.given_up.clear()
+
     def in_time(self) -> float:
         """Return the fraction of the ended requests that were served in time."""
         latencies = [item for items in self.latencies.values() for item in items]
@@ -146,10 +162,12 @@
                 self.schedule(self.distance(name), lambda: self.backends.pop(key, None))
             case AnswerStatement():
                 request = self.pending.pop((name, message.session))
-                latency = self.time - request.sent_at
-                self.latencies.setdefault(request.workspace, []).append(latency)
+                if request.sent_at >= self.measured_from:
+                    latency = self.time - request.sent_at
+                    self.latencies.setdefault(request.workspace, []).append(latency)
             case RefuseStatement():
                 request = self.pending.pop((name, message.session))
+                self.refusal_waits.append(self.time - request.submitted_at)
                 delay = message.refusal.retry_after or timedelta(0)
                 self.repeat(request, delay)
             case RefuseSession() | EndSession():
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -83,3 +83,29 @@
     share = connection_limits.fair_share(accepted, instances)
     assert connection_limits.connection_limit(share, is_crowded=False) == usual
     assert connection_limits.connection_limit(share, is_crowded=True) == crowded
+
+
+def test_statement_without_a_connection_is_refused_in_time() -> None:
+    """Guards against waits that begin anew with each refused attempt to connect.
+
+    The connections of machines that lost power still count against the limit.
+    """
+    network = make_network(1)
+    network.occupy(network.connection_limit)
+    offer(network, USUAL_RATE, SECOND)
+    network.run(SECOND)
+    assert network.refusal_waits and not network.latencies
+    assert max(network.refusal_waits) <= 0.5 * network.objective + 2 * TICK
+
+
+def test_clients_are_served_when_connections_are_closed() -> None:
+    """Guards against refusals that last longer than their reason."""
+    network = make_network(1)
+    network.occupy(network.connection_limit)
+    offer(network, USUAL_RATE, SECOND)
+    network.backends.clear()
+    network.run(network.objective)  # Those that wait already are served first.
+    network.measure_from_now()
+    offer(network, USUAL_RATE, SECOND)
+    network.run(SECOND)
+    assert network.in_time() >= 0.95
