Bound the wait for a first connection by the route's timeout

The wait for a first connection may take the route's timeout, and no longer; with a connection, half of the objective holds as before.

--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -19,6 +19,7 @@
     Queue,
     QueuePolicy,
     arrival_retry_after,
+    is_wait_over,
     max_wait,
     token_retry_after,
 )
@@ -120,11 +121,11 @@
         detail = f"the queue of {target.name} takes longer than the objective allows"
         refuse(operation, Refusal(Fault.OVERLOADED, detail, delay), state)
         return
-    # A statement that is put back into the same queue has not begun a new wait.
     if operation.stage is not Stage.QUEUED or operation.endpoint != target.name:
-        operation.endpoint = target.name
-        operation.attempts += 1
-        operation_steps.set_stage(operation, Stage.QUEUED, state)
+        operation.queued_at = state.clock.monotonic()
+    operation.endpoint = target.name
+    operation.attempts += 1
+    operation_steps.set_stage(operation, Stage.QUEUED, state)
     pools.enqueue(operation, pool, state)
 
 
@@ -282,9 +283,15 @@
 
 def check_queued(operation: OperationRow, state: State) -> None:
     """Refuse a queued statement that was assigned no connection in time."""
-    waited = state.clock.monotonic() - operation.staged_at
+    now = state.clock.monotonic()
     route = operation.route
-    if waited <= max_wait(configured_policy(state), route.objective, route.timeout):
+    if not is_wait_over(
+        configured_policy(state),
+        now - operation.staged_at,
+        now - operation.queued_at,
+        route.objective,
+        route.timeout,
+    ):
         return
     pools.remove_waiting(operation, state)
     pool = state.pools[operation.endpoint]
--- a/pimentodrift/queue_policy.py
+++ b/pimentodrift/queue_policy.py
@@ -51,6 +51,23 @@
     return objective * MAX_QUEUE_FRACTION
 
 
+def is_wait_over(
+    policy: QueuePolicy,
+    since_attempt: timedelta,
+    since_queued: timedelta,
+    objective: timedelta,
+    timeout: timedelta,
+) -> bool:
+    """Return whether a queued statement must be refused.
+
+    While an instance has no connection at all, each attempt to get one begins anew: its
+    statements hold up no others, and their clients would find other instances in the
+    same state, as after a loss of power, when vanished connections fill the endpoint.
+    """
+    longest = max_wait(policy, objective, timeout)
+    return since_attempt > longest or since_queued > timeout
+
+
 def arrival_retry_after(
     policy: QueuePolicy, queue: Queue, objective: timedelta
 ) -> timedelta | None:
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -116,6 +116,9 @@
     attempts: int = 0  # How often it was queued at an endpoint.
     tried: set[str] = field(factory=set)  # Endpoints that refused it or failed.
     timed_out: bool = False  # Its endpoint did not answer in time.
+    # When it was put into its endpoint's queue; its stage begins anew with each attempt
+    # to get a first connection.
+    queued_at: timedelta = NEVER
 
 
 @define
--- a/tests/capped_database.py
+++ b/tests/capped_database.py
@@ -75,6 +75,7 @@
     connection_limit: int = 16
     service: timedelta = 12 * MILLISECOND
     objective: timedelta = 300 * MILLISECOND
+    timeout: timedelta = 800 * MILLISECOND
     backends: dict[tuple[str, int], Backend] = field(factory=dict)
     waiting: deque[Backend] = field(factory=deque)  # For a slot.
     working: int = 0  # Slots in use.
@@ -92,6 +93,7 @@
             database="primary-db",
             consistency=Consistency.PRIMARY,
             objective=self.objective,
+            timeout=self.timeout,
         )
         declared = tuple(
             DeclaredWorkspace(f"w{number}", (f"key-{number}",), 1e6, 1e6)
