Double the backoff after refused connections in a row

With 59 instances and an endpoint that accepts no more, attempts each 40 ms would be 1,475 a second. The backoff now goes 40, 80, 150 ms and begins anew with an accepted connection.

--- a/pimentodrift/connection_limits.py
+++ b/pimentodrift/connection_limits.py
@@ -14,11 +14,11 @@
 MIN_CONNECTION_LIMIT = 2  # One for a transaction and one for a statement beside it.
 # How long after a refusal's backoff the fair share binds.
 CROWDED_PERIOD = timedelta(seconds=1)
-# Until the next attempt after a refusal. A longer one would use up the time that a
-# statement may wait.
-BACKOFF = timedelta(milliseconds=40)
-# The same if no share binds: others close idle connections within twice this time.
-LONG_BACKOFF = timedelta(milliseconds=150)
+# Until the next attempt after a refusal: short enough for several in the time that a
+# statement may wait, and doubled with each refusal in a row, so that a large fleet does
+# not keep the endpoint busy with refusals.
+FIRST_BACKOFF = timedelta(milliseconds=40)
+MAX_BACKOFF = timedelta(milliseconds=150)
 
 
 def fair_share(accepted: int, instances: int) -> int:
@@ -40,6 +40,6 @@
     return since_backoff <= CROWDED_PERIOD
 
 
-def backoff(share_binds: bool) -> timedelta:
-    """Return the time from a refusal to the next attempt."""
-    return BACKOFF if share_binds else LONG_BACKOFF
+def backoff(refusals: int) -> timedelta:
+    """Return the time until the next attempt after a number of refusals in a row."""
+    return min(FIRST_BACKOFF * (1 << min(refusals - 1, 4)), MAX_BACKOFF)
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -337,6 +337,7 @@
         state.log_event(EndpointAnswers(pool.endpoint, failed // MILLISECOND))
     pool.failing_since = None
     pool.failures = 0
+    pool.refusals = 0
 
 
 @handle.register
@@ -357,8 +358,7 @@
         elif fault is Fault.TOO_MANY_CONNECTIONS:
             state.counters["pools.full"] += 1
             pool.answered_at = state.clock.monotonic()
-            uses_shares = state.settings.uses(Policy.CONNECTION_SHARES)
-            pool.full_until = pool.answered_at + connection_limits.backoff(uses_shares)
+            record_refusal(pool, state)
             if not any(state.pooled[number].is_open for number in pool.connections):
                 reroute_waiting(pool, state)
         else:
@@ -366,6 +366,18 @@
     notify_users(row, state)
 
 
+def record_refusal(pool: PoolRow, state: State) -> None:
+    """Record that an endpoint refused a connection above its limit."""
+    now = state.clock.monotonic()
+    if not state.settings.uses(Policy.CONNECTION_SHARES):
+        pool.full_until = now + connection_limits.MAX_BACKOFF
+        return
+    if now < pool.full_until:
+        return  # Of the same attempt as the refusal before.
+    pool.refusals += 1
+    pool.full_until = now + connection_limits.backoff(pool.refusals)
+
+
 def unanswered_since(pool: PoolRow, state: State) -> timedelta | None:
     """Return when the oldest request since the endpoint's last answer was sent."""
     rows = [state.pooled[number] for number in pool.connections]
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -166,6 +166,8 @@
     # Moving average of a statement's time at the endpoint, and when it last changed.
     service: timedelta = timedelta(milliseconds=20)
     service_at: timedelta = NEVER
+    # Refused attempts to connect since it last opened a connection; sets the backoff.
+    refusals: int = 0
 
 
 class EndpointRole(StrEnum):
