Ask the instances of a larger fleet what they hold after a change of allocator

With more than 16 instances, most have no share of a workspace and report nothing, so a new allocator waited for the end of the lease that its predecessor might have given them.

The allocator now asks those that have not reported, with a flag of ShareRenew that older builds ignore. An instance without a share answers a final report, and from then on declines changes of older epochs, as it does for a share that it has given up. What concerns locked shares has a module of its own, locked_shares.

Ruled out: an empty share at each instance, which reports like any other, since the even division would spread a small burst over all of them for two seconds.

The limit holds in the random walks of the fleet and in test_cut_off_holder_keeps_its_share_until_its_lease_ends.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -23,8 +23,16 @@
     workspaces_to_examine,
 )
 from .burst_reduction import effective_limits
-from .clock import CLOCK_DRIFT_FACTOR, MILLISECOND, NEVER
+from .clock import NEVER
 from .dispatch import handle_peer
+from .locked_shares import (
+    ask_missing_holders,
+    max_predecessor_lease,
+    missing_holders,
+    quiet_since,
+    record_without_share,
+    unlock_shares,
+)
 from .peer_messages import (
     ShareDenied,
     ShareLower,
@@ -33,7 +41,6 @@
     ShareRaised,
     ShareReport,
 )
-from .policies import Policy
 from .rate_rows import AllocationRow, HoldingRow
 from .rates import SHARE_LEASE
 from .share_moves import (
@@ -80,56 +87,6 @@
             balance_shares(row, limits, state)
 
 
-def unlock_shares(row: AllocationRow, state: State) -> None:
-    """Unlock the rate and burst of silent holders once their leases have ended."""
-    if row.locked_rate <= EPSILON and row.locked_burst <= EPSILON:
-        return
-    # A view at least as new as the claim has every instance that was listed before it.
-    if state.view.version < row.store_version or not view.is_copy_fresh(state):
-        return
-    missing = missing_holders(row, state)
-    leases_ended = state.clock.monotonic() - row.taken_at > max_predecessor_lease(state)
-    if missing and not (leases_ended and view.reaches_half(state)):
-        return
-    row.free_tokens += refilled_tokens(row, state)
-    row.locked_rate = 0.0
-    row.locked_burst = 0.0
-    state.counters["allocator.unlocked"] += 1
-
-
-def refilled_tokens(row: AllocationRow, state: State) -> float:
-    """Return the tokens by which the locked part has refilled since it was last used.
-
-    If all instances have restarted, it was held by the processes before them, which
-    ended before the last of the present ones started.
-    """
-    expected = state.instances.keys() | {row.predecessor}
-    is_used = state.settings.uses(Policy.REFILLED_TOKENS)
-    if expected - row.holdings.keys() or not is_used:
-        return 0.0
-    starts = [holding.quiet_since for holding in row.holdings.values()]
-    known = [start for start in starts if start is not None]
-    if not known or len(known) < len(starts):
-        return 0.0
-    quiet = state.clock.monotonic() - max(known)
-    return min(row.locked_burst, row.locked_rate * quiet.total_seconds())
-
-
-def missing_holders(row: AllocationRow, state: State) -> set[str]:
-    """Return the instances that may hold a share and have not reported it yet."""
-    expected = state.instances.keys() | {row.predecessor}
-    return {
-        name
-        for name in expected - row.holdings.keys()
-        if not membership.has_ended_since(name, row.taken_at, state)
-    }
-
-
-def max_predecessor_lease(state: State) -> timedelta:
-    """Return how long shares that a predecessor renewed may stay valid."""
-    return CLOCK_DRIFT_FACTOR * (SHARE_LEASE + state.settings.allocator_lease)
-
-
 def reclaim_shares(row: AllocationRow, state: State) -> None:
     """Free the shares of holders whose lease has certainly ended.
 
@@ -161,6 +118,7 @@
         return
     holding = row.holdings.get(sender)
     if holding is None and message.is_final:
+        record_without_share(row, sender, message, state)
         return
     if holding is None:
         holding = add_holding(row, sender, message, state)
@@ -249,9 +207,7 @@
 ) -> HoldingRow:
     """Add the share that a holder reports for the first time in this epoch."""
     holding = HoldingRow(sender, message.rate, message.burst)
-    if message.quiet_ms:
-        quiet = message.quiet_ms * MILLISECOND / CLOCK_DRIFT_FACTOR
-        holding.quiet_since = state.clock.monotonic() - quiet
+    holding.quiet_since = quiet_since(message, state)
     row.holdings[sender] = holding
     row.locked_rate = max(0.0, row.locked_rate - message.rate)
     row.locked_burst = max(0.0, row.locked_burst - message.burst)
@@ -330,6 +286,7 @@
         return
     reclaim_shares(row, state)
     unlock_shares(row, state)
+    ask_missing_holders(row, state)
     resend_operations(row, state)
     row.free_tokens = min(row.free_tokens, max(0.0, free_burst(row, workspace)))
     update_scarcity(row, workspace)
--- a/pimentodrift/given_up_shares.py
+++ b/pimentodrift/given_up_shares.py
@@ -5,7 +5,8 @@
 """
 
 from . import peers
-from .peer_messages import ShareLower, ShareRaise, ShareReport
+from .clock import MILLISECOND
+from .peer_messages import ShareLower, ShareRaise, ShareRenew, ShareReport
 from .rate_rows import GivenUpShare, ShareRow
 from .tables import State
 
@@ -20,12 +21,26 @@
         send_final_report(row.workspace, given_up, state, tokens=row.tokens)
 
 
+def report_no_share(message: ShareRenew, state: State) -> None:
+    """Tell a new allocator that this instance has no share; decline older epochs."""
+    share = state.given_up_shares.get(message.workspace, GivenUpShare())
+    if message.epoch < share.epoch:
+        return
+    if message.epoch > share.epoch:
+        share = GivenUpShare(message.epoch, admitted=share.admitted)
+        state.given_up_shares[message.workspace] = share
+    started = state.clock.monotonic() - state.started_at
+    quiet_ms = 0 if share.admitted else started // MILLISECOND
+    send_final_report(message.workspace, share, state, quiet_ms=quiet_ms)
+
+
 def send_final_report(
     workspace: str,
     share: GivenUpShare,
     state: State,
     tokens: float = 0.0,
     declined: int = 0,
+    quiet_ms: int = 0,
 ) -> None:
     """Tell the allocator that this instance has no share any more."""
     report = ShareReport(
@@ -41,6 +56,7 @@
         is_final=True,
         last_number=share.last_number,
         declined=declined,
+        quiet_ms=quiet_ms,
     )
     peers.send(share.epoch.holder, report, state)
 
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -218,6 +218,7 @@
     epoch: Epoch
     number: int = 0
     takes_back: bool = False
+    asks_report: bool = False  # An instance without a share answers a final report.
 
 
 @frozen
--- a/pimentodrift/rate_rows.py
+++ b/pimentodrift/rate_rows.py
@@ -115,6 +115,10 @@
     # Tokens that a single bucket for the whole workspace would hold.
     level: float = 0.0
     level_at: timedelta = NEVER
+    # Instances that said that they hold no share; when they started, if they have
+    # admitted nothing since.
+    without_share: dict[str, timedelta | None] = field(factory=dict)
+    asked_at: timedelta = NEVER  # When those that have not reported were last asked.
 
 
 @define
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -19,7 +19,7 @@
 from .clock import MILLISECOND
 from .dispatch import handle, handle_peer
 from .errors import Problem, not_run
-from .given_up_shares import decline_change, give_up_share
+from .given_up_shares import decline_change, give_up_share, report_no_share
 from .notices import Admitted, Refused
 from .peer_messages import (
     Epoch,
@@ -346,6 +346,8 @@
         and is_other
         and not holds_all_shares(state)
     ):
+        if message.asks_report:
+            report_no_share(message, state)
         return  # This instance adopts the epoch once it has a share to report.
     row = get_or_create_share(message.workspace, state)
     if not accept_epoch(message.epoch, row, state):
--- a/tests/test_rates_fleet.py
+++ b/tests/test_rates_fleet.py
@@ -164,6 +164,44 @@
     assert load.refused <= 0.001 * (len(load.admitted) - before + load.refused)
 
 
+@pytest.mark.parametrize("loss", [0.0, 0.2])
+def test_restarted_fleet_serves_within_a_second(loss: float) -> None:
+    """Guards against a lock that lasts as long as shares that no process holds.
+
+    Most instances of a larger fleet have no share of a workspace and report nothing.
+    """
+    load = make_load(NAMES)
+    network = load.network
+    network.loss, network.doubled = loss, loss
+    used = three_other_instances(load)
+    load.offer(0.8 * RATE, 3 * SECOND, lambda: network.random.choice(used))
+    for name in NAMES:
+        network.kill(name)
+    network.run(SECOND)
+    for name in NAMES:
+        network.add(name, network.nodes[name].state.settings.region)
+    load.offer(0.5 * RATE, SECOND, lambda: network.random.choice(used))
+    refused, admitted = load.refused, len(load.admitted)
+    load.offer(0.5 * RATE, 3 * SECOND, lambda: network.random.choice(used))
+    assert load.refused == refused
+    assert len(load.admitted) - admitted >= 0.5 * RATE * 3 - 1
+    assert load.worst_excess() <= 1e-6
+
+
+def test_cut_off_holder_keeps_its_share_until_its_lease_ends() -> None:
+    """Guards against an unlocked share that a silent instance still uses."""
+    load = make_load(NAMES)
+    network, lost = load.network, allocator_name(load)
+    holder, *rest = three_other_instances(load)
+    load.offer(RATE, 4 * SECOND, lambda: holder)
+    network.kill(lost)
+    network.partitions.update(
+        frozenset((holder, name)) for name in NAMES if name != holder
+    )
+    load.offer(4 * RATE, 10 * SECOND, lambda: network.random.choice([holder, *rest]))
+    assert load.worst_excess() <= 1e-6
+
+
 def test_moving_flood_with_message_loss_in_a_fleet() -> None:
     """Guards against shares counted twice when the holders change under overload."""
     load = make_load(NAMES, seed=2)
