Ping a suspected instance that is no contact when it dials

In a fleet of more than 16, only contacts are pinged. An instance that had refused a connection, and was no contact, stayed suspected for as long as it ran, and the reports of shares went to a successor that was none.

test_suspected_instance_of_a_larger_fleet_is_pinged_when_it_dials fails before.

--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -107,11 +107,11 @@
     Instances that start one after the other find the later ones refusing connections.
     """
     record_heartbeat(instance, state)
-    contact_row = state.contacts.get(instance.name)
-    if contact_row is None or instance.suspected_number is None:
+    if instance.suspected_number is None:
         return
     if instance.suspected_until <= state.clock.monotonic():
-        contact_row.pinged_at = NEVER
+        track_contact(instance.name, state)
+        state.contacts[instance.name].pinged_at = NEVER
 
 
 def send_heartbeat(instance: InstanceRow, message: Ping | Pong, state: State) -> None:
--- a/tests/test_starting_fleet.py
+++ b/tests/test_starting_fleet.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from pimentodrift import view
 from pimentodrift.membership import is_instance_usable
+from pimentodrift.messages import PeerLost, PeerReceived
+from pimentodrift.peer_messages import Hello
 
 from .kind_network import KindNetwork
 
@@ -52,6 +55,27 @@
     assert unusable_pairs(network) == set()
 
 
+def test_suspected_instance_of_a_larger_fleet_is_pinged_when_it_dials() -> None:
+    """Guards against a suspicion without end.
+
+    In a larger fleet, an instance pings only its contacts. A suspected instance that is
+    none of them would never answer a ping.
+    """
+    network = KindNetwork(Random(1))
+    names = [f"i{number}" for number in range(view.SMALL_FLEET + 2)]
+    for name in names:
+        network.add(name, "r1")
+    network.run(3 * SECOND)
+    first, second = names[:2]
+    state = network.nodes[first].state
+    state.contacts.pop(second, None)
+    network.deliver(first, PeerLost(second, refused=True))
+    assert not is_instance_usable(state.instances[second], state)
+    network.deliver(first, PeerReceived(second, Hello(second, "r1", "r1")))
+    network.run(REJOIN_TIME)
+    assert is_instance_usable(state.instances[second], state)
+
+
 def test_instance_that_does_not_start_stays_unusable() -> None:
     """Guards against sending work to a machine that goes on refusing connections."""
     network = make_fleet()
