--- a/pimentodrift/locked_shares.py
+++ b/pimentodrift/locked_shares.py
@@ -21,7 +21,7 @@
 from .tables import State
 
 # Time between two questions to the instances that have not reported.
-ASK_INTERVAL = timedelta(milliseconds=500)
+ASK_INTERVAL = timedelta(milliseconds=100)
 # Instances; in a larger fleet the questions to all cost more than they save.
 MAX_ASKED_FLEET = 256
 
@@ -91,7 +91,7 @@
         return
     row.asked_at = now
     question = evolve(renewal(row), asks_report=True)
-    for name in missing_holders(row, state):
+    for name in sorted(missing_holders(row, state)):
         peers.send(name, question, state)
 
 
