Ping a suspected instance once instead of making it a contact

A contact is pinged ten times a second for as long as it is used and ten seconds after, which after a restart of a large fleet may be each pair of instances. One ping is enough to end the suspicion.

--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -109,9 +109,14 @@
     record_heartbeat(instance, state)
     if instance.suspected_number is None:
         return
-    if instance.suspected_until <= state.clock.monotonic():
-        track_contact(instance.name, state)
-        state.contacts[instance.name].pinged_at = NEVER
+    if instance.suspected_until > state.clock.monotonic():
+        return
+    contact_row = state.contacts.get(instance.name)
+    if contact_row is not None:
+        contact_row.pinged_at = NEVER
+    else:
+        # One ping is enough; as a contact it would be pinged for seconds.
+        send_heartbeat(instance, Ping(state.new_number()), state)
 
 
 def send_heartbeat(instance: InstanceRow, message: Ping | Pong, state: State) -> None:
