Test that instances of the build before, which answer no questions, keep their shares

ShareRenew has a new field, asks_report, that older builds ignore. The model of a database with a limit of connections imports the messages as a module, like fake_fleet.

--- a/tests/capped_database.py
+++ b/tests/capped_database.py
@@ -5,32 +5,10 @@
 
 from attrs import define, evolve, field, frozen
 
+from pimentodrift import session_messages as m
 from pimentodrift.kind_messages import WatchedKind
 from pimentodrift.messages import Position
 from pimentodrift.route_configuration import DeclaredWorkspace, RouteConfiguration
-from pimentodrift.session_messages import (
-    AcceptSession,
-    AnswerStatement,
-    ApplyStep,
-    BeginWork,
-    ClosePooled,
-    Command,
-    CommitWork,
-    EndSession,
-    EndWork,
-    Fault,
-    OpenPooled,
-    Phase,
-    PooledLost,
-    PooledOpened,
-    RefuseSession,
-    RefuseStatement,
-    RunStatement,
-    RunSteps,
-    SessionOpened,
-    SessionStatement,
-    StepAnswered,
-)
 from pimentodrift.session_rows import Consistency, EndpointRole
 
 from .kind_network import KindNetwork
@@ -47,7 +25,7 @@
     """A statement that a client sends, and sends again after a refusal."""
 
     workspace: str
-    command: Command
+    command: m.Command
     sent_at: timedelta
     submitted_at: timedelta  # To the instance that has it now.
     tries: int = 1
@@ -59,8 +37,8 @@
 
     instance: str
     connection: int
-    steps: deque[ApplyStep] = field(factory=deque)
-    phase: Phase = Phase.IDLE
+    steps: deque[m.ApplyStep] = field(factory=deque)
+    phase: m.Phase = m.Phase.IDLE
 
 
 @define
@@ -111,7 +89,7 @@
 
     # --- Clients
 
-    def request(self, name: str, workspace: str, command: Command) -> None:
+    def request(self, name: str, workspace: str, command: m.Command) -> None:
         self.submit(name, Request(workspace, command, self.time, self.time))
 
     def submit(self, name: str, request: Request) -> None:
@@ -120,8 +98,8 @@
         number = self.sessions
         self.pending[name, number] = request
         key = f"key-{request.workspace[1:]}"
-        self.deliver(name, SessionOpened(number, "primary-db", key))
-        statement = SessionStatement(number, f"s{number}", request.command)
+        self.deliver(name, m.SessionOpened(number, "primary-db", key))
+        statement = m.SessionStatement(number, f"s{number}", request.command)
         self.deliver(name, statement)
 
     def repeat(self, request: Request, retry_after: timedelta) -> None:
@@ -155,28 +133,28 @@
 
     def perform(self, name: str, message: object) -> None:
         match message:
-            case OpenPooled():
+            case m.OpenPooled():
                 self.open(name, message.connection)
-            case RunSteps():
+            case m.RunSteps():
                 self.schedule(self.distance(name), lambda: self.receive(name, message))
-            case ClosePooled():
+            case m.ClosePooled():
                 key = name, message.connection
                 self.schedule(self.distance(name), lambda: self.backends.pop(key, None))
-            case AnswerStatement():
+            case m.AnswerStatement():
                 request = self.pending.pop((name, message.session))
                 if request.sent_at >= self.measured_from:
                     latency = self.time - request.sent_at
                     self.latencies.setdefault(request.workspace, []).append(latency)
-            case RefuseStatement():
+            case m.RefuseStatement():
                 request = self.pending.pop((name, message.session))
                 self.refusal_waits.append(self.time - request.submitted_at)
                 delay = message.refusal.retry_after or timedelta(0)
                 self.repeat(request, delay)
-            case RefuseSession() | EndSession():
+            case m.RefuseSession() | m.EndSession():
                 request = self.pending.pop((name, message.session), None)
                 if request is not None:
                     self.repeat(request, SECOND)
-            case AcceptSession():
+            case m.AcceptSession():
                 pass
             case _:
                 super().perform(name, message)
@@ -189,16 +167,16 @@
         def accept() -> None:
             if len(self.backends) >= self.connection_limit:
                 self.refused_connections += 1
-                lost = PooledLost(connection, Fault.TOO_MANY_CONNECTIONS)
+                lost = m.PooledLost(connection, m.Fault.TOO_MANY_CONNECTIONS)
                 self.schedule(delay, lambda: self.deliver(name, lost))
                 return
             self.backends[name, connection] = Backend(name, connection)
-            opened = PooledOpened(connection, POSITION)
+            opened = m.PooledOpened(connection, POSITION)
             self.schedule(HANDSHAKE + delay, lambda: self.deliver(name, opened))
 
         self.schedule(delay, accept)
 
-    def receive(self, name: str, message: RunSteps) -> None:
+    def receive(self, name: str, message: m.RunSteps) -> None:
         backend = self.backends.get((name, message.connection))
         if backend is None:
             return
@@ -211,7 +189,7 @@
         """Run the next step of a connection; a statement waits for a slot."""
         if not backend.steps:
             return
-        if not isinstance(backend.steps[0], RunStatement):
+        if not isinstance(backend.steps[0], m.RunStatement):
             self.answer_step(backend)
         elif self.working < self.slots:
             self.working += 1
@@ -229,11 +207,11 @@
     def answer_step(self, backend: Backend) -> None:
         """Answer a connection's oldest step."""
         step = backend.steps.popleft()
-        if isinstance(step, BeginWork):
-            backend.phase = Phase.OPEN
-        elif isinstance(step, EndWork | CommitWork):
-            backend.phase = Phase.IDLE
-        answer = StepAnswered(backend.connection, backend.phase, position=POSITION)
+        if isinstance(step, m.BeginWork):
+            backend.phase = m.Phase.OPEN
+        elif isinstance(step, m.EndWork | m.CommitWork):
+            backend.phase = m.Phase.IDLE
+        answer = m.StepAnswered(backend.connection, backend.phase, position=POSITION)
         delay = self.distance(backend.instance)
         self.schedule(delay, lambda: self.deliver(backend.instance, answer))
         self.run_next(backend)
--- a/tests/test_rates_fleet.py
+++ b/tests/test_rates_fleet.py
@@ -146,6 +146,40 @@
     assert load.worst_excess() <= 1e-6
 
 
+def test_instances_of_the_build_before_are_asked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an unlocked share of a build that does not answer questions.
+
+    Half of the instances take a question for an answer to a report, as that build does.
+    """
+    original = Network.deliver
+    old_builds = set(NAMES[::2])
+
+    def deliver(network: Network, to: str, message: object) -> None:
+        if (
+            to in old_builds
+            and isinstance(message, PeerReceived)
+            and isinstance(message.message, ShareRenew)
+        ):
+            renewal = evolve(message.message, asks_report=False)
+            message = evolve(message, message=renewal)
+        original(network, to, message)
+
+    monkeypatch.setattr(Network, "deliver", deliver)
+    load = make_load(NAMES)
+    network, lost = load.network, allocator_name(load)
+    used = three_other_instances(load)
+    load.offer(0.8 * RATE, 4 * SECOND, lambda: network.random.choice(used))
+    network.kill(lost)
+    load.offer(2 * RATE, 8 * SECOND, lambda: network.random.choice(used))
+    assert allocator_name(load) != lost
+    assert load.worst_excess() <= 1e-6
+    refused = load.refused
+    load.offer(0.5 * RATE, 3 * SECOND, lambda: network.random.choice(used))
+    assert load.refused == refused
+
+
 @pytest.mark.parametrize("silent", [False, True])
 def test_failed_allocator_of_a_fleet_is_replaced(silent: bool) -> None:
     """Guards against shares that end or are given out twice when allocators change."""
