--- a/pimentodrift/connection_limits.py
+++ b/pimentodrift/connection_limits.py
@@ -19,6 +19,7 @@
 # not keep the endpoint busy with refusals.
 FIRST_BACKOFF = timedelta(milliseconds=40)
 MAX_BACKOFF = timedelta(milliseconds=150)
+MAX_DOUBLINGS = 4  # More than the longest backoff needs.
 
 
 def fair_share(accepted: int, instances: int) -> int:
@@ -42,4 +43,5 @@
 
 def backoff(refusals: int) -> timedelta:
     """Return the time until the next attempt after a number of refusals in a row."""
-    return min(FIRST_BACKOFF * (1 << min(refusals - 1, 4)), MAX_BACKOFF)
+    doublings = min(refusals - 1, MAX_DOUBLINGS)
+    return min(FIRST_BACKOFF * (1 << doublings), MAX_BACKOFF)
--- a/pimentodrift/given_up_shares.py
+++ b/pimentodrift/given_up_shares.py
@@ -4,6 +4,8 @@
 A change that was in flight meets no share any more; another final report says so.
 """
 
+from datetime import timedelta
+
 from . import peers
 from .clock import MILLISECOND
 from .peer_messages import ShareLower, ShareRaise, ShareRenew, ShareReport
@@ -29,11 +31,20 @@
     if message.epoch > share.epoch:
         share = GivenUpShare(message.epoch, admitted=share.admitted)
         state.given_up_shares[message.workspace] = share
-    started = state.clock.monotonic() - state.started_at
-    quiet_ms = 0 if share.admitted else started // MILLISECOND
+    quiet_ms = quiet_time(share.admitted, state) // MILLISECOND
     send_final_report(message.workspace, share, state, quiet_ms=quiet_ms)
 
 
+def quiet_time(admitted: int, state: State) -> timedelta:
+    """Return how long this process has run without admitting anything, else 0.
+
+    `admitted` counts the requests of a workspace that it has admitted.
+    """
+    if admitted:
+        return timedelta(0)
+    return state.clock.monotonic() - state.started_at
+
+
 def send_final_report(
     workspace: str,
     share: GivenUpShare,
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -19,7 +19,12 @@
 from .clock import MILLISECOND
 from .dispatch import handle, handle_peer
 from .errors import Problem, not_run
-from .given_up_shares import decline_change, give_up_share, report_no_share
+from .given_up_shares import (
+    decline_change,
+    give_up_share,
+    quiet_time,
+    report_no_share,
+)
 from .notices import Admitted, Refused
 from .peer_messages import (
     Epoch,
@@ -273,17 +278,10 @@
         number,
         row.admitted,
         row.granted,
-        quiet_ms=quiet_time(row, state) // MILLISECOND,
+        quiet_ms=quiet_time(row.admitted, state) // MILLISECOND,
     )
 
 
-def quiet_time(row: ShareRow, state: State) -> timedelta:
-    """Return how long this process has run without admitting anything, else 0."""
-    if row.admitted:
-        return timedelta(0)
-    return state.clock.monotonic() - state.started_at
-
-
 def run(state: State) -> None:
     """Refill buckets, admit waiting requests and report to the allocators."""
     workspaces = state.configuration.workspaces
