Divide a small burst among its allocator and two standbys

A burst below a request an instance was held by the allocator alone, so a workspace with a calm load was refused for 3.9 s (6.8 s with the store down) after its allocator had fallen silent.

Such a burst and its rate are now divided among the allocator and up to two standbys, which the allocator names in its renewals. Granted tokens count as held by the granting share until they are spent, so the sum stays exact without messages between the grantors.

There are no standbys while a holder's build asks none.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -54,6 +54,7 @@
     send_lower,
     target_rates,
 )
+from .standby_grants import choose_standbys
 from .tables import State, WorkspaceRow
 from .token_grants import grant_tokens, update_scarcity, usable_limits
 
@@ -135,6 +136,7 @@
     holding.tokens = message.tokens
     holding.demand = message.demand
     holding.tokens_needed = message.tokens_needed
+    holding.can_stand_by = message.can_stand_by
     peers.send(
         sender,
         renewal(row, message.number),
@@ -290,6 +292,7 @@
     resend_operations(row, state)
     row.free_tokens = min(row.free_tokens, max(0.0, free_burst(row, workspace)))
     update_scarcity(row, workspace)
+    choose_standbys(row, workspace, state)
     targets = target_rates(row, workspace, state)
     lower_excess_shares(row, workspace, targets, state)
     raise_deficient_shares(row, workspace, targets, state)
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -247,7 +247,9 @@
 
 def renewal(row: AllocationRow, number: int = 0) -> ShareRenew:
     """Return the answer to the report with a number, or the news of an epoch."""
-    return ShareRenew(row.workspace, row.epoch, number, takes_back=True)
+    return ShareRenew(
+        row.workspace, row.epoch, number, takes_back=True, standbys=row.standbys
+    )
 
 
 def instances_to_notify(state: State) -> list[str]:
--- a/pimentodrift/core.py
+++ b/pimentodrift/core.py
@@ -23,6 +23,7 @@
     replication,
     reservations,
     routing,
+    standby_grants,
     view,
     work_limits,
 )
@@ -44,6 +45,7 @@
     replication.run,
     allocation.run,
     rates.run,
+    standby_grants.run,
     routing.run,
     work_limits.run,
     draining.run,
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -204,6 +204,7 @@
     declined: int = 0  # Number of a change that was not applied; 0 if there is none.
     # Time since the sender's process started, if it has admitted nothing; else 0.
     quiet_ms: int = 0
+    can_stand_by: bool = False  # The sender's build answers a `TokenQuery`.
 
 
 @frozen
@@ -219,6 +220,8 @@
     number: int = 0
     takes_back: bool = False
     asks_report: bool = False  # An instance without a share answers a final report.
+    # Instances besides the allocator that grant tokens of their own shares.
+    standbys: tuple[str, ...] = ()
 
 
 @frozen
@@ -290,6 +293,19 @@
     tokens: int
 
 
+@frozen
+class TokenQuery(PeerMessage):
+    """Ask a standby for tokens of its own share; a `ShareGrant` answers.
+
+    `needed` counts the requests that wait for a token.
+    """
+
+    workspace: str
+    epoch: Epoch
+    number: int
+    needed: int
+
+
 @frozen
 class ProbeQuery(PeerMessage):
     """Ask another watcher of the group whether it sees the primary of `term` fail."""
--- a/pimentodrift/rate_rows.py
+++ b/pimentodrift/rate_rows.py
@@ -52,6 +52,14 @@
     reports_sent: dict[int, timedelta] = field(factory=dict)
     granted: int = 0  # Number of the report that the last grant answered.
     can_return: bool = False  # The allocator takes back shares that are given up.
+    # Tokens granted to others that they may still spend: until when, and how many.
+    outstanding: deque[tuple[timedelta, int]] = field(factory=deque)
+    grants_after: timedelta = NEVER  # No grant before this time; see `must_defer`.
+    standbys: tuple[str, ...] = ()  # Other instances that grant tokens.
+    standby_asked_at: timedelta = NEVER  # When the last one was asked for tokens.
+    standby_asked: int = 0  # Questions to standbys; each goes to the next of them.
+    # When each recent question to a standby was sent, by number.
+    queries_sent: dict[int, timedelta] = field(factory=dict)
 
 
 @define
@@ -82,6 +90,7 @@
     operation_sent_at: timedelta = NEVER
     grant_number: int = 0  # Number of the report that the last grant answered.
     granted_at: timedelta = NEVER
+    can_stand_by: bool = False  # Its build can grant tokens of its own share.
     # Since when its process has run without admitting anything, at its first report in
     # this epoch; None if it had admitted something.
     quiet_since: timedelta | None = None
@@ -119,6 +128,7 @@
     # admitted nothing since.
     without_share: dict[str, timedelta | None] = field(factory=dict)
     asked_at: timedelta = NEVER  # When those that have not reported were last asked.
+    standbys: tuple[str, ...] = ()  # Holders of parts of a burst that is not divided.
 
 
 @define
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -51,6 +51,9 @@
 # In a larger fleet, a share without a request for this long is given up: each one costs
 # two reports and two answers a second.
 IDLE_SHARE_LIFETIME = timedelta(seconds=2)
+# Time without grants in which a repeated `ShareLower` arrives: longer than the interval
+# of the repetitions.
+GRANT_PAUSE = timedelta(milliseconds=500)
 # Requests/s; a lower rate is the rounding error of a rate that was given up.
 MIN_REFILL_RATE = 1e-6
 # Rounding error by which a sum of floating-point shares may fall short of a token.
@@ -82,9 +85,23 @@
 def refill_bucket(row: ShareRow, state: State) -> None:
     """Add the tokens of the time since the last refill, up to the burst."""
     now = state.clock.monotonic()
-    elapsed = (now - row.refilled_at).total_seconds()
-    row.refilled_at = now
-    row.tokens = min(row.burst, row.tokens + row.rate * elapsed)
+    while row.outstanding and row.outstanding[0][0] <= now:
+        refill_until(row.outstanding[0][0], row)
+        row.outstanding.popleft()
+    refill_until(now, row)
+
+
+def refill_until(time: timedelta, row: ShareRow) -> None:
+    """Add the tokens up to a time; granted ones that may be unspent count as held."""
+    elapsed = (time - row.refilled_at).total_seconds()
+    row.refilled_at = time
+    limit = row.burst - outstanding_tokens(row)
+    row.tokens = min(max(0.0, limit), row.tokens + row.rate * elapsed)
+
+
+def outstanding_tokens(row: ShareRow) -> int:
+    """Return how many tokens were granted that other instances may still spend."""
+    return sum(tokens for _, tokens in row.outstanding)
 
 
 def is_share_valid(row: ShareRow, state: State) -> bool:
@@ -279,6 +296,7 @@
         row.admitted,
         row.granted,
         quiet_ms=quiet_time(row.admitted, state) // MILLISECOND,
+        can_stand_by=True,
     )
 
 
@@ -310,6 +328,8 @@
     idle = state.clock.monotonic() - row.used_at
     if row.waiting or idle <= IDLE_SHARE_LIFETIME or holds_all_shares(state):
         return False
+    if row.outstanding or state.settings.name in row.standbys:
+        return False
     return row.can_return and row.workspace not in state.allocations
 
 
@@ -351,6 +371,8 @@
     if not accept_epoch(message.epoch, row, state):
         return
     row.can_return = message.takes_back
+    if message.number or message.standbys:
+        row.standbys = message.standbys
     sent_at = row.reports_sent.get(message.number)
     if sent_at is not None:
         if sent_at - row.renewed_at > SHARE_LEASE:
@@ -368,12 +390,26 @@
         return
     if message.number > row.last_number:
         refill_bucket(row, state)
+        if must_defer(message, row, state):
+            return
         row.last_number = message.number
         row.last_lowered = lower_share(row, message)
     if row.last_lowered is not None and row.last_lowered.number == message.number:
         peers.send(sender, row.last_lowered, state)
 
 
+def must_defer(message: ShareLower, row: ShareRow, state: State) -> bool:
+    """Return whether burst has to stay because it covers tokens that others may spend.
+
+    The allocator repeats the message; until then, this instance grants no more tokens.
+    """
+    outstanding = outstanding_tokens(row)
+    if not outstanding or row.burst - message.burst >= outstanding:
+        return False
+    row.grants_after = state.clock.monotonic() + GRANT_PAUSE
+    return True
+
+
 def lower_share(row: ShareRow, message: ShareLower) -> ShareLowered:
     """Subtract rate and burst from the share, with the tokens that no longer fit."""
     rate = min(row.rate, message.rate)
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -28,6 +28,7 @@
     session_draining,
     session_opening,
     sessions,
+    standby_grants,
 )
 from .dispatch import handle
 from .fencing import coordination, stopping
@@ -47,6 +48,7 @@
     registry.run,
     allocation.run,
     rates.run,
+    standby_grants.run,
     pools.run,
     stopping.run,
     coordination.run,
--- a/pimentodrift/share_moves.py
+++ b/pimentodrift/share_moves.py
@@ -52,7 +52,9 @@
     ]
     wanted = sum(holding.demand for holding in active) * HEADROOM
     if is_central(row, workspace):
-        return {name: available if name == own else 0.0 for name in row.holdings}
+        grantors = {own, *row.standbys}
+        part = available / len(grantors)
+        return {name: part if name in grantors else 0.0 for name in row.holdings}
     follows_all = row.is_scarce or not state.settings.uses(Policy.EVEN_SHARES)
     followed = available * (1.0 if follows_all else 1.0 - EVEN_FRACTION)
     factor = min(1.0, followed / wanted) if wanted > 0 else 0.0
--- a/pimentodrift/token_grants.py
+++ b/pimentodrift/token_grants.py
@@ -16,10 +16,11 @@
 
 from . import peers, rates
 from .burst_reduction import effective_limits, remaining_surplus
+from .clock import CLOCK_DRIFT_FACTOR
 from .dispatch import handle_peer
 from .peer_messages import ShareGrant, ShareReport
 from .policies import Policy
-from .rate_rows import AllocationRow, HoldingRow
+from .rate_rows import AllocationRow, HoldingRow, ShareRow
 from .tables import State, WorkspaceRow
 
 # Requests per holder. A smaller burst is not divided: buckets that hold less than a
@@ -43,7 +44,20 @@
 def is_central(row: AllocationRow, workspace: WorkspaceRow) -> bool:
     """Return whether the allocator's instance should hold the whole rate and burst."""
     least = SCARCE_BURST_PER_HOLDER if row.is_scarce else MIN_BURST_PER_HOLDER
-    return workspace.burst < least * len(row.holdings)
+    return workspace.burst < least * holder_count(row)
+
+
+def is_indivisible(row: AllocationRow, workspace: WorkspaceRow) -> bool:
+    """Return whether the burst is too small to be divided even while none is scarce."""
+    return workspace.burst < MIN_BURST_PER_HOLDER * holder_count(row)
+
+
+def holder_count(row: AllocationRow) -> int:
+    """Return how many instances hold shares; one more if a lost one may have a part.
+
+    Otherwise the loss of a holder could make the rest of a small burst seem divisible.
+    """
+    return len(row.holdings) + (row.locked_burst > 0)
 
 
 def update_scarcity(row: AllocationRow, workspace: WorkspaceRow) -> None:
@@ -91,9 +105,9 @@
         return
     rates.refill_bucket(own, state)
     tokens = int(min(own.tokens + rates.TOKEN_TOLERANCE, holding.tokens_needed))
-    if tokens < 1 or not rates.is_share_valid(own, state):
+    if tokens < 1 or not may_spend_on_others(own, state):
         return
-    own.tokens = max(0.0, own.tokens - tokens)
+    record_grant(own, tokens, state)
     holding.tokens_needed -= tokens
     holding.grant_number = report.number
     holding.granted_at = row.granted_at = state.clock.monotonic()
@@ -101,6 +115,22 @@
     peers.send(holding.instance, message, state)
 
 
+def may_spend_on_others(own: ShareRow, state: State) -> bool:
+    """Return whether tokens of this instance's share may be granted now."""
+    is_paused = state.clock.monotonic() < own.grants_after
+    return rates.is_share_valid(own, state) and not is_paused
+
+
+def record_grant(own: ShareRow, tokens: int, state: State) -> None:
+    """Take granted tokens from the share; they count as held until they are spent.
+
+    So the tokens in buckets and grants never exceed the burst.
+    """
+    own.tokens = max(0.0, own.tokens - tokens)
+    until = state.clock.monotonic() + CLOCK_DRIFT_FACTOR * GRANT_LIFETIME
+    own.outstanding.append((until, tokens))
+
+
 def may_grant(
     row: AllocationRow,
     holding: HoldingRow,
@@ -126,10 +156,21 @@
 @handle_peer.register
 def _(message: ShareGrant, sender: str, state: State) -> None:
     row = rates.get_or_create_share(message.workspace, state)
+    if message.number in row.queries_sent:
+        asked_at = row.queries_sent.pop(message.number)
+        spend_grant(row, message, asked_at, state)
+        return
     sent_at = row.reports_sent.get(message.number)
     if message.epoch != row.epoch or sent_at is None or message.number <= row.granted:
         return
     row.granted = message.number
+    spend_grant(row, message, sent_at, state)
+
+
+def spend_grant(
+    row: ShareRow, message: ShareGrant, sent_at: timedelta, state: State
+) -> None:
+    """Admit waiting requests with a grant, unless it is late."""
     if state.clock.monotonic() - sent_at > GRANT_LIFETIME:
         state.counters["rates.grants_late"] += 1
         return
