Serve waiting statements by priority, deadline and fair time on connections

Cause: under load, an endpoint's queue served the workspaces in turns whatever their statements' objectives, and told all refused ones the same time to come back. Change: the queue policy deadline-order, with an expected wait by slots and bookings for those that come back; off unless the setting names it.

--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -21,6 +21,7 @@
     send_steps,
 )
 from .request_events import TransactionEnded
+from .service_order import serving
 from .session_messages import (
     NOT_RUN,
     ApplyStep,
@@ -282,6 +283,7 @@
     elapsed = max(timedelta(0), now - sent_at - (pool.round_trip or timedelta(0)))
     pool.service += (elapsed - pool.service) * SERVICE_WEIGHT
     pool.service_at = now
+    serving.record_time(operation, sent_at, pool, state)
 
 
 def on_statement_failed(
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -24,6 +24,7 @@
     token_retry_after,
 )
 from .rate_waiters import on_admitted, on_refused
+from .service_order import selection, serving
 from .session_messages import EndpointFailed, Fault, PlacementNeeded, Refusal
 from .session_rows import (
     Consistency,
@@ -112,10 +113,7 @@
         hold(operation, state)
         return
     pool = state.pools[target.name]
-    objective = operation.route.objective
-    delay = arrival_retry_after(
-        configured_policy(state), queue_of(pool, state), objective
-    )
+    delay = retry_after(operation, pool, state)
     if delay is not None:
         state.counters["operations.refused_on_arrival"] += 1
         detail = f"the queue of {target.name} takes longer than the objective allows"
@@ -129,6 +127,16 @@
     pools.enqueue(operation, pool, state)
 
 
+def retry_after(
+    operation: OperationRow, pool: PoolRow, state: State
+) -> timedelta | None:
+    """Return when to retry a statement that its queue refuses; None if it may wait."""
+    if selection.is_ordered(pool, state):
+        return serving.refusal_for(operation, pool, state)
+    policy = selection.policy_for(pool, state)
+    return arrival_retry_after(policy, queue_of(pool, state), operation.route.objective)
+
+
 def queue_of(pool: PoolRow, state: State) -> Queue:
     """Return the queue of an endpoint as `queue_policy` sees it."""
     return Queue(
@@ -285,8 +293,12 @@
     """Refuse a queued statement that was assigned no connection in time."""
     now = state.clock.monotonic()
     route = operation.route
+    pool = state.pools[operation.endpoint]
+    if selection.is_ordered(pool, state):
+        serving.check_waiting(operation, pool, state)
+        return
     if not is_wait_over(
-        configured_policy(state),
+        selection.policy_for(pool, state),
         now - operation.staged_at,
         now - operation.queued_at,
         route.objective,
@@ -294,7 +306,6 @@
     ):
         return
     pools.remove_waiting(operation, state)
-    pool = state.pools[operation.endpoint]
     wait = max(MIN_RETRY_AFTER, queue_of(pool, state).expected_wait)
     detail = f"no connection to {operation.endpoint} became free"
     refuse(operation, Refusal(Fault.OVERLOADED, detail, wait), state)
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -14,6 +14,7 @@
 from .dispatch import handle
 from .log_events import EndpointAnswers, EndpointFailing
 from .policies import Policy
+from .service_order import selection, serving
 from .session_messages import (
     ClosePooled,
     ConnectionAssigned,
@@ -124,6 +125,9 @@
 
 def serve_waiting(pool: PoolRow, state: State) -> None:
     """Assign idle connections to waiting operations; open more for the rest."""
+    if selection.is_ordered(pool, state):
+        serving.serve(pool, state)
+        return
     prevent_starvation(pool, state)
     while assign_connection(pool, state):
         pass
@@ -180,16 +184,27 @@
         return False
     operation = min(heads, key=lambda row: row.route.priority)
     dequeue(operation, pool)
-    session = state.sessions.get(operation.session)
     rows = by_workspace[operation.workspace]
-    best = rows[0]
-    if session is not None:
-        best = min(rows, key=lambda row: connection_setup.setup_cost(session, row))
-    best.operation = operation.operation
-    handle(ConnectionAssigned(operation.operation, best.connection), state)
+    assign(operation, best_connection(operation, rows, state), state)
     return True
 
 
+def best_connection(
+    operation: OperationRow, rows: list[PooledRow], state: State
+) -> PooledRow:
+    """Return the idle connection that needs the fewest steps to run an operation."""
+    session = state.sessions.get(operation.session)
+    if session is None:
+        return rows[0]
+    return min(rows, key=lambda row: connection_setup.setup_cost(session, row))
+
+
+def assign(operation: OperationRow, row: PooledRow, state: State) -> None:
+    """Assign an idle connection to an operation."""
+    row.operation = operation.operation
+    handle(ConnectionAssigned(operation.operation, row.connection), state)
+
+
 def dequeue(operation: OperationRow, pool: PoolRow) -> None:
     """Remove an operation from its queue; its workspace is then served last."""
     queue = pool.waiting.pop(operation.workspace)
@@ -261,6 +276,7 @@
 
 def release(row: PooledRow, state: State) -> None:
     """Make a connection idle, at once or when its steps in flight are answered."""
+    serving.record_release(row, state)
     row.operation = 0
     row.session = 0
     row.releasing = bool(row.steps)
--- a/pimentodrift/queue_policy.py
+++ b/pimentodrift/queue_policy.py
@@ -18,6 +18,8 @@
     EXPECTED_WAIT = "expected-wait"  # The wait would take too much of the objective.
     QUEUE_LENGTH = "queue-length"  # As many wait as there are connections.
     FIRST_COME = "first-come"  # Never; statements wait for up to the route's timeout.
+    # By priority, deadline and fair shares of time on connections (`service_order`).
+    DEADLINE_ORDER = "deadline-order"
 
 
 # Fraction of the latency objective that a statement may spend in a queue.
@@ -78,7 +80,7 @@
         case QueuePolicy.QUEUE_LENGTH:
             is_full = queue.waiting >= max(1, queue.connections)
             return max(MIN_RETRY_AFTER, queue.expected_wait) if is_full else None
-        case QueuePolicy.EXPECTED_WAIT:
+        case QueuePolicy.EXPECTED_WAIT | QueuePolicy.DEADLINE_ORDER:
             excess = queue.expected_wait - objective * MAX_QUEUE_FRACTION
             return max(MIN_RETRY_AFTER, excess) if excess > timedelta(0) else None
 
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -141,6 +141,9 @@
     # Its names of prepared statements, by access and text.
     shapes: dict[tuple[Access, str], str] = field(factory=dict)
     releasing: bool = False  # Becomes idle when its steps in flight are answered.
+    # When it was assigned, and the time charged for that (`service_order`).
+    assigned_at: timedelta = NEVER
+    charged: timedelta = timedelta(0)
 
 
 @define
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -37,6 +37,7 @@
     GivenUpShare,
     ShareRow,
 )
+from .service_order.rows import ServiceRow
 from .session_rows import (
     LeadershipRow,
     OpeningRow,
@@ -416,6 +417,7 @@
     fences: dict[str, FenceRow] = field(factory=dict)  # By group.
     coordinations: dict[str, CoordinationRow] = field(factory=dict)  # By group.
     latencies: Latencies = field(factory=dict)
+    services: dict[str, ServiceRow] = field(factory=dict)  # By endpoint.
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
