Limit routes and workspaces to regions

Routes and workspaces may have to be served within regions, and nothing kept their statements out of others. Both limits bind: endpoints elsewhere are not chosen, each send is checked again, and what no allowed endpoint can run is refused at once. Operators' files take the same limits, and a promotion prefers an allowed region among equally long logs.

--- a/pimentodrift/admission.py
+++ b/pimentodrift/admission.py
@@ -230,6 +230,7 @@
         statement=Statement(route.statement),
         deadline=state.clock.monotonic() + state.settings.request_timeout,
         max_age=route.max_age or None,
+        open_route=route.name,
     )
 
 
--- a/pimentodrift/configuration.py
+++ b/pimentodrift/configuration.py
@@ -69,6 +69,7 @@
             group: timedelta(milliseconds=age)
             for group, age in declared.get("stale_reads", {}).items()
         },
+        regions=frozenset(declared.get("regions", ())),
     )
     for digest in declared.get("keys", []):
         result.keys[digest] = KeyRow(digest, digest[:KEY_ID_LENGTH], name)
@@ -80,5 +81,6 @@
                 group=route["group"],
                 statement=route["statement"],
                 max_age=timedelta(milliseconds=route.get("max_age_ms", 0)),
+                regions=frozenset(route.get("regions", ())),
             ),
         )
--- a/pimentodrift/errors.py
+++ b/pimentodrift/errors.py
@@ -45,6 +45,7 @@
     INSTANCE_ISOLATED = "instance-isolated"
     INSTANCE_STOPPING = "instance-stopping"
     SESSION_TOKEN_INVALID = "session-token-invalid"
+    REGION_FORBIDDEN = "region-forbidden"
 
 
 PROBLEMS: dict[Problem, tuple[int, str]] = {
@@ -81,6 +82,7 @@
     Problem.INSTANCE_ISOLATED: (503, "This instance cannot confirm its configuration"),
     Problem.INSTANCE_STOPPING: (503, "This instance is shutting down"),
     Problem.SESSION_TOKEN_INVALID: (400, "The session token cannot be read"),
+    Problem.REGION_FORBIDDEN: (403, "No endpoint in an allowed region can serve this"),
 }
 
 
--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -216,6 +216,15 @@
     longest_ms: int
 
 
+@frozen
+class TransactionLeftRegion(Event):
+    """A transaction was rolled back: its endpoint is in no allowed region any more."""
+
+    session: int
+    workspace: str
+    endpoint: str
+
+
 # --- The process
 
 
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -11,6 +11,7 @@
 from .fencing.contact import may_use_primary
 from .fencing.coordination import record_refusal
 from .fencing.messages import DemoteEndpoint
+from .homes.limits import allows_connection
 from .messages import Access, Position
 from .operation_completion import (
     access_refusal,
@@ -73,7 +74,9 @@
         return
     # Without a minimum position, only the group's primary may run the statement.
     connection.needs_primary = operation.minimum is None
-    if is_fenced(connection, state):
+    if is_fenced(connection, state) or not allows_connection(
+        operation.route, operation.workspace, connection, state
+    ):
         pools.release(connection, state)
         handle(PlacementNeeded(operation.operation), state)
         return
@@ -146,6 +149,10 @@
         refuse(operation, refusal, state)
         return
     connection = state.pooled[session.connection]
+    if not allows_connection(operation.route, operation.workspace, connection, state):
+        detail = f"{connection.endpoint} is not in an allowed region any more"
+        refuse(operation, Refusal(Fault.ABORTED, detail, RETRY_AFTER), state)
+        return
     if is_fenced(connection, state):
         detail = f"{connection.endpoint} is not the primary any more"
         refuse(operation, Refusal(Fault.ABORTED, detail, RETRY_AFTER), state)
@@ -221,7 +228,9 @@
     if message.fault is not None:
         retry_elsewhere(operation, connection, message, state)
         return
-    if is_fenced(connection, state):
+    if is_fenced(connection, state) or not allows_connection(
+        operation.route, operation.workspace, connection, state
+    ):
         if not connection.session:
             send_steps(connection, [EndWork()], state)
         retry_elsewhere(operation, connection, message, state)
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -11,6 +11,7 @@
 from .dispatch import handle
 from .errors import Failure
 from .fencing import contact
+from .homes import limits, sampling
 from .messages import Position
 from .operation_completion import access_refusal, refuse
 from .policies import Policy
@@ -59,6 +60,10 @@
     if session.connection:
         operation_steps.continue_transaction(operation, session, state)
         return
+    refusal = limits.region_refusal(operation, state)
+    if refusal is not None:
+        refuse(operation, refusal, state)
+        return
     if not operation.workspace or rates.take_token(operation.workspace, state):
         place(operation, state)
         return
@@ -103,7 +108,9 @@
 
 def place(operation: OperationRow, state: State) -> None:
     """Queue a statement at an endpoint, or hold or refuse it."""
-    refusal = access_refusal(state.sessions[operation.session], operation.route, state)
+    session = state.sessions[operation.session]
+    refusal = access_refusal(session, operation.route, state)
+    refusal = refusal or limits.region_refusal(operation, state)
     if refusal is not None:
         refuse(operation, refusal, state)
         return
@@ -171,6 +178,8 @@
     row = leadership.primary(group, state)
     if row is None or not registry.accepts_work(row, True, state):
         return None
+    if not limits.allows_endpoint(operation, row, state):
+        return None
     if not contact.may_use_primary(group, row.name, state):
         return None
     # `promotion` probes a failing primary; a statement would only wait for the outcome.
@@ -185,6 +194,8 @@
     is_primary = leadership.row_of(row.entry.group, state).primary == row.name
     if not is_primary and state.clock.monotonic() < pool.behind_until:
         return False
+    if not limits.allows_endpoint(operation, row, state):
+        return False
     return registry.accepts_work(row, False, state)
 
 
@@ -228,6 +239,10 @@
 
 def hold(operation: OperationRow, state: State) -> None:
     """Keep a statement until an endpoint can serve it."""
+    refusal = sampling.request_sample(operation, state)
+    if refusal is not None:
+        refuse(operation, refusal, state)
+        return
     if operation.stage is not Stage.HELD:
         operation_steps.set_stage(operation, Stage.HELD, state)
         state.counters["operations.held"] += 1
--- a/pimentodrift/operator_files.py
+++ b/pimentodrift/operator_files.py
@@ -30,8 +30,9 @@
     "stale_reads",
     "keys",
     "open_routes",
+    "regions",
 )
-ROUTE_FIELDS = ("group", "statement", "max_age_ms")
+ROUTE_FIELDS = ("group", "statement", "max_age_ms", "regions")
 
 
 @frozen
@@ -42,6 +43,8 @@
     group: LocatedText | None
     statement: LocatedText | None
     max_age_ms: int | None
+    regions: tuple[LocatedText, ...] | None = ()
+    region_line: int = 0  # Of the field `regions`; 0 if the file does not state it.
 
 
 @frozen
@@ -58,6 +61,7 @@
     keys: tuple[LocatedText, ...]
     routes: tuple[RouteDeclaration, ...]
     lines: dict[str, int]  # The line of each field that the file states.
+    regions: tuple[LocatedText, ...] | None = ()
 
     def line(self, name: str) -> int:
         """Return the line of a field, or of the workspace if the field is absent."""
@@ -198,6 +202,7 @@
         keys=section.texts("keys") or (),
         routes=tuple(read_route(route, inner) for route, inner in routes),
         lines={key: section.line_of(key) for key in section.node},
+        regions=section.texts("regions"),
     )
 
 
@@ -209,6 +214,8 @@
         group=section.text("group"),
         statement=section.text("statement"),
         max_age_ms=section.milliseconds("max_age_ms", 0),
+        regions=section.texts("regions"),
+        region_line=section.line_of("regions") if "regions" in section.node else 0,
     )
 
 
@@ -232,7 +239,7 @@
 def workspace_value(workspace: WorkspaceDeclaration) -> dict[str, Any]:
     """Return a workspace's value in a piece; lists are sorted: order has no meaning."""
     durability = workspace.durability
-    return {
+    return region_value(workspace.regions) | {
         "rate": workspace.rate,
         "burst": workspace.burst,
         "share": workspace.share,
@@ -246,6 +253,13 @@
                 "statement": route.statement.text if route.statement else "",
                 "max_age_ms": route.max_age_ms or 0,
             }
+            | region_value(route.regions)
             for route in workspace.routes
         },
     }
+
+
+def region_value(regions: tuple[LocatedText, ...] | None) -> dict[str, Any]:
+    """Return the field of a region limit; none without a limit, as in older pieces."""
+    names = sorted({region.text for region in regions or ()})
+    return {"regions": names} if names else {}
--- a/pimentodrift/operator_findings.py
+++ b/pimentodrift/operator_findings.py
@@ -33,6 +33,7 @@
     UNLISTED_GROUP = "unlisted-group"
     NOT_A_READ = "not-a-read"
     PIECE_TOO_LARGE = "piece-too-large"
+    INVALID_REGIONS = "invalid-regions"
 
 
 @frozen(order=True)
--- a/pimentodrift/operator_rules.py
+++ b/pimentodrift/operator_rules.py
@@ -84,6 +84,8 @@
     yield from check_numbers(workspace)
     yield from check_groups(workspace, service)
     yield from check_keys(workspace)
+    line = workspace.lines.get("regions", 0)
+    yield from check_regions(workspace.name, workspace.regions, line, "workspace")
     for route in workspace.routes:
         yield from check_route(route, workspace)
 
@@ -208,6 +210,26 @@
     if route.max_age_ms is not None and not 0 <= route.max_age_ms <= MAX_AGE_MS:
         text = f"{title}: max_age_ms {route.max_age_ms} must be 0 to {MAX_AGE_MS}"
         yield finding_at(route.name, FindingCode.INVALID_AGE, text)
+    yield from check_regions(route.name, route.regions, route.region_line, "open route")
+    route_regions = {region.text for region in route.regions or ()}
+    allowed = {region.text for region in workspace.regions or ()}
+    if route_regions and allowed and not route_regions & allowed:
+        text = f"{title}: no region is allowed by both the route and the workspace"
+        line = route.region_line
+        yield Finding(route.name.file, line, FindingCode.INVALID_REGIONS, text)
+
+
+def check_regions(
+    name: LocatedText, regions: tuple[LocatedText, ...] | None, line: int, kind: str
+) -> Iterable[Finding]:
+    """Check the regions of a workspace or route; `line` is 0 if it states none."""
+    for region in regions or ():
+        if NAME.fullmatch(region.text) is None:
+            text = f"{kind} {name.text}: {region.text!r} cannot name a region"
+            yield finding_at(region, FindingCode.INVALID_REGIONS, text)
+    if line and regions == ():
+        text = f"{kind} {name.text}: regions is empty; leave it out for no limit"
+        yield Finding(name.file, line, FindingCode.INVALID_REGIONS, text)
 
 
 def is_read(statement: str) -> bool:
--- a/pimentodrift/promotion_decisions.py
+++ b/pimentodrift/promotion_decisions.py
@@ -17,6 +17,7 @@
 from .fencing import coordination, permissions
 from .fencing.decisions import PromotionDecision, lease_end
 from .fencing.messages import FenceCompleted
+from .homes.limits import prefers_region
 from .log_events import PromotionDecided, PromotionEnded
 from .messages import Position
 from .promotion_messages import PromoteEnded, PromoteEndpoint, PromoteOutcome
@@ -190,7 +191,10 @@
         row.rejected.clear()
         return None
     preferred = preferred_target(row, found, state)
-    return preferred or max(found, key=lambda name: (found[name], name))
+    return preferred or max(
+        found,
+        key=lambda name: (found[name], prefers_region(name, row.group, state), name),
+    )
 
 
 @write_ended.register
--- a/pimentodrift/queueing.py
+++ b/pimentodrift/queueing.py
@@ -13,6 +13,7 @@
 from . import work_connections as pool
 from .dispatch import handle, handle_peer
 from .errors import Failure, Problem, not_run
+from .homes.requests import may_use_endpoint
 from .messages import Access, Action
 from .notices import SlotReleased, WorkConnectionLost, WorkConnectionReady
 from .peer_messages import Cancel, Forward
@@ -76,6 +77,8 @@
         return not_run(Problem.ENDPOINT_UNAVAILABLE, "the endpoint is not listed")
     if forward.key_id and forward.key_id not in state.configuration.key_ids:
         return key_failure(state)
+    if not may_use_endpoint(forward.workspace, forward.endpoint, state):
+        return not_run(Problem.REGION_FORBIDDEN, "the workspace's regions changed")
     if forward.transaction:
         return None  # A transaction keeps the connection and term of its beginning.
     group = state.groups[endpoint.group]
--- a/pimentodrift/replica_choice.py
+++ b/pimentodrift/replica_choice.py
@@ -11,6 +11,7 @@
 
 from . import membership, positions, replica_lag, transactions
 from .errors import Failure, Problem, not_run
+from .homes import requests
 from .messages import Access, Position
 from .tables import EndpointRow, PendingRequest, Presence, State
 from .tokens import upper_bound
@@ -30,6 +31,9 @@
 
 def choose_route(pending: PendingRequest, state: State) -> Route | Failure:
     """Return the route of the next attempt, or the failure if there is no route now."""
+    refusal = requests.region_refusal(pending, state)
+    if refusal is not None:
+        return refusal
     if pending.transaction:
         return transaction_route(pending, state)
     if pending.access is Access.READ:
@@ -39,7 +43,10 @@
     route = primary_route(pending, state)
     if route is None and pending.access is Access.READ:
         route = fallback_replica_route(pending, state)
-    return route or not_run(Problem.PRIMARY_UNAVAILABLE)
+    is_read = pending.access is Access.READ
+    if route is None and not (is_read and replica_minimum(pending, state)):
+        refusal = requests.primary_refusal(pending, state)
+    return route or refusal or not_run(Problem.PRIMARY_UNAVAILABLE)
 
 
 def transaction_route(pending: PendingRequest, state: State) -> Route | Failure:
@@ -47,6 +54,9 @@
     instance = transactions.owner_of(pending.transaction)
     if instance is None or instance not in state.instances:
         return not_run(Problem.TRANSACTION_UNKNOWN)
+    if not requests.allows_instance(pending, instance, state):
+        detail = "the owner of the transaction is in another region"
+        return not_run(Problem.REGION_FORBIDDEN, detail)
     return Route(state.groups[pending.group].primary, instance, ZERO_POSITION)
 
 
@@ -56,6 +66,8 @@
     row = state.endpoints.get(name)
     if row is None or name in pending.tried:
         return None
+    if not requests.allows_endpoint(pending, row, state):
+        return None
     route = route_to(row, session_minimum(pending), state)
     if route is None or pending.access is Access.WRITE:
         return route
@@ -152,6 +164,7 @@
         if row.name != primary
         and row.name not in pending.tried
         and row.presence is Presence.LIVE
+        and requests.allows_endpoint(pending, row, state)
     ]
 
 
--- a/pimentodrift/route_configuration.py
+++ b/pimentodrift/route_configuration.py
@@ -40,6 +40,7 @@
     rate: float
     burst: float
     priority: int = 0
+    regions: frozenset[str] = frozenset()  # Allowed for endpoints; empty: all.
 
 
 @frozen
@@ -70,7 +71,10 @@
             workspace.rate, workspace.burst, settings.rate_window, min_kept
         )
         result.workspaces[workspace.name] = WorkspaceRow(
-            workspace.name, max(MIN_RATE, bucket.rate), bucket.burst
+            workspace.name,
+            max(MIN_RATE, bucket.rate),
+            bucket.burst,
+            regions=workspace.regions,
         )
         for key in workspace.keys:
             digest = key_digest(key)
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -79,7 +79,7 @@
     if isinstance(route, Route):
         if not wait_for_replica(pending, route, state):
             forward(pending, route, state)
-    elif pending.transaction:
+    elif pending.transaction or route.problem is Problem.REGION_FORBIDDEN:
         finish_failure(pending, route, state)
     else:
         back_off(pending, pending.failure or route, state)
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -31,6 +31,7 @@
 )
 from .dispatch import handle
 from .fencing import coordination, stopping
+from .homes import enforcement, sampling
 from .policies import Policy
 from .tables import State
 from .ticks import REST_TICK, TICK, take_outbox
@@ -51,9 +52,11 @@
     stopping.run,
     coordination.run,
     promotion.run,
+    sampling.run,
     operations.run,
     session_opening.run,
     sessions.run,
+    enforcement.run,
     session_draining.run,
 )
 
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -34,6 +34,7 @@
     objective: timedelta  # Target latency of a whole operation.
     priority: int  # 0 is the highest.
     is_open: bool  # Its sessions need no key.
+    regions: frozenset[str] = frozenset()  # Allowed for endpoints; empty: all.
 
 
 @define
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -14,6 +14,7 @@
 from attrs import Attribute, field, frozen
 
 from .fencing.decisions import PrimaryFencing
+from .homes.decisions import parse_regions
 from .policies import Policy
 from .queue_policy import QueuePolicy
 
@@ -159,6 +160,23 @@
         return not value or all(part in self.names for part in value.split(","))
 
 
+@frozen
+class Regions(Validator):
+    """Accept the regions of data centres."""
+
+    def allowed(self) -> str:
+        """Describe the allowed values."""
+        return "DATA_CENTRE=REGION[,DATA_CENTRE=REGION...], or empty"
+
+    def accepts(self, value: Any) -> bool:
+        """Return whether a value names one region for each data centre."""
+        try:
+            parse_regions(value)
+        except ValueError:
+            return False
+        return True
+
+
 def help_metadata(text: str) -> dict[str, str]:
     """Return the attrs metadata that holds the help text of a setting's flag."""
     return {"help": text}
@@ -266,6 +284,11 @@
         validator=Between(1024, 2**24),
         metadata=help_metadata("Size of a request body in bytes."),
     )
+    regions: str = field(
+        default="",
+        validator=Regions(),
+        metadata=help_metadata("Regions of data centres, for region limits."),
+    )
 
     def uses(self, policy: Policy) -> bool:
         """Return whether a policy is on."""
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -233,6 +233,7 @@
     group: str
     statement: str
     max_age: timedelta = timedelta(0)
+    regions: frozenset[str] = frozenset()  # Allowed for endpoints; empty: all.
 
 
 @define
@@ -247,6 +248,7 @@
     durability: Durability = Durability.MAJORITY
     # By group, the age of data that the workspace's reads accept.
     max_ages: dict[str, timedelta] = field(factory=dict)
+    regions: frozenset[str] = frozenset()  # Allowed for endpoints; empty: all.
 
 
 @define
@@ -308,6 +310,7 @@
     waited_for_replica: bool = False
     may_have_run: bool = False  # The outcome of an earlier attempt is unknown.
     failure: Failure | None = None  # Failure of the last attempt.
+    open_route: str = ""  # The open route that was called, if any.
 
 
 @define
--- a/pimentodrift/transactions.py
+++ b/pimentodrift/transactions.py
@@ -35,6 +35,7 @@
     run_step,
     send_commit,
 )
+from .homes.requests import may_use_endpoint
 from .messages import Action, Position, Ran, Rows
 from .notices import SlotReleased
 from .statement_errors import failure_of
@@ -301,6 +302,9 @@
     for row in open_transactions(queue, state):
         if row.key_id not in state.configuration.key_ids:
             end(row, not_run(Problem.KEY_INVALID), state)
+        elif not may_use_endpoint(row.workspace, queue.endpoint, state):
+            detail = "the endpoint is not in an allowed region any more"
+            end(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
         elif group is None or group.term > row.term:
             detail = "the primary was replaced"
             end(row, not_run(Problem.TRANSACTION_ENDED, detail), state)
--- a/tests/test_operators_files.py
+++ b/tests/test_operators_files.py
@@ -58,6 +58,17 @@
     ({"open_routes": "{r: {group: g, statement: DELETE FROM t}}"}, ["not-a-read"]),
     ({"open_routes": "{r/s: {group: g, statement: SELECT 1}}"}, ["invalid-name"]),
     ({"open_routes": "{r: {group: g}}"}, ["missing-field"]),
+    ({"regions": "[]"}, ["invalid-regions"]),
+    ({"regions": "[a, 'b c']"}, ["invalid-regions"]),
+    ({"regions": "a"}, ["wrong-type"]),
+    ({"regions": "[a, b]"}, []),
+    (
+        {
+            "regions": "[a]",
+            "open_routes": "{r: {group: g, statement: SELECT 1, regions: [b]}}",
+        },
+        ["invalid-regions"],
+    ),
     ({"rate": "-1", "share": "-1", "keys": "[x]"}, ["3 findings"]),
 ]
 
@@ -192,3 +203,17 @@
     key = new_key()
     assert key.text.startswith("pd_") and len(key.text) == 3 + 43
     assert key.digest == digest(key.text) != digest(new_key().text)
+
+
+def test_regions_are_published_and_applied(tmp_path: Path) -> None:
+    """Guards against a limit that is checked but not in force."""
+    routes = "{r: {group: g, statement: SELECT 1, regions: [a]}}"
+    text = f"workspaces:\n  {workspace(regions='[b, a]', open_routes=routes)}\n"
+    files = check_directories([write(tmp_path / "s", text)])
+    built = configuration.build("p", 1, [piece.value for piece in files.pieces()])
+    assert built.workspaces["w"].regions == {"a", "b"}
+    assert built.open_routes["r"][1].regions == {"a"}
+    plain = check_directories(
+        [write(tmp_path / "t", f"workspaces:\n  {workspace()}\n")]
+    )
+    assert "regions" not in plain.pieces()[0].value["workspaces"]["w"]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -317,3 +317,21 @@
         check=True,
     )
     assert found.stdout.strip() == "False"
+
+
+def test_region_limits_are_decoded() -> None:
+    """Guards against a limit that is dropped, or one misread as no limit."""
+    limited = {"allowedRegions": ["north", "south"]}
+    configuration = CONFIGURATION | {
+        "routes": [CONFIGURATION["routes"][0] | limited],  # type: ignore[index]
+        "tenants": [CONFIGURATION["tenants"][0] | limited],  # type: ignore[index]
+    }
+    decoded = object_decoding.decode_configuration(configuration)
+    assert decoded.routes[0].regions == {"north", "south"}
+    assert decoded.workspaces[0].regions == {"north", "south"}
+    assert object_decoding.decode_regions([]) == frozenset()
+    for value in ("north", [""], [3], {"north": 1}):
+        with pytest.raises(TypeError):
+            object_decoding.decode_regions(value)
+    zones = SETTINGS | {"zones": {"n1": "north", "s1": "south"}}
+    assert settings.decode_settings(zones).instance.regions == "n1=north,s1=south"
