Take the endpoints of an evacuated data centre out of use within a bound

An operator could not ask that nothing more is sent to a data centre. Instances now keep a copy of the kind of the evacuations where the setting evacuation_bound is above 0, and relays pass it on. What only such a primary could run is refused with its reason.

--- a/pimentodrift/kind_messages.py
+++ b/pimentodrift/kind_messages.py
@@ -17,6 +17,7 @@
     CONFIGURATION = "configuration"
     REGISTRY = "registry"
     OWN = "own"  # Objects that the proxy writes, such as allocators.
+    EVACUATIONS = "evacuations"  # Data centres that get no more requests.
 
 
 def stored_name(kind: str, name: str) -> str:
--- a/pimentodrift/kind_rows.py
+++ b/pimentodrift/kind_rows.py
@@ -22,6 +22,12 @@
 MAX_DELETIONS = 4096  # Deletions remembered for each kind; bounds their memory.
 # The age of the view is that of the older copy of these kinds.
 VIEW_KINDS = (WatchedKind.CONFIGURATION, WatchedKind.OWN)
+# The same where evacuations are followed.
+EVACUATION_VIEW_KINDS = (*VIEW_KINDS, WatchedKind.EVACUATIONS)
+ALL_KINDS = tuple(WatchedKind)
+KINDS_WITHOUT_EVACUATIONS = tuple(
+    kind for kind in WatchedKind if kind is not WatchedKind.EVACUATIONS
+)
 
 
 @define
@@ -59,6 +65,26 @@
     return row
 
 
+def follows_evacuations(state: State) -> bool:
+    """Return whether this instance follows evacuations."""
+    return state.settings.evacuation_bound > timedelta(0)
+
+
+def watched_kinds(state: State) -> tuple[WatchedKind, ...]:
+    """Return the kinds of which this instance keeps a copy."""
+    return ALL_KINDS if follows_evacuations(state) else KINDS_WITHOUT_EVACUATIONS
+
+
+def watched_rows(state: State) -> list[KindRow]:
+    """Return the copies that this instance keeps."""
+    return [row_of(kind, state) for kind in watched_kinds(state)]
+
+
+def view_kinds(state: State) -> tuple[WatchedKind, ...]:
+    """Return the kinds whose oldest copy gives the age of the view."""
+    return EVACUATION_VIEW_KINDS if follows_evacuations(state) else VIEW_KINDS
+
+
 def reset_copy(row: KindRow) -> None:
     """Let a kind be listed again; what was known stays in use until then."""
     row.revision = 0
@@ -69,18 +95,18 @@
 
 def is_every_kind_listed(state: State) -> bool:
     """Return whether every kind has been listed since the start."""
-    return all(row_of(kind, state).revision for kind in WatchedKind)
+    return all(row_of(kind, state).revision for kind in watched_kinds(state))
 
 
 def confirm_kind(row: KindRow, since: timedelta, state: State) -> None:
     """Record that the copy of a kind was current at `since`.
 
-    The view is as old as the older copy of the configuration and the own objects.
+    The view is as old as the oldest copy of `view_kinds`.
     """
     row.confirmed_at = max(row.confirmed_at, since)
     if row.kind is WatchedKind.OWN:
         state.view.version = max(state.view.version, row.revision)
-    times = [row_of(kind, state).confirmed_at for kind in VIEW_KINDS]
+    times = [row_of(kind, state).confirmed_at for kind in view_kinds(state)]
     confirm_view(min(times), state)
 
 
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -15,6 +15,8 @@
 from . import store_eras, view
 from .clock import MILLISECOND, NEVER
 from .dispatch import handle
+from .evacuation import tracking
+from .evacuation.messages import Evacuation
 from .kind_messages import (
     CheckExpired,
     CheckFailed,
@@ -34,11 +36,12 @@
 )
 from .kind_rows import (
     MAX_RELAYED_AGE,
-    VIEW_KINDS,
     KindRow,
     confirm_kind,
     record_deletion,
     row_of,
+    view_kinds,
+    watched_kinds,
 )
 from .log_events import (
     CheckLost,
@@ -49,7 +52,7 @@
     StoreRegained,
 )
 from .messages import StoreObject
-from .notices import RegistryRelayed
+from .notices import EvacuationsRelayed, RegistryRelayed
 from .store_versions import era_of
 from .tables import State
 
@@ -69,6 +72,7 @@
     WatchedKind.CONFIGURATION: timedelta(milliseconds=100),
     WatchedKind.REGISTRY: timedelta(milliseconds=300),
     WatchedKind.OWN: timedelta(milliseconds=100),
+    WatchedKind.EVACUATIONS: timedelta(milliseconds=100),
 }
 WATCH_BACKOFF_BASE = timedelta(milliseconds=100)
 CHECK_BACKOFF = timedelta(milliseconds=500)
@@ -100,6 +104,12 @@
     view.apply((gone,), state)
 
 
+@apply_content.register
+@remove_content.register
+def _(content: Evacuation, entry: Entry, state: State) -> None:
+    """Leave the object to `tracking`, which follows the names of the kind."""
+
+
 @remove_content.register
 def _(content: Unreadable, entry: Entry, state: State) -> None:
     """Ignore the deletion of an object whose content was never applied."""
@@ -109,7 +119,7 @@
     """Keep the copies current by calls to the store, and by a relay if one answers."""
     is_following = view.follow_relay(state)
     view.expire_subscribers(state)
-    for kind in WatchedKind:
+    for kind in watched_kinds(state):
         row = row_of(kind, state)
         if not (is_following and is_relayed(row, state)):
             start_call(row, state)
@@ -122,7 +132,7 @@
     match row.kind:
         case WatchedKind.OWN:
             return row.revision > 0
-        case WatchedKind.REGISTRY:
+        case WatchedKind.REGISTRY | WatchedKind.EVACUATIONS:
             now = state.clock.monotonic()
             return row.revision > 0 and now - row.relayed_at <= view.RELAY_TIMEOUT
         case WatchedKind.CONFIGURATION:
@@ -199,6 +209,7 @@
     for entry in message.entries:
         row.changed_revision = max(row.changed_revision, entry.revision)
         apply_entry(entry, row, state)
+    tracking.update_from_kind(row, state)
     row.revision = max(row.revision, message.revision)
     if row.kind is WatchedKind.OWN:
         state.view.version = max(state.view.version, row.revision)
@@ -253,6 +264,7 @@
     for entry in message.entries:
         row.listed.add(entry.name)
         apply_entry(entry, row, state)
+    tracking.update_from_kind(row, state)
     if message.has_more and message.entries:
         row.listed_after = message.entries[-1].name
         return
@@ -264,6 +276,7 @@
     row.gone.clear()
     for name in [name for name in row.known if name not in row.listed]:
         apply_entry(Entry(name, row.list_revision, Gone()), row, state)
+    tracking.update_from_kind(row, state)
     confirm_kind(row, row.list_began_at, state)
 
 
@@ -296,12 +309,13 @@
         return
     apply_changes(row, message, state)
     confirm_kind(row, sent_at, state)
-    for kind in VIEW_KINDS:
+    for kind in view_kinds(state):
         other = row_of(kind, state)
         if other.revision >= message.revision:
             # The store has not changed since the revision of this copy.
             confirm_kind(other, sent_at, state)
-        elif other is not row:
+        elif other is not row and row.kind is not WatchedKind.EVACUATIONS:
+            # The answer to a check of the evacuations comes last and starts no other.
             other.check_after = NEVER
             start_check(other, state)
 
@@ -376,3 +390,16 @@
         for item in update.changes
     )
     apply_changes(row, KindChanged(row.kind, entries, update.revision), state)
+
+
+@handle.register
+def _(message: EvacuationsRelayed, state: State) -> None:
+    row = row_of(WatchedKind.EVACUATIONS, state)
+    update = message.update
+    if not row.revision or not store_eras.observe_version(update.revision, state):
+        return
+    row.relayed_at = state.clock.monotonic()
+    entries = tuple(tracking.relayed_entries(update, row))
+    apply_changes(row, KindChanged(row.kind, entries, update.revision), state)
+    if message.since is not None:
+        confirm_kind(row, message.since, state)
--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -270,4 +270,39 @@
     counts: dict[str, int]
 
 
+@frozen
+class EvacuationSeen(Event):
+    """A data centre is evacuated; a primary there is used for `left_ms` at most."""
+
+    data_centre: str
+    left_ms: int
+
+
+@frozen
+class EvacuationEnded(Event):
+    """A data centre is not evacuated any more."""
+
+    data_centre: str
+    lasted_ms: int
+
+
+@frozen
+class EvacuationDone(Event):
+    """This instance has no connection to a data centre's endpoints any more."""
+
+    data_centre: str
+    took_ms: int
+    aborted: int  # Transactions that were rolled back.
+
+
+@frozen
+class PrimaryLeft(Event):
+    """This instance uses no primary of a group in an evacuated data centre any more."""
+
+    group: str
+    endpoint: str
+    data_centre: str
+    after_ms: int  # Since the evacuation was seen.
+
+
 BUILT_IN = event_classes()
--- a/pimentodrift/notices.py
+++ b/pimentodrift/notices.py
@@ -1,10 +1,12 @@
 """Messages between modules of the core."""
 
+from datetime import timedelta
+
 from attrs import frozen
 
 from .errors import Failure
 from .messages import StatementResult
-from .peer_messages import RegistryUpdate
+from .peer_messages import RegistryUpdate, RelayedEvacuations
 
 
 @frozen
@@ -137,3 +139,11 @@
     """A relay sent changes of the registry of endpoints."""
 
     update: RegistryUpdate
+
+
+@frozen
+class EvacuationsRelayed(Notice):
+    """A relay sent all evacuations, current at `since` (None: at an unknown time)."""
+
+    update: RelayedEvacuations
+    since: timedelta | None
--- a/pimentodrift/operation_completion.py
+++ b/pimentodrift/operation_completion.py
@@ -6,6 +6,7 @@
 from . import latencies, pools, view
 from .clock import MILLISECOND, NEVER
 from .dispatch import handle
+from .evacuation import permissions
 from .request_events import (
     StatementAnswered,
     StatementLate,
@@ -165,6 +166,9 @@
     session.connection = 0
     if connection is None:
         return
+    if not permissions.may_send(connection, state):
+        pools.close_connection(connection, state)  # Rolls the transaction back.
+        return
     send_steps(connection, [EndWork()], state)
     pools.release(connection, state)
 
@@ -189,5 +193,8 @@
         isinstance(step, BeginWork) for step, _ in connection.steps
     )
     if is_open and not is_committing:
+        if not permissions.may_send(connection, state):
+            pools.close_connection(connection, state)
+            return
         send_steps(connection, [EndWork()], state)
     pools.release(connection, state)
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -8,6 +8,7 @@
 
 from . import connection_setup, leadership, pools
 from .dispatch import handle
+from .evacuation import permissions
 from .fencing.contact import may_use_primary
 from .fencing.coordination import record_refusal
 from .fencing.messages import DemoteEndpoint
@@ -82,7 +83,12 @@
 
 
 def is_fenced(connection: PooledRow, state: State) -> bool:
-    """Return whether work that needs the primary must not run on a connection."""
+    """Return whether work of a statement must not run on a connection any more.
+
+    Its endpoint is evacuated, or was replaced as the primary that the work needs.
+    """
+    if not permissions.may_send(connection, state):
+        return True
     group, endpoint = connection.group, connection.endpoint
     return connection.needs_primary and not may_use_primary(group, endpoint, state)
 
@@ -147,7 +153,9 @@
         return
     connection = state.pooled[session.connection]
     if is_fenced(connection, state):
-        detail = f"{connection.endpoint} is not the primary any more"
+        detail = permissions.evacuation_detail(connection.endpoint, state) or (
+            f"{connection.endpoint} is not the primary any more"
+        )
         refuse(operation, Refusal(Fault.ABORTED, detail, RETRY_AFTER), state)
         return
     connection.operation = operation.operation
@@ -222,7 +230,9 @@
         retry_elsewhere(operation, connection, message, state)
         return
     if is_fenced(connection, state):
-        if not connection.session:
+        if not permissions.may_send(connection, state):
+            pools.close_connection(connection, state)
+        elif not connection.session:
             send_steps(connection, [EndWork()], state)
         retry_elsewhere(operation, connection, message, state)
         return
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -10,6 +10,7 @@
 from . import leadership, operation_steps, placement, pools, rates, registry
 from .dispatch import handle
 from .errors import Failure
+from .evacuation import permissions
 from .fencing import contact
 from .messages import Position
 from .operation_completion import access_refusal, refuse
@@ -109,7 +110,8 @@
         return
     target = choose_endpoint(operation, state)
     if target is None:
-        hold(operation, state)
+        if not refuse_evacuated(operation, state):
+            hold(operation, state)
         return
     pool = state.pools[target.name]
     objective = operation.route.objective
@@ -226,6 +228,18 @@
     return sampled
 
 
+def refuse_evacuated(operation: OperationRow, state: State) -> bool:
+    """Refuse a statement if every endpoint that could run it is evacuated."""
+    endpoint = permissions.stuck_primary(operation.route.group, state)
+    if not endpoint:
+        return False
+    detail = permissions.evacuation_detail(endpoint, state)
+    state.counters["evacuation.refused"] += 1
+    refusal = Refusal(Fault.OVERLOADED, detail, permissions.RETRY_AFTER)
+    refuse(operation, refusal, state)
+    return True
+
+
 def hold(operation: OperationRow, state: State) -> None:
     """Keep a statement until an endpoint can serve it."""
     if operation.stage is not Stage.HELD:
@@ -275,6 +289,8 @@
     if choose_endpoint(operation, state) is not None:
         place(operation, state)
         return
+    if refuse_evacuated(operation, state):
+        return
     if state.clock.monotonic() - operation.staged_at > HOLD_LIMIT:
         detail = "no endpoint of the group can serve the statement"
         refusal = Refusal(Fault.OVERLOADED, detail, MIN_RETRY_AFTER)
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -122,13 +122,15 @@
 
     Sent again at an interval; a `ViewUpdate` repeats the `number` of the last one that
     the relay received. `registry` is the revision up to which the subscriber knows the
-    registry; 0 where the registry is part of the objects.
+    registry; 0 where the registry is part of the objects. `evacuations` asks for the
+    evacuations, which builds before did not know.
     """
 
     version: int
     number: int = 0
     registry: int = 0
     era: int = NO_ERA
+    evacuations: bool = False
 
 
 @frozen
@@ -149,6 +151,14 @@
     changes: tuple[RelayedEndpoint, ...]
 
 
+@frozen
+class RelayedEvacuations:
+    """All evacuations at `revision`: the revision of each object, by data centre."""
+
+    revision: int
+    objects: dict[str, int]
+
+
 @frozen
 class ViewUpdate(PeerMessage):
     """Send changed objects from a relay; without objects, only confirm the copy.
@@ -170,6 +180,7 @@
     registry: RegistryUpdate | None = None
     part: int = 0
     era: int = NO_ERA
+    evacuations: RelayedEvacuations | None = None
 
 
 @frozen(order=True)
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -12,6 +12,7 @@
 from . import connection_limits, connection_setup, membership
 from .clock import MILLISECOND
 from .dispatch import handle
+from .evacuation import permissions
 from .log_events import EndpointAnswers, EndpointFailing
 from .policies import Policy
 from .session_messages import (
@@ -238,7 +239,9 @@
 
 
 def open_connection(workspace: str, pool: PoolRow, state: State) -> None:
-    """Open a connection for a workspace."""
+    """Open a connection for a workspace, unless its endpoint is evacuated."""
+    if not permissions.may_connect(pool, state):
+        return
     number = state.new_number()
     entry = state.registry[pool.endpoint].entry
     now = state.clock.monotonic()
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -10,6 +10,7 @@
 from . import leadership, membership, peers, pools, view
 from .clock import NEVER
 from .dispatch import handle_peer
+from .evacuation import permissions as evacuation
 from .fencing import permissions
 from .promotion_decisions import (
     promotion_row,
@@ -64,7 +65,9 @@
     answer_queries(row, primary, failing, state)
     if restore_decision(row, state):
         return
-    is_leaving = primary is not None and primary.leaving_since is not None
+    is_leaving = primary is not None and (
+        primary.leaving_since is not None or evacuation.is_evacuated(primary, state)
+    )
     if primary is not None and failing is not False and not is_leaving:
         probe_primary(row, primary, state)
     if not failing and not is_leaving and not row.reports:
--- a/pimentodrift/promotion_decisions.py
+++ b/pimentodrift/promotion_decisions.py
@@ -14,6 +14,7 @@
 from . import membership, pools, registry
 from .clock import MILLISECOND
 from .dispatch import handle
+from .evacuation import permissions as evacuation
 from .fencing import coordination, permissions
 from .fencing.decisions import PromotionDecision, lease_end
 from .fencing.messages import FenceCompleted
@@ -140,6 +141,7 @@
         if member.name != old
         and member.leaving_since is None
         and member.missing_since is None
+        and not evacuation.is_evacuated(member, state)
     ]
     if not permissions.is_enabled(state):
         return rows
--- a/pimentodrift/registry.py
+++ b/pimentodrift/registry.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 from . import leadership, pools
+from .evacuation import permissions
 from .kind_messages import (
     Entry,
 )
@@ -105,7 +106,10 @@
     """Return whether an endpoint may be given new work.
 
     A leaving endpoint gets work only as primary, and only for `LEAVING_PRIMARY_USE`.
+    One in an evacuated data centre gets it only as primary, until the deadline.
     """
+    if not permissions.accepts_requests(row.name, as_primary, state):
+        return False
     if row.leaving_since is None:
         return True
     used = state.clock.monotonic() - row.leaving_since
--- a/pimentodrift/relay_versions.py
+++ b/pimentodrift/relay_versions.py
@@ -11,6 +11,7 @@
     NO_ERA,
     RegistryUpdate,
     RelayedEndpoint,
+    RelayedEvacuations,
     Subscribe,
     ViewUpdate,
 )
@@ -64,6 +65,7 @@
         configured_at=to_revision(message.configured_at, era),
         registry=encode_registry(message.registry),
         era=era,
+        evacuations=encode_evacuations(message.evacuations),
     )
 
 
@@ -77,6 +79,7 @@
         items=tuple(decode_item(item, era) for item in message.items),
         configured_at=to_version(message.configured_at, era),
         registry=decode_registry(message.registry, era),
+        evacuations=decode_evacuations(message.evacuations, era),
     )
 
 
@@ -109,3 +112,21 @@
     return RegistryUpdate(
         to_version(update.after, era), to_version(update.revision, era), tuple(changes)
     )
+
+
+def encode_evacuations(update: RelayedEvacuations | None) -> RelayedEvacuations | None:
+    """Return the evacuations with revisions."""
+    if update is None:
+        return None
+    objects = {name: revision_of(at) for name, at in update.objects.items()}
+    return RelayedEvacuations(revision_of(update.revision), objects)
+
+
+def decode_evacuations(
+    update: RelayedEvacuations | None, era: int
+) -> RelayedEvacuations | None:
+    """Return the evacuations with versions."""
+    if update is None:
+        return None
+    objects = {name: to_version(at, era) for name, at in update.objects.items()}
+    return RelayedEvacuations(to_version(update.revision, era), objects)
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -30,6 +30,7 @@
     sessions,
 )
 from .dispatch import handle
+from .evacuation import draining as evacuation_draining
 from .fencing import coordination, stopping
 from .policies import Policy
 from .tables import State
@@ -48,6 +49,7 @@
     allocation.run,
     rates.run,
     pools.run,
+    evacuation_draining.run,
     stopping.run,
     coordination.run,
     promotion.run,
@@ -88,6 +90,8 @@
     """Return whether no statement, change of primary or stop is in progress."""
     if state.operations or state.openings or state.coordinations or state.stopping:
         return False
+    if any(row.done_at is None for row in state.evacuations.values()):
+        return False
     if state.events or state.typed_events:
         return False  # Log lines are written at ticks.
     if not kind_rows.is_every_kind_listed(state):
--- a/pimentodrift/session_opening.py
+++ b/pimentodrift/session_opening.py
@@ -10,7 +10,6 @@
 from . import kind_rows
 from .clock import MILLISECOND
 from .dispatch import handle
-from .kind_messages import WatchedKind
 from .kind_rows import KindRow
 from .log_events import OpeningsEnded
 from .operation_completion import UNCONFIRMED_RETRY_AFTER
@@ -56,11 +55,7 @@
         return False
     if not state.settings.uses(Policy.SESSION_WAIT):
         return False
-    unlisted = [
-        row
-        for row in (kind_rows.row_of(kind, state) for kind in WatchedKind)
-        if not row.revision
-    ]
+    unlisted = [row for row in kind_rows.watched_rows(state) if not row.revision]
     return bool(unlisted) and all(is_list_expected(row, state) for row in unlisted)
 
 
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -267,6 +267,14 @@
         metadata=help_metadata("Size of a request body in bytes."),
     )
 
+    evacuation_bound: timedelta = field(
+        default=timedelta(0),
+        validator=Between(timedelta(0), timedelta(minutes=1)),
+        metadata=help_metadata(
+            "Time within which an evacuated data centre gets no more requests; 0: none."
+        ),
+    )
+
     def uses(self, policy: Policy) -> bool:
         """Return whether a policy is on."""
         return policy.value not in self.disabled_policies.split(",")
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -15,6 +15,7 @@
 
 from .clock import NEVER, Clock
 from .errors import Failure
+from .evacuation.rows import EvacuationRow
 from .event_base import Event
 from .failover_rows import (
     Channel,
@@ -73,6 +74,7 @@
     number: int  # The number of its last `Subscribe`.
     heard_at: timedelta
     registry: int = 0  # The revision up to which the subscriber has the registry.
+    follows_evacuations: bool = False  # It asked for the evacuations.
 
 
 @define
@@ -416,6 +418,7 @@
     fences: dict[str, FenceRow] = field(factory=dict)  # By group.
     coordinations: dict[str, CoordinationRow] = field(factory=dict)  # By group.
     latencies: Latencies = field(factory=dict)
+    evacuations: dict[str, EvacuationRow] = field(factory=dict)  # By data centre.
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -23,8 +23,9 @@
     store_eras,
 )
 from .dispatch import handle, handle_peer
+from .evacuation import tracking
 from .messages import ObjectsReceived, SendPeer, StoreObject, WatchStore
-from .notices import RegistryRelayed
+from .notices import EvacuationsRelayed, RegistryRelayed
 from .peer_messages import Subscribe, ViewUpdate
 from .rendezvous import newest_version
 from .tables import InstanceRow, State, SubscriberRow
@@ -210,7 +211,12 @@
     ]:
         del sent[old]
     registry = kind_rows.registry_revision(state)
-    message = Subscribe(state.view.version, number, registry)
+    message = Subscribe(
+        state.view.version,
+        number,
+        registry,
+        evacuations=bool(state.kinds) and kind_rows.follows_evacuations(state),
+    )
     return relay_versions.encode_subscription(message, state.view.era)
 
 
@@ -248,6 +254,7 @@
         age_ms = int(timedelta(days=1).total_seconds() * 1000)
     configured_at = kind_rows.configuration_changed_revision(state)
     update = kind_rows.registry_update(row.registry, state) if row.registry else None
+    evacuations = tracking.relayed(state) if row.follows_evacuations else None
     for index, (part, is_last) in enumerate(split_update(items)):
         version = state.view.version if is_last else 0
         message = ViewUpdate(
@@ -259,6 +266,7 @@
             configured_at,
             update if is_last else None,
             index,
+            evacuations=evacuations if is_last else None,
         )
         message = relay_versions.encode_update(message, state.view.era)
         if row.instance in state.instances:
@@ -330,7 +338,9 @@
     now = state.clock.monotonic()
     # A subscriber whose copy is older may have missed deletions.
     known = max(message.version, kind_rows.deletions_known_from(state))
-    row = SubscriberRow(sender, known, message.number, now, message.registry)
+    row = SubscriberRow(
+        sender, known, message.number, now, message.registry, message.evacuations
+    )
     state.view.subscribers[sender] = row
     send_update(row, objects_changed_after(message.version, state), state)
 
@@ -372,3 +382,7 @@
             kind_rows.confirm_view(since, state)
     if message.registry is not None:
         handle(RegistryRelayed(message.registry), state)
+    if message.evacuations is not None and kind_rows.follows_evacuations(state):
+        age = timedelta(milliseconds=message.age_ms)
+        current_at = sent_at - age if sent_at is not None else None
+        handle(EvacuationsRelayed(message.evacuations, current_at), state)
--- a/tests/session_support.py
+++ b/tests/session_support.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Iterable
 from datetime import timedelta
+from typing import Any
 
 from attrs import define, evolve, field
 
@@ -394,10 +395,12 @@
 
 
 def make_harness(
-    configuration: RouteConfiguration | None = None, primary: str = "e1"
+    configuration: RouteConfiguration | None = None,
+    primary: str = "e1",
+    **settings: Any,
 ) -> SessionHarness:
     """Return a harness whose instance serves a group of three databases."""
-    state = make_state()
+    state = make_state(**settings)
     clock = state.clock
     assert isinstance(clock, ManualClock)
     clock.advance(SECOND)
--- a/tests/support.py
+++ b/tests/support.py
@@ -2,6 +2,7 @@
 
 from datetime import UTC, datetime, timedelta
 from random import Random
+from typing import Any
 
 from attrs import define, field
 
@@ -26,7 +27,7 @@
         self.time += step
 
 
-def make_state(name: str = "a", region: str = "r1") -> State:
+def make_state(name: str = "a", region: str = "r1", **changes: Any) -> State:
     settings = Settings(
         name=name,
         region=region,
@@ -34,5 +35,6 @@
         listen="127.0.0.1:0",
         peer_listen="127.0.0.1:0",
         platform="http://127.0.0.1:1",
+        **changes,
     )
     return State(settings, ManualClock(), Random(1))
