--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -31,6 +31,8 @@
     standby_grants,
 )
 from .dispatch import handle
+from .evacuation import draining as evacuation_draining
+from .evacuation import relaying
 from .fencing import coordination, stopping
 from .homes import enforcement, sampling
 from .policies import Policy
@@ -51,6 +53,7 @@
     rates.run,
     standby_grants.run,
     pools.run,
+    evacuation_draining.run,
     stopping.run,
     coordination.run,
     promotion.run,
@@ -70,6 +73,7 @@
     "is_ready",
     "operation_steps",
     "peers",
+    "relaying",
     "route_configuration",
     "take_outbox",
     "tick",
@@ -93,6 +97,8 @@
     """Return whether no statement, change of primary or stop is in progress."""
     if state.operations or state.openings or state.coordinations or state.stopping:
         return False
+    if any(row.done_at is None for row in state.evacuations.values()):
+        return False
     if state.events or state.typed_events:
         return False  # Log lines are written at ticks.
     if not kind_rows.is_every_kind_listed(state):
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -290,6 +290,14 @@
         metadata=help_metadata("Regions of data centres, for region limits."),
     )
 
+    evacuation_bound: timedelta = field(
+        default=timedelta(0),
+        validator=Between(timedelta(0), timedelta(minutes=1)),
+        metadata=help_metadata(
+            "Time within which an evacuated data centre gets no more requests; 0: none."
+        ),
+    )
+
     def uses(self, policy: Policy) -> bool:
         """Return whether a policy is on."""
         return policy.value not in self.disabled_policies.split(",")
