Relay the configuration to followers in larger fleets

An instance that the store turned away lost its confirmed configuration too. Relays now send the object to followers that have an older one; a follower whose relay does not answer watches the store as before. Tests in the core: no call by followers for 5 changes; followers without the store stay confirmed for 9 s; lost relays, large objects and small fleets fall back to the store.

--- a/pimentodrift/kind_rows.py
+++ b/pimentodrift/kind_rows.py
@@ -55,6 +55,8 @@
     unchecked_at: timedelta = NEVER  # When checks began to fail.
     is_lost: bool = False  # The last list or watch failed.
     lost_at: timedelta = NEVER  # When lists and watches began to fail.
+    # The content last sent to followers as bytes, and its revision.
+    encoded: tuple[int, bytes] = field(default=(0, b""), repr=False)
 
 
 def row_of(kind: WatchedKind, state: State) -> KindRow:
@@ -143,6 +145,12 @@
     return row.revision if row is not None else 0
 
 
+def configuration_revision(state: State) -> int:
+    """Return the revision up to which the configuration is known; 0 without a copy."""
+    row = state.kinds.get(WatchedKind.CONFIGURATION)
+    return row.revision if row is not None else 0
+
+
 def registry_update(known: int, state: State) -> RegistryUpdate | None:
     """Return the changes of the registry after the revision `known`, for a subscriber.
 
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -125,11 +125,9 @@
     match row.kind:
         case WatchedKind.OWN:
             return row.revision > 0
-        case WatchedKind.REGISTRY | WatchedKind.EVACUATIONS:
+        case _:
             now = state.clock.monotonic()
             return row.revision > 0 and now - row.relayed_at <= view.RELAY_TIMEOUT
-        case WatchedKind.CONFIGURATION:
-            return False
 
 
 def start_call(row: KindRow, state: State) -> None:
@@ -206,10 +204,17 @@
     row.revision = max(row.revision, message.revision)
     if row.kind is WatchedKind.OWN:
         state.view.version = max(state.view.version, row.revision)
-    if message.entries and row.kind is not WatchedKind.CONFIGURATION:
+    if message.entries and is_sent_on(row, state):
         view.push_updates(state)
 
 
+def is_sent_on(row: KindRow, state: State) -> bool:
+    """Return whether changes of a kind are sent to subscribers."""
+    if row.kind is not WatchedKind.CONFIGURATION:
+        return True
+    return any(other.configuration for other in state.view.subscribers.values())
+
+
 def report_unreadable(entry: Entry, row: KindRow, state: State) -> None:
     """Count and log an object that cannot be used."""
     state.counters[f"store.unreadable.{row.kind}"] += 1
--- a/pimentodrift/notices.py
+++ b/pimentodrift/notices.py
@@ -6,7 +6,7 @@
 
 from .errors import Failure
 from .messages import StatementResult
-from .peer_messages import RegistryUpdate, RelayedEvacuations
+from .peer_messages import RegistryUpdate, RelayedConfiguration, RelayedEvacuations
 
 
 @frozen
@@ -134,6 +134,13 @@
     refused: bool = False
 
 
+@frozen
+class ConfigurationRelayed(Notice):
+    """A relay sent the configuration, or that it has not changed."""
+
+    update: RelayedConfiguration
+
+
 @frozen
 class RegistryRelayed(Notice):
     """A relay sent changes of the registry of endpoints."""
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -3,7 +3,7 @@
 Times in them are durations in milliseconds, because the instances' clocks differ.
 """
 
-from attrs import frozen
+from attrs import field, frozen
 
 from .errors import Failure
 from .messages import (
@@ -131,6 +131,9 @@
     registry: int = 0
     era: int = NO_ERA
     evacuations: bool = False
+    # Revision up to which the subscriber knows the configuration; 0 if it reads that
+    # from the store.
+    configuration: int = 0
 
 
 @frozen
@@ -159,6 +162,19 @@
     objects: dict[str, int]
 
 
+@frozen
+class RelayedConfiguration:
+    """The configuration at `revision`, in an object that changed at `changed`.
+
+    `content` is empty if the subscriber has it.
+    """
+
+    revision: int
+    name: str
+    changed: int
+    content: bytes = field(repr=False)
+
+
 @frozen
 class ViewUpdate(PeerMessage):
     """Send changed objects from a relay; without objects, only confirm the copy.
@@ -181,6 +197,7 @@
     part: int = 0
     era: int = NO_ERA
     evacuations: RelayedEvacuations | None = None
+    configuration: RelayedConfiguration | None = None
 
 
 @frozen(order=True)
--- a/pimentodrift/relay_versions.py
+++ b/pimentodrift/relay_versions.py
@@ -10,6 +10,7 @@
 from .peer_messages import (
     NO_ERA,
     RegistryUpdate,
+    RelayedConfiguration,
     RelayedEndpoint,
     RelayedEvacuations,
     Subscribe,
@@ -35,6 +36,7 @@
         version=to_revision(message.version, era),
         registry=to_revision(message.registry, era),
         era=era,
+        configuration=to_revision(message.configuration, era),
     )
 
 
@@ -45,6 +47,7 @@
         message,
         version=to_version(message.version, era),
         registry=to_version(message.registry, era),
+        configuration=to_version(message.configuration, era),
     )
 
 
@@ -66,6 +69,7 @@
         registry=encode_registry(message.registry),
         era=era,
         evacuations=encode_evacuations(message.evacuations),
+        configuration=encode_configuration(message.configuration, era),
     )
 
 
@@ -80,6 +84,7 @@
         configured_at=to_version(message.configured_at, era),
         registry=decode_registry(message.registry, era),
         evacuations=decode_evacuations(message.evacuations, era),
+        configuration=decode_configuration(message.configuration, era),
     )
 
 
@@ -130,3 +135,23 @@
         return None
     objects = {name: to_version(at, era) for name, at in update.objects.items()}
     return RelayedEvacuations(to_version(update.revision, era), objects)
+
+
+def encode_configuration(
+    update: RelayedConfiguration | None, era: int
+) -> RelayedConfiguration | None:
+    """Return the configuration with revisions; None if it is of another era."""
+    if update is None or era_of(update.revision) != era:
+        return None
+    changed = to_revision(update.changed, era)
+    return evolve(update, revision=revision_of(update.revision), changed=changed)
+
+
+def decode_configuration(
+    update: RelayedConfiguration | None, era: int
+) -> RelayedConfiguration | None:
+    """Return the configuration with versions."""
+    if update is None:
+        return None
+    changed = to_version(update.changed, era)
+    return evolve(update, revision=to_version(update.revision, era), changed=changed)
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -30,6 +30,7 @@
     sessions,
     standby_grants,
 )
+from .configuration_relay import receiving
 from .dispatch import handle
 from .evacuation import draining as evacuation_draining
 from .evacuation import relaying
@@ -73,6 +74,7 @@
     "is_ready",
     "operation_steps",
     "peers",
+    "receiving",
     "relaying",
     "route_configuration",
     "take_outbox",
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -76,6 +76,9 @@
     heard_at: timedelta
     registry: int = 0  # The revision up to which the subscriber has the registry.
     follows_evacuations: bool = False  # It asked for the evacuations.
+    # The revision up to which the subscriber has the configuration; 0 if it reads that
+    # from the store.
+    configuration: int = 0
 
 
 @define
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -22,10 +22,11 @@
     relay_versions,
     store_eras,
 )
+from .configuration_relay import sending
 from .dispatch import handle, handle_peer
 from .evacuation import tracking
 from .messages import ObjectsReceived, SendPeer, StoreObject, WatchStore
-from .notices import EvacuationsRelayed, RegistryRelayed
+from .notices import ConfigurationRelayed, EvacuationsRelayed, RegistryRelayed
 from .peer_messages import Subscribe, ViewUpdate
 from .rendezvous import newest_version
 from .tables import InstanceRow, State, SubscriberRow
@@ -216,10 +217,21 @@
         number,
         registry,
         evacuations=bool(state.kinds) and kind_rows.follows_evacuations(state),
+        configuration=known_configuration(state),
     )
     return relay_versions.encode_subscription(message, state.view.era)
 
 
+def known_configuration(state: State) -> int:
+    """Return the revision of the configuration that relays may bring up to date.
+
+    In a small fleet, each instance reads the configuration itself.
+    """
+    if len(state.instances) <= SMALL_FLEET:
+        return 0
+    return kind_rows.configuration_revision(state)
+
+
 def subscribe_to_seeds(state: State) -> None:
     """Subscribe to the seeds while the list of instances is unknown."""
     for address in filter(None, state.settings.seeds.split(",")):
@@ -255,6 +267,7 @@
     configured_at = kind_rows.configuration_changed_revision(state)
     update = kind_rows.registry_update(row.registry, state) if row.registry else None
     evacuations = tracking.relayed(state) if row.follows_evacuations else None
+    relayed = sending.relayed(row, state)
     for index, (part, is_last) in enumerate(split_update(items)):
         version = state.view.version if is_last else 0
         message = ViewUpdate(
@@ -267,6 +280,7 @@
             update if is_last else None,
             index,
             evacuations=evacuations if is_last else None,
+            configuration=relayed if is_last else None,
         )
         message = relay_versions.encode_update(message, state.view.era)
         if row.instance in state.instances:
@@ -276,6 +290,8 @@
     row.version = state.view.version
     if update is not None:
         row.registry = update.revision
+    if relayed is not None:
+        row.configuration = relayed.revision
 
 
 def split_update(items: list[StoreObject]) -> Iterator[tuple[list[StoreObject], bool]]:
@@ -339,7 +355,13 @@
     # A subscriber whose copy is older may have missed deletions.
     known = max(message.version, kind_rows.deletions_known_from(state))
     row = SubscriberRow(
-        sender, known, message.number, now, message.registry, message.evacuations
+        sender,
+        known,
+        message.number,
+        now,
+        message.registry,
+        message.evacuations,
+        message.configuration,
     )
     state.view.subscribers[sender] = row
     send_update(row, objects_changed_after(message.version, state), state)
@@ -373,6 +395,8 @@
     apply(items, state)
     if state.kinds:
         kind_rows.record_relayed_objects(items, complete, state)
+    if message.configuration is not None:
+        handle(ConfigurationRelayed(message.configuration), state)
     sent_at = state.view.subscriptions_sent.get(message.number)
     if complete and sent_at is not None and message.version >= state.view.version:
         since = sent_at - timedelta(milliseconds=message.age_ms)
--- /dev/null
+++ b/tests/test_configuration_relay.py
@@ -0,0 +1,96 @@
+"""Followers that get the configuration from their relay, in a larger fleet."""
+
+from datetime import timedelta
+from string import ascii_lowercase
+
+import pytest
+from attrs import evolve
+
+from pimentodrift import view
+from pimentodrift.configuration_relay import encoding, sending
+from pimentodrift.kind_messages import CheckKind, WatchKind
+from pimentodrift.route_configuration import RouteConfiguration
+
+from .kind_network import KindNetwork, make_network
+from .session_support import SECOND, make_configuration
+from .test_kind_relays import copy_ages, partition_from_store, relays
+
+FLEET = tuple(ascii_lowercase[: view.SMALL_FLEET + 6])
+
+
+def network_of(names: tuple[str, ...] = FLEET) -> KindNetwork:
+    """Return a network whose instances follow their relays."""
+    network = make_network(names)
+    network.run(4 * SECOND)
+    network.configure(make_configuration(version=2))
+    network.run(SECOND)  # Ends the watches from before the instances followed a relay.
+    network.calls.clear()
+    return network
+
+
+def versions(network: KindNetwork, names: set[str]) -> set[int]:
+    """Return the versions of the configuration that instances apply."""
+    return {network.nodes[name].state.configuration.version for name in names}
+
+
+def test_changes_reach_followers_without_calls() -> None:
+    """Guards against calls to the store by every instance for each change."""
+    network = network_of()
+    for version in range(3, 8):
+        network.configure(make_configuration(version=version))
+        network.run(SECOND)
+        assert versions(network, set(FLEET)) == {version}
+    callers = {name for call, name in network.calls if call in (WatchKind, CheckKind)}
+    assert callers == relays(network)
+    assert max(copy_ages(network, set(FLEET))) < 2 * SECOND
+
+
+def test_followers_without_the_store_stay_in_service() -> None:
+    """Guards against refusals by instances that only their relays can confirm."""
+    network = network_of()
+    followers = set(FLEET) - relays(network)
+    partition_from_store(network, followers)
+    for version in range(3, 12):
+        network.configure(make_configuration(version=version))
+        network.run(SECOND)
+        assert versions(network, followers) == {version}
+        assert max(copy_ages(network, followers)) < 2 * SECOND
+
+
+def test_followers_of_lost_relays_read_the_store() -> None:
+    """Guards against a configuration that stays old with a relay that lost the store."""
+    network = network_of()
+    followers = set(FLEET) - relays(network)
+    partition_from_store(network, relays(network))
+    network.run(2 * SECOND)
+    network.configure(make_configuration(version=3))
+    network.run(3 * SECOND)
+    assert versions(network, followers) == {3}
+
+
+@pytest.mark.parametrize("is_small, is_large", [(True, False), (False, True)])
+def test_configuration_that_is_not_relayed(
+    is_small: bool, is_large: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against missed changes in a small fleet or of a large configuration."""
+    if is_large:
+        monkeypatch.setattr(sending, "MAX_RELAYED_BYTES", 10)
+    names = FLEET[:8] if is_small else FLEET
+    network = network_of(names)
+    network.configure(make_configuration(version=3))
+    network.run(SECOND * 3)
+    assert versions(network, set(names)) == {3}
+    sent = [
+        node.state.counters["relay.configurations_sent"]
+        for node in network.nodes.values()
+    ]
+    assert not any(sent)
+
+
+def test_configuration_of_another_build_is_read() -> None:
+    """Guards against a rolling update that loses the configuration's new fields."""
+    before = evolve(make_configuration(), transaction_idle=timedelta(seconds=2.5))
+    values = encoding.converter().loads(encoding.encode(before), dict)
+    values["later_field"] = 1
+    data = encoding.converter().dumps(values)
+    assert encoding.decode(data, RouteConfiguration) == before
