--- a/tests/test_configuration_relay.py
+++ b/tests/test_configuration_relay.py
@@ -58,7 +58,7 @@
 
 
 def test_followers_of_lost_relays_read_the_store() -> None:
-    """Guards against a configuration that stays old with a relay that lost the store."""
+    """Guards against an old configuration from a relay without the store."""
     network = network_of()
     followers = set(FLEET) - relays(network)
     partition_from_store(network, relays(network))
