Limit the statements of an endpoint that has just started

A database is slow after its start, and its usual load at once keeps it slow. The statements that it gets are now a rate limit of its own, kept beside the workspaces and divided by the same shares, so that its sum over all instances is exact. Reads without a token go elsewhere; what only the endpoint can run waits for one. A loss counts as a restart until a later registry entry.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -56,6 +56,7 @@
 )
 from .tables import State, WorkspaceRow
 from .token_grants import grant_tokens, update_scarcity, usable_limits
+from .warmup.limits import limit_named
 
 BALANCE_INTERVAL = timedelta(milliseconds=100)
 # After this silence, a holder's lease has ended; twice the lease, so that the holder's
@@ -177,7 +178,7 @@
     In the first moments of an epoch, nothing is denied, because the reports that unlock
     the shares are still on their way.
     """
-    workspace = state.configuration.workspaces.get(row.workspace)
+    workspace = limit_named(row.workspace, state)
     waited = state.clock.monotonic() - row.taken_at
     if workspace is None or waited < REPORT_ARRIVAL_TIME:
         return False
@@ -196,7 +197,7 @@
     sender considers the allocator unusable.
     """
     holder = stored_epoch(workspace, state).holder
-    if workspace not in state.configuration.workspaces or not holder:
+    if limit_named(workspace, state) is None or not holder:
         return
     membership.track_contact(holder, state)
     claim_if_vacant(workspace, state)
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -25,6 +25,7 @@
     write_object,
 )
 from .tables import State
+from .warmup.limits import all_limits, limit_named
 
 CLAIM_TIMEOUT = timedelta(seconds=3)
 STORE_AGE_MARGIN = timedelta(seconds=1)  # Transit time and age of a heartbeat.
@@ -48,7 +49,7 @@
 
 def workspaces_to_examine(state: State) -> list[str]:
     """Return the workspaces to check for a missing allocator in this tick."""
-    names = state.configuration.workspaces
+    names = all_limits(state)
     count = max(MIN_EXAMINED, -(-len(names) // EXAMINATION_TICKS))
     if len(names) <= count:
         return list(names)
@@ -215,7 +216,7 @@
 
 def start_allocation(claim: ClaimRow, state: State) -> None:
     """Start a workspace's ledger; after a predecessor, all of it is locked at first."""
-    workspace = state.configuration.workspaces.get(claim.workspace)
+    workspace = limit_named(claim.workspace, state)
     if workspace is None:
         return
     row = AllocationRow(
--- a/pimentodrift/burst_reduction.py
+++ b/pimentodrift/burst_reduction.py
@@ -12,6 +12,7 @@
 from .policies import Policy
 from .rate_rows import AllocationRow
 from .tables import State, WorkspaceRow
+from .warmup.limits import limit_named
 
 # Within the time in which a new configuration has to take effect on all instances.
 BURST_REDUCTION_TIME = timedelta(seconds=2)
@@ -22,7 +23,7 @@
 
     None if the workspace is not in the configuration.
     """
-    declared = state.configuration.workspaces.get(row.workspace)
+    declared = limit_named(row.workspace, state)
     if declared is None:
         return None
     now = state.clock.monotonic()
--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -16,6 +16,7 @@
 from ..session_rows import EndpointRole, PoolRow
 from ..store_versions import era_of
 from ..tables import InstanceRow, State
+from ..warmup.statements import spend_all
 from .decisions import (
     CONTACT_LEASE,
     FenceProgress,
@@ -31,6 +32,8 @@
 REQUEST_INTERVAL = timedelta(milliseconds=100)
 # Between two demands that the old primary steps down.
 DEMOTE_INTERVAL = timedelta(milliseconds=300)
+# Steps of a demand that count as statements of an endpoint that is still cold.
+DEMOTE_STATEMENTS = 2
 
 
 def begin(
@@ -196,8 +199,10 @@
         term = newest_term(row.group, state)
         if not idle or term is None:
             continue
-        row.demoted_at = now
         connection = idle[0]
+        if not spend_all(connection, DEMOTE_STATEMENTS, state):
+            continue  # It has just started; the wait for leases goes on without it.
+        row.demoted_at = now
         # A refusal to begin proves that the endpoint is not the primary any more.
         steps = [DemoteEndpoint(term + 1), BeginWork(), EndWork()]
         send_steps(connection, steps, state)
--- a/pimentodrift/homes/sampling.py
+++ b/pimentodrift/homes/sampling.py
@@ -14,6 +14,7 @@
 from ..session_messages import BeginWork, EndWork, Fault, Refusal
 from ..session_rows import OperationRow, PoolRow, RegistryRow, Stage
 from ..tables import State
+from ..warmup import statements
 from . import limits
 from .decisions import is_allowed
 
@@ -77,6 +78,8 @@
             return  # Its answer gives the position; one that opens is used next.
     idle = next((row for row in rows if pools.is_idle(row) and not row.steps), None)
     if idle is not None:
+        if not statements.spend(idle, state):
+            return  # The primary has just started; the read goes on waiting.
         idle.needs_primary = True
         idle.releasing = True
         state.counters["homes.samples"] += 1
--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -225,6 +225,22 @@
     endpoint: str
 
 
+@frozen
+class EndpointCold(Event):
+    """An endpoint may have just started and gets few statements."""
+
+    endpoint: str
+    group: str
+
+
+@frozen
+class EndpointWarm(Event):
+    """The limit of an endpoint that had just started has ended."""
+
+    endpoint: str
+    group: str
+
+
 # --- The process
 
 
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -42,6 +42,7 @@
 )
 from .session_rows import OperationRow, PooledRow, SessionRow, Stage
 from .tables import State
+from .warmup import statements
 
 MAX_ATTEMPTS = 4  # Each endpoint of a group of three once, and one of them again.
 # A replica whose log was behind gets no reads for this long.
@@ -66,6 +67,13 @@
 def _(message: ConnectionAssigned, state: State) -> None:
     operation = state.operations[message.operation]
     connection = state.pooled[message.connection]
+    start_on_connection(operation, connection, state)
+
+
+def start_on_connection(
+    operation: OperationRow, connection: PooledRow, state: State
+) -> None:
+    """Start a statement on the connection assigned to it, if it may still run there."""
     session = state.sessions[operation.session]
     refusal = access_refusal(session, operation.route, state)
     if refusal is not None:
@@ -80,6 +88,13 @@
         pools.release(connection, state)
         handle(PlacementNeeded(operation.operation), state)
         return
+    if not statements.spend_for(operation, connection, state):
+        if statements.should_move(operation, connection.endpoint):
+            pools.release(connection, state)
+            handle(PlacementNeeded(operation.operation), state)
+        else:
+            statements.wait_for_token(operation, connection, state)
+        return
     operation.connection = connection.connection
     send_first_steps(operation, session, connection, state)
 
@@ -157,6 +172,9 @@
         detail = f"{connection.endpoint} is not the primary any more"
         refuse(operation, Refusal(Fault.ABORTED, detail, RETRY_AFTER), state)
         return
+    if not statements.spend_for(operation, connection, state):
+        statements.wait_for_token(operation, connection, state)
+        return
     connection.operation = operation.operation
     operation.connection = connection.connection
     operation.endpoint = connection.endpoint
@@ -164,6 +182,21 @@
     send_statement(operation, connection, steps, None, state)
 
 
+def resume_cold(operation: OperationRow, state: State) -> None:
+    """Send a statement that waited for a token of a cold endpoint."""
+    connection = state.pooled[operation.connection]
+    session = state.sessions[operation.session]
+    stage, operation.cold_stage = operation.cold_stage, None
+    operation.has_cold_token = True
+    set_stage(operation, stage or Stage.QUEUED, state)
+    if stage is Stage.BEGINNING:
+        run_after_begin(connection, operation, state)
+    elif session.connection:
+        continue_transaction(operation, session, state)
+    else:
+        start_on_connection(operation, connection, state)
+
+
 # --- Answers to steps
 
 
@@ -224,16 +257,23 @@
     state: State,
 ) -> None:
     """Send a statement once its transaction has begun, or place or refuse it."""
-    session = state.sessions[operation.session]
     if message.fault is not None:
         retry_elsewhere(operation, connection, message, state)
         return
+    run_after_begin(connection, operation, state)
+
+
+def run_after_begin(
+    connection: PooledRow, operation: OperationRow, state: State
+) -> None:
+    """Send a statement whose transaction has begun, if it may still run there."""
+    session = state.sessions[operation.session]
     if is_fenced(connection, state) or not allows_connection(
         operation.route, operation.workspace, connection, state
     ):
         if not connection.session:
             send_steps(connection, [EndWork()], state)
-        retry_elsewhere(operation, connection, message, state)
+        retry_elsewhere(operation, connection, None, state)
         return
     refusal = access_refusal(session, operation.route, state)
     if refusal is not None:
@@ -242,6 +282,9 @@
             pools.release(connection, state)
         refuse(operation, refusal, state)
         return
+    if not statements.spend_for(operation, connection, state):
+        statements.wait_for_token(operation, connection, state)
+        return
     send_statement(operation, connection, [], None, state)
     if not connection.session:
         send_steps(connection, [EndWork()], state)
@@ -325,13 +368,17 @@
 def retry_elsewhere(
     operation: OperationRow,
     connection: PooledRow,
-    message: StepAnswered,
+    message: StepAnswered | None,
     state: State,
 ) -> None:
-    """Place a statement again that certainly did not run, within MAX_ATTEMPTS."""
-    fault = message.fault or Fault.FAILED
+    """Place a statement again that certainly did not run, within MAX_ATTEMPTS.
+
+    `message` is the answer with the fault; None if this instance decided it.
+    """
+    fault = (message.fault if message is not None else None) or Fault.FAILED
+    detail = message.detail if message is not None else ""
     record_fault(connection, fault, state)
-    state.log_event(retry_event(operation, fault, message.detail, state))
+    state.log_event(retry_event(operation, fault, detail, state))
     operation.tried.add(connection.endpoint)
     operation.connection = 0
     session = state.sessions[operation.session]
@@ -340,7 +387,7 @@
     else:
         pools.release(connection, state)
     if operation.attempts >= MAX_ATTEMPTS:
-        refuse(operation, Refusal(fault, message.detail, RETRY_AFTER), state)
+        refuse(operation, Refusal(fault, detail, RETRY_AFTER), state)
         return
     handle(PlacementNeeded(operation.operation), state)
 
@@ -354,8 +401,15 @@
     if operation is None:
         return
     session = state.sessions[operation.session]
+    is_waiting_inside = operation.stage is Stage.COLD and bool(session.connection)
+    if operation.stage is Stage.COLD:
+        statements.cancel_wait(operation, state)
     session.connection = 0
     operation.connection = 0
+    if is_waiting_inside:
+        detail = f"the connection to {operation.endpoint} was lost"
+        refuse(operation, Refusal(Fault.ABORTED, detail, RETRY_AFTER), state)
+        return
     if operation.stage is not Stage.RUNNING:
         retry_after_loss(operation, state)
         return
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -34,6 +34,7 @@
     Stage,
 )
 from .tables import State
+from .warmup import statements
 
 RATE_EXCEEDED = "the workspace is over its rate"
 # A sample that is nearly too old for a read is not used, because the read also takes
@@ -96,10 +97,16 @@
 def _(row: OperationRow, state: State) -> None:
     if row.stage is Stage.RATE:
         place(row, state)
+    elif row.stage is Stage.COLD:
+        operation_steps.resume_cold(row, state)
 
 
 @on_refused.register
 def _(row: OperationRow, failure: Failure, state: State) -> None:
+    if row.stage is Stage.COLD:
+        if statements.on_cold_refused(row, failure, state):
+            operation_steps.resume_cold(row, state)
+        return
     refuse(row, Refusal(Fault.OVERLOADED, RATE_EXCEEDED, failure.retry_after), state)
 
 
@@ -108,6 +115,7 @@
 
 def place(operation: OperationRow, state: State) -> None:
     """Queue a statement at an endpoint, or hold or refuse it."""
+    operation.has_cold_token = False  # It was for the endpoint before.
     session = state.sessions[operation.session]
     refusal = access_refusal(session, operation.route, state)
     refusal = refusal or limits.region_refusal(operation, state)
@@ -167,6 +175,7 @@
         for row in registry.group_members(group, state)
         if is_candidate(row, operation, state)
     ]
+    rows = statements.prefer_usable(operation, rows, state)
     best = placement.choose(make_candidate(row, operation, state) for row in rows)
     return state.registry[best.endpoint] if best is not None else None
 
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -27,6 +27,7 @@
 )
 from .session_rows import OperationRow, PooledRow, PoolRow
 from .tables import State
+from .warmup import knowledge
 
 UNREACHABLE = "unreachable"  # Logged as the fault when the endpoint gave none.
 # Covers several round trips between regions and the endpoint's connection setup.
@@ -355,6 +356,7 @@
         if row.is_open:
             state.counters["pools.lost"] += 1
             pool.lost_at = state.clock.monotonic()
+            knowledge.record_loss(pool.endpoint, state)
         elif fault is Fault.TOO_MANY_CONNECTIONS:
             state.counters["pools.full"] += 1
             pool.answered_at = state.clock.monotonic()
@@ -399,6 +401,7 @@
     pool: PoolRow, since: timedelta, fault: str, state: State
 ) -> None:
     """Record and log since when an endpoint fails."""
+    knowledge.record_loss(pool.endpoint, state)
     if pool.failing_since is None:
         pool.failing_since = max(since, state.resumed_at)
         state.log_event(EndpointFailing(pool.endpoint, fault))
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -38,6 +38,7 @@
 )
 from .rate_rows import GivenUpShare, ShareRow, WaitingRequest
 from .tables import State
+from .warmup.limits import all_limits
 
 SHARE_LEASE = timedelta(seconds=2)
 REPORT_INTERVAL = timedelta(milliseconds=500)
@@ -284,7 +285,7 @@
 
 def run(state: State) -> None:
     """Refill buckets, admit waiting requests and report to the allocators."""
-    workspaces = state.configuration.workspaces
+    workspaces = all_limits(state)
     if holds_all_shares(state):
         for workspace in workspaces:
             get_or_create_share(workspace, state)
--- a/pimentodrift/registry.py
+++ b/pimentodrift/registry.py
@@ -18,6 +18,7 @@
 from .log_events import EndpointDropped, EndpointRegistered, EndpointUnregistered
 from .session_rows import EndpointRole, PoolRow, RegisteredEndpoint, RegistryRow
 from .tables import State
+from .warmup import knowledge
 
 # Entries that expired during an outage are back about two seconds after its end.
 LAPSE_GRACE = timedelta(milliseconds=2500)
@@ -40,6 +41,7 @@
     before = known.entry if known is not None else None
     row.entry = content
     row.revision = entry.revision
+    knowledge.record_entry(entry.name, content, entry.revision, state)
     row.missing_since = None
     if not content.is_leaving:
         row.leaving_since = None
--- a/pimentodrift/route_configuration.py
+++ b/pimentodrift/route_configuration.py
@@ -24,6 +24,7 @@
 from .session_rows import Route, SessionLimits
 from .settings import Settings
 from .tables import Configuration, KeyRow, State, WorkspaceRow
+from .warmup.decisions import ColdLimit
 
 MIN_RATE = 0.001  # Operations/s; a rate of 0 would cause divisions by 0 in the shares.
 
@@ -52,6 +53,8 @@
     workspaces: tuple[DeclaredWorkspace, ...]
     connections: dict[str, int]  # To an endpoint, of all instances, by group.
     transaction_idle: timedelta  # Idle time after which a transaction is aborted.
+    # How endpoints are treated after their start, by group.
+    cold: dict[str, ColdLimit] = field(factory=dict)
 
 
 def key_digest(key: str) -> str:
@@ -91,7 +94,7 @@
     state.configuration = build_configuration(content, state.settings)
     state.routes = {route.database: route for route in content.routes}
     state.session_limits = SessionLimits(
-        content.transaction_idle, dict(content.connections)
+        content.transaction_idle, dict(content.connections), dict(content.cold)
     )
     state.counters["configuration.applied"] += 1
     sizes = len(content.routes), len(content.workspaces)
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -36,6 +36,7 @@
 from .tables import State
 from .ticks import REST_TICK, TICK, take_outbox
 from .view import is_copy_fresh
+from .warmup import limits as cold_limits
 
 # Run in this order at each tick: first those that update the instance's knowledge, then
 # those that decide by it.
@@ -46,6 +47,7 @@
     heartbeats.run,
     instance_removal.run,
     registry.run,
+    cold_limits.run,
     allocation.run,
     rates.run,
     pools.run,
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -12,6 +12,7 @@
 from .clock import NEVER
 from .messages import Access, Position
 from .session_messages import ApplyStep, Command, Phase, Prepare, SessionStatement
+from .warmup.decisions import ColdLimit
 
 
 class Consistency(StrEnum):
@@ -45,6 +46,7 @@
     transaction_idle: timedelta = timedelta(seconds=3)
     # Connection limit of each endpoint, by group.
     connections: dict[str, int] = field(factory=dict)
+    cold: dict[str, ColdLimit] = field(factory=dict)  # By group.
 
 
 @define
@@ -91,6 +93,7 @@
     QUEUED = "queued"  # Waits for a connection.
     BEGINNING = "beginning"  # Waits for its transaction to begin at the database.
     RUNNING = "running"  # Its statement was sent to the database.
+    COLD = "cold"  # Waits on its connection for a token of an endpoint that is slow.
 
 
 @define
@@ -120,6 +123,9 @@
     # When it was put into its endpoint's queue; its stage begins anew with each attempt
     # to get a first connection.
     queued_at: timedelta = NEVER
+    cold: set[str] = field(factory=set)  # Cold endpoints that had no token for it.
+    cold_stage: Stage | None = None  # Its stage before it waited for a cold endpoint.
+    has_cold_token: bool = False  # Until it is sent.
 
 
 @define
@@ -189,6 +195,8 @@
     is_leaving: bool
     role: EndpointRole
     incarnation: int  # When its process started, in Unix milliseconds.
+    # How much longer it is slow after its start; None if the entry doesn't say.
+    cold_left: timedelta | None = None
 
 
 @define
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -40,6 +40,7 @@
 from .session_rows import Consistency, OperationRow, Route, SessionRow, Stage
 from .tables import State
 from .view import copy_age
+from .warmup import statements
 
 MAX_PIPELINED = 16  # Statements that a client may send ahead of the answers.
 MAX_SESSION_ITEMS = 64  # Limit of a session's values, and of its prepared statements.
@@ -57,6 +58,8 @@
         return
     if operation.stage is Stage.RATE:
         rates.cancel_waiting(operation.workspace, operation.operation, state)
+    elif operation.stage is Stage.COLD:
+        statements.abandon(operation, session, state)
     abandon_operation(operation, session, state)
 
 
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -289,6 +289,16 @@
         validator=Regions(),
         metadata=help_metadata("Regions of data centres, for region limits."),
     )
+    cold_excess_percent: int = field(
+        default=150,
+        validator=Between(100, 1000),
+        metadata=help_metadata("Most statements of a cold endpoint, part of its rate."),
+    )
+    cold_slack: int = field(
+        default=5,
+        validator=Between(0, 1000),
+        metadata=help_metadata("Statements in any second beyond that part."),
+    )
 
     def uses(self, policy: Policy) -> bool:
         """Return whether a policy is on."""
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -51,6 +51,7 @@
 )
 from .session_state_rows import EMPTY_STATE, SessionState
 from .settings import Settings
+from .warmup.rows import ColdRow
 from .work_rows import ConnectionRow, EndpointQueue, TransactionRow, WorkRow
 
 
@@ -419,6 +420,9 @@
     fences: dict[str, FenceRow] = field(factory=dict)  # By group.
     coordinations: dict[str, CoordinationRow] = field(factory=dict)  # By group.
     latencies: Latencies = field(factory=dict)
+    cold_endpoints: dict[str, ColdRow] = field(factory=dict)  # By endpoint.
+    # The limits of endpoints that may be cold, by name of the limit.
+    cold_limits: dict[str, WorkspaceRow] = field(factory=dict)
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
--- /dev/null
+++ b/pimentodrift/warmup/rows.py
@@ -0,0 +1,28 @@
+"""Rows of what is known about the starts of endpoints."""
+
+from datetime import timedelta
+
+from attrs import define
+
+from ..clock import NEVER
+
+
+@define
+class ColdRow:
+    """What an instance knows about an endpoint's last start.
+
+    Kept after the endpoint is gone from the registry, since it may come back.
+    """
+
+    endpoint: str
+    group: str
+    address: str
+    incarnation: int
+    revision: int  # Of the entry that the row was made from.
+    seen_at: timedelta  # When that entry arrived.
+    # How much longer the endpoint was slow then; None if its entry doesn't say: as long
+    # as the group declares.
+    left: timedelta | None
+    suspected_at: timedelta = NEVER  # When it was last lost or unreachable.
+    is_cold: bool = False  # As last logged.
+    used_at: timedelta = NEVER  # When its entry was last in the registry.
