Tell other instances of a lost connection to an endpoint

Instances without a connection noticed a fast restart only by the registry: in a simulated restart, 20 instances sent 78 statements in a second against a limit of 20.

--- a/pimentodrift/homes/limits.py
+++ b/pimentodrift/homes/limits.py
@@ -55,6 +55,15 @@
     return is_allowed(region, limit)
 
 
+def allows_instance(operation: OperationRow, instance: str, state: State) -> bool:
+    """Return whether a statement's text may be sent to an instance."""
+    limit = limit_of(operation.route, operation.workspace, state)
+    if limit is None or instance == state.settings.name:
+        return True
+    row = state.instances.get(instance)
+    return row is not None and is_allowed(region_of(row.data_centre, state), limit)
+
+
 def region_refusal(operation: OperationRow, state: State) -> Refusal | None:
     """Return the refusal of a statement that no allowed endpoint can run, or None."""
     limit = limit_of(operation.route, operation.workspace, state)
--- a/pimentodrift/instance_registration.py
+++ b/pimentodrift/instance_registration.py
@@ -17,6 +17,7 @@
     write_object,
 )
 from .tables import Presence, State
+from .warmup import losses
 
 RETRY_INTERVAL = timedelta(seconds=1)
 
@@ -43,6 +44,8 @@
     if permissions.is_enabled(state):
         value["fencing"] = state.settings.primary_fencing
         value["contact_lease_ms"] = str(CONTACT_LEASE // MILLISECOND)
+    if losses.has_limits(state):
+        value[losses.ANNOUNCEMENT] = "read"
     known = state.view.objects.get(("instance", settings.name))
     if known is not None and known.value == value:
         return
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -27,7 +27,7 @@
 )
 from .session_rows import OperationRow, PooledRow, PoolRow
 from .tables import State
-from .warmup import knowledge
+from .warmup import knowledge, losses
 
 UNREACHABLE = "unreachable"  # Logged as the fault when the endpoint gave none.
 # Covers several round trips between regions and the endpoint's connection setup.
@@ -356,7 +356,7 @@
         if row.is_open:
             state.counters["pools.lost"] += 1
             pool.lost_at = state.clock.monotonic()
-            knowledge.record_loss(pool.endpoint, state)
+            losses.record_lost_connection(pool.endpoint, state)
         elif fault is Fault.TOO_MANY_CONNECTIONS:
             state.counters["pools.full"] += 1
             pool.answered_at = state.clock.monotonic()
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -122,6 +122,7 @@
     contact_lease: timedelta | None = None
     contact_since: timedelta = NEVER  # When this instance learned of that.
     listed_at: timedelta = NEVER  # When this instance learned of it.
+    reads_losses: bool = False  # Its build reads of lost connections to endpoints.
 
 
 @define
--- a/pimentodrift/warmup/rows.py
+++ b/pimentodrift/warmup/rows.py
@@ -24,5 +24,6 @@
     # as the group declares.
     left: timedelta | None
     suspected_at: timedelta = NEVER  # When it was last lost or unreachable.
+    told_at: timedelta = NEVER  # When a loss was last told to or by another instance.
     is_cold: bool = False  # As last logged.
     used_at: timedelta = NEVER  # When its entry was last in the registry.
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -146,6 +146,22 @@
     assert not harness.executed("e1")
 
 
+def test_text_is_sent_to_instances_in_allowed_regions_only() -> None:
+    """Guards against a forward of a limited statement to another region."""
+    harness = make_homes(R2, frozenset(), PLACES)
+    for name, place in (("near", "r2-1"), ("far", "r1-1"), ("lost", "elsewhere")):
+        harness.state.instances[name] = InstanceRow(name, "", "", place)
+    harness.databases["e2"].is_silent = harness.databases["e3"].is_silent = True
+    harness.send(harness.open_session(), READ)
+    (operation,) = harness.state.operations.values()
+    own = harness.state.settings.name
+    allowed = [
+        limits.allows_instance(operation, name, harness.state)
+        for name in (own, "near", "far", "lost", "unknown")
+    ]
+    assert allowed == [True, True, False, False, False]
+
+
 def test_promotion_prefers_an_allowed_region() -> None:
     """Guards against a new primary that limited routes cannot use."""
     harness = make_homes(R2, frozenset(), PLACES | {"e3": "r1-1"})
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -206,6 +206,21 @@
     assert sent
 
 
+def test_instances_without_a_connection_learn_of_a_restart() -> None:
+    """Guards against new connections that are not limited before the registry tells."""
+    network = make_cold_network(20, 3)
+    network.play(SECOND)
+    network.run(5 * SECOND)  # Idle connections are closed.
+    others = [name for name in network.nodes if name != "i00"]
+    network.sent = dict.fromkeys(others, "idle")
+    network.play(0.5 * SECOND)
+    for name in others:
+        del network.sent[name]
+    network.restart_database("e1", 2 * TICK, 10 * TICK)
+    network.play(2 * SECOND)
+    assert 0 < network.worst_second() < LIMIT
+
+
 def test_reads_go_elsewhere_and_the_limit_ends() -> None:
     """Guards against reads that wait for a cold replica, and an endless limit."""
     network = make_cold_network(5, 1)
