--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -53,6 +53,7 @@
 )
 from .session_state_rows import EMPTY_STATE, SessionState
 from .settings import Settings
+from .warmup.rows import ColdRow
 from .work_rows import ConnectionRow, EndpointQueue, TransactionRow, WorkRow
 
 
@@ -127,6 +128,7 @@
     contact_lease: timedelta | None = None
     contact_since: timedelta = NEVER  # When this instance learned of that.
     listed_at: timedelta = NEVER  # When this instance learned of it.
+    reads_losses: bool = False  # Its build reads of lost connections to endpoints.
 
 
 @define
@@ -427,6 +429,9 @@
     latencies: Latencies = field(factory=dict)
     services: dict[str, ServiceRow] = field(factory=dict)  # By endpoint.
     evacuations: dict[str, EvacuationRow] = field(factory=dict)  # By data centre.
+    cold_endpoints: dict[str, ColdRow] = field(factory=dict)  # By endpoint.
+    # The limits of endpoints that may be cold, by name of the limit.
+    cold_limits: dict[str, WorkspaceRow] = field(factory=dict)
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
