Eject endpoints from reads whose statements fail, are slow or that flap

Cause: an endpoint that opens connections but fails a part of its statements went on getting the reads of its group.

--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -270,4 +270,36 @@
     counts: dict[str, int]
 
 
+# --- Judgement of endpoints
+
+
+@frozen
+class EndpointEjected(Event):
+    """An endpoint gets no reads for a time: its statements fail or are slow."""
+
+    endpoint: str
+    group: str
+    reason: str
+    results: int  # In the last seconds.
+    failed: float  # Part of the results.
+    for_ms: int
+
+
+@frozen
+class EndpointProbed(Event):
+    """An ejected endpoint was probed at the end of its time."""
+
+    endpoint: str
+    answered: bool
+
+
+@frozen
+class EndpointReturned(Event):
+    """An ejected endpoint gets reads again."""
+
+    endpoint: str
+    cause: str
+    ejected_ms: int
+
+
 BUILT_IN = event_classes()
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -8,6 +8,7 @@
 
 from . import connection_setup, leadership, pools
 from .dispatch import handle
+from .ejection import results
 from .fencing.contact import may_use_primary
 from .fencing.coordination import record_refusal
 from .fencing.messages import DemoteEndpoint
@@ -247,6 +248,7 @@
     state: State,
 ) -> None:
     """Answer a statement, or place it again if it certainly did not run."""
+    results.record_answer(operation, connection, sent_at, message.fault, state)
     if message.fault is not None:
         on_statement_failed(connection, operation, message, state)
         return
@@ -409,6 +411,7 @@
     if connection is None:
         return
     operation.timed_out = True
+    results.record_loss(connection, Fault.TIMED_OUT, state)
     state.counters["operations.timed_out"] += 1
     pool = state.pools.get(connection.endpoint)
     if pool is not None and pool.answered_at < operation.staged_at:
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -9,6 +9,7 @@
 
 from . import leadership, operation_steps, placement, pools, rates, registry
 from .dispatch import handle
+from .ejection import judgement
 from .errors import Failure
 from .fencing import contact
 from .messages import Position
@@ -190,6 +191,8 @@
     pool = state.pools[row.name]
     if row.name in operation.tried or not pools.is_available(pool, state):
         return False
+    if judgement.is_ejected(row.name, state):
+        return False
     is_primary = leadership.row_of(row.entry.group, state).primary == row.name
     if not is_primary and state.clock.monotonic() < pool.behind_until:
         return False
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -12,6 +12,7 @@
 from . import connection_limits, connection_setup, membership
 from .clock import MILLISECOND
 from .dispatch import handle
+from .ejection import results
 from .log_events import EndpointAnswers, EndpointFailing
 from .policies import Policy
 from .service_order import selection, serving
@@ -252,8 +253,8 @@
     return True
 
 
-def open_connection(workspace: str, pool: PoolRow, state: State) -> None:
-    """Open a connection for a workspace."""
+def open_connection(workspace: str, pool: PoolRow, state: State) -> int:
+    """Open a connection for a workspace and return its number."""
     number = state.new_number()
     entry = state.registry[pool.endpoint].entry
     now = state.clock.monotonic()
@@ -265,13 +266,14 @@
     state.outbox.append(
         OpenPooled(number, entry.address, pool.group, workspace, pool.endpoint)
     )
+    return number
 
 
-def probe(pool: PoolRow, state: State) -> None:
+def probe(pool: PoolRow, state: State) -> int:
     """Open a connection to learn whether an endpoint answers, and its log position."""
     workspace = next(iter(state.configuration.workspaces), "")
-    open_connection(workspace, pool, state)
     state.counters["pools.probes"] += 1
+    return open_connection(workspace, pool, state)
 
 
 def release(row: PooledRow, state: State) -> None:
@@ -365,6 +367,7 @@
 
 def handle_loss(row: PooledRow, fault: Fault | None, state: State) -> None:
     """Remove a lost connection; record what the loss tells about its endpoint."""
+    results.record_loss(row, fault, state)
     remove_connection(row, state)
     pool = state.pools.get(row.endpoint)
     if pool is not None:
@@ -417,6 +420,7 @@
     """Record and log since when an endpoint fails."""
     if pool.failing_since is None:
         pool.failing_since = max(since, state.resumed_at)
+        results.record_outage(pool, state)
         state.log_event(EndpointFailing(pool.endpoint, fault))
 
 
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -30,6 +30,7 @@
     sessions,
 )
 from .dispatch import handle
+from .ejection import judgement
 from .fencing import coordination, stopping
 from .policies import Policy
 from .tables import State
@@ -48,6 +49,7 @@
     allocation.run,
     rates.run,
     pools.run,
+    judgement.run,
     stopping.run,
     coordination.run,
     promotion.run,
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -14,6 +14,7 @@
 from attrs import Factory, define, field
 
 from .clock import NEVER, Clock
+from .ejection.rows import JudgementRow
 from .errors import Failure
 from .event_base import Event
 from .failover_rows import (
@@ -418,6 +419,8 @@
     coordinations: dict[str, CoordinationRow] = field(factory=dict)  # By group.
     latencies: Latencies = field(factory=dict)
     services: dict[str, ServiceRow] = field(factory=dict)  # By endpoint.
+    judgements: dict[str, JudgementRow] = field(factory=dict)  # By endpoint.
+    judged_at: timedelta = NEVER
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
