--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -23,6 +23,7 @@
 )
 from .request_events import TransactionEnded
 from .service_order import serving
+from .service_order.transactions import record_end
 from .session_messages import (
     NOT_RUN,
     ApplyStep,
@@ -390,6 +391,7 @@
     if session is not None:
         session.connection = 0
         session.phase = Phase.FAILED
+        record_end(session, "connection-lost", state)
         group = session.route.group if session.route is not None else ""
         state.counters["sessions.aborted.connection-lost"] += 1
         state.log_event(
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -114,11 +114,10 @@
         hold(operation, state)
         return
     pool = state.pools[target.name]
-    delay = retry_after(operation, pool, state)
-    if delay is not None:
+    refusal = arrival_refusal(operation, pool, state)
+    if refusal is not None:
         state.counters["operations.refused_on_arrival"] += 1
-        detail = f"the queue of {target.name} takes longer than the objective allows"
-        refuse(operation, Refusal(Fault.OVERLOADED, detail, delay), state)
+        refuse(operation, refusal, state)
         return
     if operation.stage is not Stage.QUEUED or operation.endpoint != target.name:
         operation.queued_at = state.clock.monotonic()
@@ -128,14 +127,19 @@
     pools.enqueue(operation, pool, state)
 
 
-def retry_after(
+def arrival_refusal(
     operation: OperationRow, pool: PoolRow, state: State
-) -> timedelta | None:
-    """Return when to retry a statement that its queue refuses; None if it may wait."""
+) -> Refusal | None:
+    """Return why and until when a queue refuses a statement; None if it may wait."""
     if selection.is_ordered(pool, state):
         return serving.refusal_for(operation, pool, state)
     policy = selection.policy_for(pool, state)
-    return arrival_retry_after(policy, queue_of(pool, state), operation.route.objective)
+    queue, objective = queue_of(pool, state), operation.route.objective
+    delay = arrival_retry_after(policy, queue, objective)
+    if delay is None:
+        return None
+    detail = f"the queue of {pool.endpoint} takes longer than the objective allows"
+    return Refusal(Fault.OVERLOADED, detail, delay)
 
 
 def queue_of(pool: PoolRow, state: State) -> Queue:
--- a/pimentodrift/service_order/rows.py
+++ b/pimentodrift/service_order/rows.py
@@ -21,6 +21,8 @@
     passed: dict[int, timedelta] = field(factory=dict)
     # Until when refused statements of each priority were told to come back.
     booked_until: dict[int, timedelta] = field(factory=dict)
+    # When refused transactions were told to come back.
+    places: list[timedelta] = field(factory=list)
     # Time on connections of all waiting statements, as last added up at `added_at`.
     work: timedelta = timedelta(0)
     added_at: timedelta = NEVER
--- a/pimentodrift/service_order/serving.py
+++ b/pimentodrift/service_order/serving.py
@@ -57,12 +57,20 @@
 
 
 def waiting_groups(pool: PoolRow, row: ServiceRow, state: State) -> list[Group]:
-    """Return the statements that wait for an endpoint, by workspace and database."""
-    ends: dict[tuple[str, str], tuple[OperationRow, OperationRow, int]] = {}
+    """Return the statements that can be served, by workspace and database.
+
+    First statements of transactions have groups of their own, and none while no further
+    transaction may begin.
+    """
+    ends: dict[tuple[str, str, bool], tuple[OperationRow, OperationRow, int]] = {}
+    is_full = transactions.is_full(pool, state)
     for workspace, queue in pool.waiting.items():
         for number in queue:
             operation = state.operations[number]
-            key = workspace, operation.route.database
+            begins = transactions.begins(operation, state)
+            if begins and is_full:
+                continue
+            key = workspace, operation.route.database, begins
             first, _, count = ends.get(key, (operation, operation, 0))
             ends[key] = first, operation, count + 1
     return [
@@ -95,11 +103,14 @@
 # --- Admission
 
 
-def refusal_for(
-    operation: OperationRow, pool: PoolRow, state: State
-) -> timedelta | None:
-    """Return when a refused statement should come back; None if it may wait."""
+def refusal_for(operation: OperationRow, pool: PoolRow, state: State) -> Refusal | None:
+    """Return the refusal of a statement on arrival; None if it may wait."""
     row, now = row_of(pool, state), state.clock.monotonic()
+    after = transactions.refused_for(operation, pool, state)
+    if after is not None:
+        state.counters["service_order.refused_transactions"] += 1
+        detail = f"as many transactions as {pool.endpoint} may have are open"
+        return Refusal(Fault.OVERLOADED, detail, after)
     item = describe(operation, row, state)
     capacity = capacity_of(pool, row, state)
     left = admission.booked_left(row.booked_until, item.priority, now)
@@ -109,7 +120,9 @@
     if too_long is None:
         return None
     state.counters["service_order.refused_on_arrival"] += 1
-    return book(item, too_long, row, capacity, state)
+    after = book(item, too_long, row, capacity, state)
+    detail = f"the queue of {pool.endpoint} takes longer than the objective allows"
+    return Refusal(Fault.OVERLOADED, detail, after)
 
 
 def book(
@@ -174,8 +187,6 @@
     opening, usable = connection_counts(pool, state)
     for item in items:
         workspace = item.workspace
-        if transactions.must_wait(state.operations[item.number], pool, state):
-            continue
         if idle[workspace]:
             assign(item, pool, row, state)
             return True
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -34,6 +34,8 @@
     objective: timedelta  # Target latency of a whole operation.
     priority: int  # 0 is the highest.
     is_open: bool  # Its sessions need no key.
+    # An idle transaction is rolled back after this time; 0: that of `SessionLimits`.
+    transaction_idle: timedelta = timedelta(0)
 
 
 @define
@@ -80,6 +82,7 @@
     writes: dict[str, Position] = field(factory=dict)  # Its last write, by group.
     # Statements that arrived while another one was in progress.
     waiting: deque[SessionStatement] = field(factory=deque)
+    failure: str = ""  # Why its transaction was rolled back, if that is known.
 
 
 class Stage(StrEnum):
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -17,6 +17,7 @@
     end_transaction,
 )
 from .request_events import StatementDenied, TransactionEnded
+from .service_order.transactions import ROLLED_BACK, is_idle_too_long, record_end
 from .session_messages import (
     AnswerStatement,
     Begin,
@@ -144,7 +145,7 @@
     if session.phase is not Phase.FAILED:
         return False
     deny_with_fault(
-        message, session, Fault.ABORTED, "the transaction was rolled back", state
+        message, session, Fault.ABORTED, session.failure or ROLLED_BACK, state
     )
     return True
 
@@ -161,6 +162,7 @@
     )
     end_transaction(session, state)
     session.phase = Phase.FAILED
+    record_end(session, reason, state)
 
 
 @singledispatch
@@ -254,6 +256,7 @@
     session.began_at = state.clock.monotonic()
     session.route = route
     session.wrote = session.ran = False
+    session.failure = ""
     answer_locally(session, state)
 
 
@@ -283,7 +286,7 @@
     if session.phase is Phase.FAILED:
         session.phase = Phase.IDLE
         deny_with_fault(
-            message, session, Fault.ABORTED, "the transaction was rolled back", state
+            message, session, Fault.ABORTED, session.failure or ROLLED_BACK, state
         )
         return
     access = Access.WRITE if session.wrote else Access.READ
@@ -364,9 +367,7 @@
 
 def run(state: State) -> None:
     """Abort transactions that have been idle for too long."""
-    now = state.clock.monotonic()
-    limit = state.session_limits.transaction_idle
     for session in list(state.sessions.values()):
         is_idle = session.connection and not session.operation
-        if is_idle and now - session.used_at > limit:
+        if is_idle and is_idle_too_long(session, state):
             abort_transaction(session, "idle", state)
--- a/tests/order_support.py
+++ b/tests/order_support.py
@@ -21,6 +21,7 @@
 
 ENTRY = "i0"
 DATABASE = "e1"
+HOLD = timedelta(milliseconds=2900)  # A transaction may be idle for 3 s.
 TRANSPORT = MILLISECOND  # One way to the endpoint.
 
 
@@ -73,6 +74,8 @@
     # By kind or workspace and outcome; and those that came back at the time told.
     outcomes: Counter[tuple[str, str]] = field(factory=Counter)
     returns: Counter[str] = field(factory=Counter)
+    # Clients idle in transactions, with the commands that they will send.
+    holders: dict[int, tuple[str, deque[m.Command]]] = field(factory=dict)
     next_tick: timedelta = timedelta(0)
 
     def start(self) -> None:
@@ -178,8 +181,45 @@
         total = sum(n for (key, _), n in self.outcomes.items() if key == name)
         return self.outcomes[name, outcome] / total
 
+    # --- Clients idle in transactions
+
+    def hold(self, workspace: str) -> None:
+        """Begin a transaction, run a statement, be idle for HOLD, and commit."""
+        self.sessions += 1
+        self.holders[self.sessions] = (
+            workspace,
+            deque([m.Run(Access.WRITE, "saves"), m.Commit()]),
+        )
+        self.deliver(ENTRY, m.SessionOpened(self.sessions, "saves", workspace))
+        self.deliver(ENTRY, m.SessionStatement(self.sessions, "s", m.Begin()))
+
+    def continue_holder(self, session: int) -> None:
+        """Send the next command of a client that got an answer."""
+        workspace, commands = self.holders[session]
+        if not commands:
+            del self.holders[session]
+            self.outcomes["holders", "held"] += 1
+            self.hold(workspace)
+            return
+        command = commands.popleft()
+        delay = HOLD if isinstance(command, m.Commit) else TRANSPORT
+        statement = m.SessionStatement(session, "s", command)
+        self.schedule(delay, lambda: self.deliver(ENTRY, statement))
+
+    def end_holder(self, message: m.RefuseStatement) -> None:
+        """Let a client that was refused begin again when it was told to."""
+        workspace, _ = self.holders.pop(message.session)
+        self.deliver(ENTRY, m.SessionClosed(message.session))
+        self.outcomes["holders", message.refusal.detail] += 1
+        after = message.refusal.retry_after or SECOND
+        self.schedule(after, lambda: self.hold(workspace))
+
     def perform(self, name: str, message: object) -> None:
         match message:
+            case m.AnswerStatement() if message.session in self.holders:
+                self.continue_holder(message.session)
+            case m.RefuseStatement() if message.session in self.holders:
+                self.end_holder(message)
             case m.OpenPooled():
                 self.schedule(TRANSPORT, lambda: self.open(message.connection))
             case m.RunSteps():
