--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -9,6 +9,7 @@
 from . import connection_setup, leadership, pools
 from .dispatch import handle
 from .evacuation import permissions
+from .ejection import results
 from .fencing.contact import may_use_primary
 from .fencing.coordination import record_refusal
 from .fencing.messages import DemoteEndpoint
@@ -24,6 +25,7 @@
 )
 from .request_events import TransactionEnded
 from .service_order import serving
+from .service_order.transactions import record_end
 from .session_messages import (
     NOT_RUN,
     ApplyStep,
@@ -309,6 +311,7 @@
     state: State,
 ) -> None:
     """Answer a statement, or place it again if it certainly did not run."""
+    results.record_answer(operation, connection, sent_at, message.fault, state)
     if message.fault is not None:
         on_statement_failed(connection, operation, message, state)
         return
@@ -461,6 +464,7 @@
     if session is not None:
         session.connection = 0
         session.phase = Phase.FAILED
+        record_end(session, "connection-lost", state)
         group = session.route.group if session.route is not None else ""
         state.counters["sessions.aborted.connection-lost"] += 1
         state.log_event(
@@ -482,6 +486,7 @@
     if connection is None:
         return
     operation.timed_out = True
+    results.record_loss(connection, Fault.TIMED_OUT, state)
     state.counters["operations.timed_out"] += 1
     pool = state.pools.get(connection.endpoint)
     if pool is not None and pool.answered_at < operation.staged_at:
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -34,6 +34,7 @@
 from .dispatch import handle
 from .evacuation import draining as evacuation_draining
 from .evacuation import relaying
+from .ejection import judgement
 from .fencing import coordination, stopping
 from .homes import enforcement, sampling
 from .policies import Policy
@@ -57,6 +58,7 @@
     standby_grants.run,
     pools.run,
     evacuation_draining.run,
+    judgement.run,
     stopping.run,
     coordination.run,
     promotion.run,
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -36,6 +36,8 @@
     priority: int  # 0 is the highest.
     is_open: bool  # Its sessions need no key.
     regions: frozenset[str] = frozenset()  # Allowed for endpoints; empty: all.
+    # An idle transaction is rolled back after this time; 0: that of `SessionLimits`.
+    transaction_idle: timedelta = timedelta(0)
 
 
 @define
@@ -83,6 +85,7 @@
     writes: dict[str, Position] = field(factory=dict)  # Its last write, by group.
     # Statements that arrived while another one was in progress.
     waiting: deque[SessionStatement] = field(factory=deque)
+    failure: str = ""  # Why its transaction was rolled back, if that is known.
 
 
 class Stage(StrEnum):
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -14,6 +14,7 @@
 from attrs import Factory, define, field
 
 from .clock import NEVER, Clock
+from .ejection.rows import JudgementRow
 from .errors import Failure
 from .evacuation.rows import EvacuationRow
 from .event_base import Event
@@ -432,6 +433,8 @@
     cold_endpoints: dict[str, ColdRow] = field(factory=dict)  # By endpoint.
     # The limits of endpoints that may be cold, by name of the limit.
     cold_limits: dict[str, WorkspaceRow] = field(factory=dict)
+    judgements: dict[str, JudgementRow] = field(factory=dict)  # By endpoint.
+    judged_at: timedelta = NEVER
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
