--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -8,8 +8,8 @@
 
 from . import connection_setup, leadership, pools
 from .dispatch import handle
-from .evacuation import permissions
 from .ejection import results
+from .evacuation import permissions
 from .fencing.contact import may_use_primary
 from .fencing.coordination import record_refusal
 from .fencing.messages import DemoteEndpoint
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -32,9 +32,9 @@
 )
 from .configuration_relay import receiving
 from .dispatch import handle
+from .ejection import judgement
 from .evacuation import draining as evacuation_draining
 from .evacuation import relaying
-from .ejection import judgement
 from .fencing import coordination, stopping
 from .homes import enforcement, sampling
 from .policies import Policy
