Replace the primary of an evacuated data centre by a planned switchover

A replica was promoted at once, so writes that it did not have yet were lost (shown by a test with replicas that lag 600 ms). The coordinator now asks all instances to hold what needs the primary, waits for a replica with the primary's last position, and takes the token only while every hold is certain. The loss of the coordinator ends the holds after 1.5 s. If that fails, the longest log is promoted once no instance uses the old primary any more.

--- a/pimentodrift/evacuation/permissions.py
+++ b/pimentodrift/evacuation/permissions.py
@@ -1,10 +1,12 @@
 """Tells whether an endpoint may be sent a request in spite of evacuations."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from ..session_rows import EndpointRole, PooledRow, PoolRow, RegistryRow
-from ..tables import State
-from .rows import EvacuationRow
+from ..tables import InstanceRow, State
+from .decisions import CERTAIN_HOLD
+from .rows import EvacuationRow, SwitchoverRow
 
 # An evacuation lasts for seconds at least, so a client need not retry sooner.
 RETRY_AFTER = timedelta(seconds=1)
@@ -79,3 +81,35 @@
     if not name:
         return next((row.name for row in rows), "")
     return "" if accepts_requests(name, True, state) else name
+
+
+def is_held(group: str, endpoint: str, state: State) -> bool:
+    """Return whether new statements for a primary wait for a planned switchover."""
+    row = state.primary_holds.get(group)
+    return row is not None and row.endpoint == endpoint
+
+
+def is_hold_certain(
+    attempt: SwitchoverRow, instances: Iterable[InstanceRow], state: State
+) -> bool:
+    """Return whether no instance has had work at the primary since it confirmed."""
+    now = state.clock.monotonic()
+    known = attempt.confirmed
+    return not attempt.is_broken and all(
+        item.name in known and now - known[item.name][1] <= CERTAIN_HOLD
+        for item in instances
+    )
+
+
+def may_promote(group: str, state: State) -> bool:
+    """Return whether a promotion that was decided on would lose no write.
+
+    Only a planned switchover depends on the instances' holds.
+    """
+    attempt = state.switchovers.get(group)
+    if attempt is None:
+        return True
+    now = state.clock.monotonic()
+    return not attempt.is_broken and all(
+        now - sent_at <= CERTAIN_HOLD for _, sent_at in attempt.confirmed.values()
+    )
--- a/pimentodrift/instance_registration.py
+++ b/pimentodrift/instance_registration.py
@@ -43,6 +43,8 @@
     if permissions.is_enabled(state):
         value["fencing"] = state.settings.primary_fencing
         value["contact_lease_ms"] = str(CONTACT_LEASE // MILLISECOND)
+    if kind_rows.follows_evacuations(state):
+        value["evacuation_bound_ms"] = str(settings.evacuation_bound // MILLISECOND)
     known = state.view.objects.get(("instance", settings.name))
     if known is not None and known.value == value:
         return
--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -305,4 +305,25 @@
     after_ms: int  # Since the evacuation was seen.
 
 
+@frozen
+class SwitchoverBegun(Event):
+    """This instance asked all others to hold the work of an evacuated primary."""
+
+    group: str
+    endpoint: str
+    attempt: int
+
+
+@frozen
+class SwitchoverEnded(Event):
+    """A planned switchover has ended; `result` tells how."""
+
+    group: str
+    endpoint: str
+    attempt: int
+    result: str
+    unconfirmed: int  # Instances that did not confirm.
+    took_ms: int
+
+
 BUILT_IN = event_classes()
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -89,8 +89,12 @@
     """
     if not permissions.may_send(connection, state):
         return True
+    if not connection.needs_primary:
+        return False
     group, endpoint = connection.group, connection.endpoint
-    return connection.needs_primary and not may_use_primary(group, endpoint, state)
+    if not connection.session and permissions.is_held(group, endpoint, state):
+        return True
+    return not may_use_primary(group, endpoint, state)
 
 
 def send_first_steps(
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -175,6 +175,8 @@
         return None
     if not contact.may_use_primary(group, row.name, state):
         return None
+    if permissions.is_held(group, row.name, state):
+        return None
     # `promotion` probes a failing primary; a statement would only wait for the outcome.
     return row if state.pools[row.name].failing_since is None else None
 
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -329,6 +329,7 @@
     )
     pool.answered_at = now
     pool.position, pool.position_at = message.position, now
+    pool.position_asked_at = row.opened_at
     record_recovery(pool, state)
     serve_waiting(pool, state)
 
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -11,6 +11,7 @@
 from .clock import NEVER
 from .dispatch import handle_peer
 from .evacuation import permissions as evacuation
+from .evacuation import switchover
 from .fencing import permissions
 from .promotion_decisions import (
     promotion_row,
@@ -65,21 +66,27 @@
     answer_queries(row, primary, failing, state)
     if restore_decision(row, state):
         return
-    is_leaving = primary is not None and (
-        primary.leaving_since is not None or evacuation.is_evacuated(primary, state)
-    )
+    is_leaving = primary is not None and primary.leaving_since is not None
+    is_evacuated = primary is not None and evacuation.is_evacuated(primary, state)
     if primary is not None and failing is not False and not is_leaving:
         probe_primary(row, primary, state)
-    if not failing and not is_leaving and not row.reports:
+    if not is_evacuated:
+        switchover.leave(row.group, "done", state)
+    if not failing and not is_leaving and not is_evacuated and not row.reports:
         row.choosing_since = None
         return
-    leader = coordinator_of(row.group, state)
+    leader = coordinator_of(row.group, state, is_evacuated)
     if leader != state.settings.name:
+        switchover.leave(row.group, "another-coordinator", state)
         if failing:
             report_failure(row, primary, leader, state)
         return
-    if is_leaving or is_failure_agreed(row, primary, failing, state):
+    leaves_only = is_leaving and not is_evacuated
+    if leaves_only or is_failure_agreed(row, primary, failing, state):
+        switchover.leave(row.group, "primary-failed", state)
         replace_primary(row, primary, state)
+    elif is_evacuated and primary is not None:
+        switchover.advance(row, primary, state)
 
 
 def restore_decision(row: PromotionRow, state: State) -> bool:
@@ -176,8 +183,11 @@
     row.askers.clear()
 
 
-def coordinator_of(group: str, state: State) -> str:
-    """Return the first usable instance that has the store; it decides for the group."""
+def coordinator_of(group: str, state: State, follows_evacuations: bool = False) -> str:
+    """Return the first usable instance that has the store; it decides for the group.
+
+    With `follows_evacuations`, only instances count whose build and settings do.
+    """
     now = state.clock.monotonic()
     own = state.settings.name
     rows = [
@@ -186,6 +196,7 @@
         if row.name == own
         or (
             membership.is_instance_usable(row, state)
+            and (row.follows_evacuations or not follows_evacuations)
             and now - row.last_heard <= MAX_HEARTBEAT_AGE
             and row.store_age is not None
             and row.store_age <= MAX_STORE_AGE
--- a/pimentodrift/promotion_decisions.py
+++ b/pimentodrift/promotion_decisions.py
@@ -76,11 +76,7 @@
     now = state.clock.monotonic()
     if is_busy(row, state):
         return
-    _, holder = stored_token(row.group, state)
-    other = holder not in ("", state.settings.name)
-    lifetime = decision_lifetime(state)
-    has_ended = membership.has_ended_since(holder, row.seen_at, state)
-    if other and not has_ended and now - row.seen_at < lifetime:
+    if is_decided_elsewhere(row, state):
         return
     old = primary.name if primary is not None else ""
     rows = promotable_members(row, old, state)
@@ -97,6 +93,16 @@
     take_token(row, target, old, state)
 
 
+def is_decided_elsewhere(row: PromotionRow, state: State) -> bool:
+    """Return whether a live instance's recent decision blocks a new one."""
+    _, holder = stored_token(row.group, state)
+    if holder in ("", state.settings.name):
+        return False
+    if membership.has_ended_since(holder, row.seen_at, state):
+        return False
+    return state.clock.monotonic() - row.seen_at < decision_lifetime(state)
+
+
 def is_in_progress(row: PromotionRow) -> bool:
     """Return whether a failure is being examined or a decision carried out."""
     has_news = bool(row.reports or row.askers or row.choosing_since)
@@ -215,6 +221,12 @@
         row.next_at = now + RETRY_DELAY
         return
     row.token, row.target = purpose.token, purpose.target
+    if not permissions.is_enabled(state) and not evacuation.may_promote(
+        purpose.group, state
+    ):
+        row.next_at = now + RETRY_DELAY
+        state.counters["evacuation.promotions_given_up"] += 1
+        return
     if permissions.is_enabled(state):
         begin_fencing(row, purpose, state)
     else:
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -31,7 +31,7 @@
 )
 from .dispatch import handle
 from .evacuation import draining as evacuation_draining
-from .evacuation import relaying
+from .evacuation import holding, relaying
 from .fencing import coordination, stopping
 from .policies import Policy
 from .tables import State
@@ -51,6 +51,7 @@
     rates.run,
     pools.run,
     evacuation_draining.run,
+    holding.run,
     stopping.run,
     coordination.run,
     promotion.run,
@@ -94,6 +95,8 @@
         return False
     if any(row.done_at is None for row in state.evacuations.values()):
         return False
+    if state.primary_holds:
+        return False
     if state.events or state.typed_events:
         return False  # Log lines are written at ticks.
     if not kind_rows.is_every_kind_listed(state):
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -168,6 +168,7 @@
     service_at: timedelta = NEVER
     # Refused attempts to connect since it last opened a connection; sets the backoff.
     refusals: int = 0
+    position_asked_at: timedelta = NEVER  # When the opening began that told `position`.
 
 
 class EndpointRole(StrEnum):
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -15,7 +15,7 @@
 
 from .clock import NEVER, Clock
 from .errors import Failure
-from .evacuation.rows import EvacuationRow
+from .evacuation.rows import EvacuationRow, HoldRow, SwitchoverRow
 from .event_base import Event
 from .failover_rows import (
     Channel,
@@ -123,6 +123,7 @@
     contact_lease: timedelta | None = None
     contact_since: timedelta = NEVER  # When this instance learned of that.
     listed_at: timedelta = NEVER  # When this instance learned of it.
+    follows_evacuations: bool = False  # It takes part in planned switchovers.
 
 
 @define
@@ -419,6 +420,9 @@
     coordinations: dict[str, CoordinationRow] = field(factory=dict)  # By group.
     latencies: Latencies = field(factory=dict)
     evacuations: dict[str, EvacuationRow] = field(factory=dict)  # By data centre.
+    primary_holds: dict[str, HoldRow] = field(factory=dict)  # By group.
+    switchovers: dict[str, SwitchoverRow] = field(factory=dict)  # By group.
+    switchover_after: dict[str, timedelta] = field(factory=dict)  # Next one, by group.
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
