--- a/pimentodrift/evacuation/holding.py
+++ b/pimentodrift/evacuation/holding.py
@@ -14,7 +14,7 @@
 from . import permissions
 from .decisions import HOLD_LIFETIME, TRANSACTION_GRACE
 from .messages import HoldConfirmed, HoldPrimary
-from .rows import HoldRow
+from .rows import HoldClaim, HoldRow
 
 ABORT_REASON = "planned-switchover"
 
@@ -33,7 +33,9 @@
     """Return whether statements still have to wait."""
     if not permissions.leads(row.endpoint, state):
         return False
-    return state.clock.monotonic() < row.until or is_being_promoted(row, state)
+    now = state.clock.monotonic()
+    is_claimed = any(now < claim.until for claim in row.claims.values())
+    return is_claimed or is_being_promoted(row, state)
 
 
 def is_being_promoted(row: HoldRow, state: State) -> bool:
@@ -71,12 +73,14 @@
 
 
 def confirm(row: HoldRow, state: State) -> None:
-    """Confirm the last message if no work is left."""
-    if not row.unconfirmed or work_of(row, state):
+    """Confirm the last message of each coordinator if no work is left."""
+    if work_of(row, state):
         return
-    number, row.unconfirmed = row.unconfirmed, 0
-    message = HoldConfirmed(row.group, row.attempt, number, row.hold)
-    peers.send(row.coordinator, message, state)
+    for coordinator, claim in list(row.claims.items()):
+        number, claim.unconfirmed = claim.unconfirmed, 0
+        if number:
+            message = HoldConfirmed(row.group, claim.attempt, number, row.hold)
+            peers.send(coordinator, message, state)
 
 
 def take_back_waiting(row: HoldRow, state: State) -> None:
@@ -93,30 +97,27 @@
 @handle_peer.register
 def _(message: HoldPrimary, sender: str, state: State) -> None:
     row = state.primary_holds.get(message.group)
-    is_same = row is not None and (row.coordinator, row.attempt) == (
-        sender,
-        message.attempt,
-    )
     if message.is_over:
-        if is_same:
-            del state.primary_holds[message.group]
+        if row is not None:
+            end_claim(row, sender, message.attempt, state)
         return
     if not permissions.leads(message.endpoint, state):
         return
     now = state.clock.monotonic()
-    if row is None or not is_same or not is_wanted(row, state):
-        row = HoldRow(
-            message.group,
-            message.endpoint,
-            sender,
-            message.attempt,
-            state.new_number(),
-            since=now,
-            until=now,
-        )
+    if row is None or row.endpoint != message.endpoint or not is_wanted(row, state):
+        row = HoldRow(message.group, message.endpoint, state.new_number(), now)
         state.primary_holds[message.group] = row
         state.counters["evacuation.holds"] += 1
         take_back_waiting(row, state)
-    row.until = now + HOLD_LIFETIME
-    row.unconfirmed = max(row.unconfirmed, message.number)
+    row.claims[sender] = HoldClaim(message.attempt, now + HOLD_LIFETIME, message.number)
     confirm(row, state)
+
+
+def end_claim(row: HoldRow, coordinator: str, attempt: int, state: State) -> None:
+    """End a coordinator's claim, and with the last one the hold."""
+    claim = row.claims.get(coordinator)
+    if claim is None or claim.attempt != attempt:
+        return
+    del row.claims[coordinator]
+    if not row.claims:
+        del state.primary_holds[row.group]
--- a/pimentodrift/evacuation/rows.py
+++ b/pimentodrift/evacuation/rows.py
@@ -20,19 +20,26 @@
     used: dict[str, str] = field(factory=dict)  # Primaries in use there, with groups.
 
 
+@define
+class HoldClaim:
+    """The last request of a coordinator to hold the work at a primary."""
+
+    attempt: int
+    until: timedelta
+    # Number of the last message that was not confirmed yet; 0 if there is none.
+    unconfirmed: int
+
+
 @define
 class HoldRow:
     """A group whose new statements for the primary wait during a switchover."""
 
     group: str
     endpoint: str
-    coordinator: str
-    attempt: int
     hold: int  # Number of this hold, new after each one that has ended.
     since: timedelta
-    until: timedelta
-    # Number of the last message that was not confirmed yet; 0 if there is none.
-    unconfirmed: int = 0
+    # By coordinator; there may be two for a moment.
+    claims: dict[str, HoldClaim] = field(factory=dict)
 
 
 class SwitchoverStage(StrEnum):
--- a/pimentodrift/evacuation/switchover.py
+++ b/pimentodrift/evacuation/switchover.py
@@ -158,6 +158,9 @@
     if not permissions.is_hold_certain(attempt, participants(state), state):
         end(attempt, "hold-lost", state)
         return
+    if is_decided_elsewhere(row, state):
+        end(attempt, "decided-elsewhere", state)
+        return
     rows = promotable_members(row, attempt.endpoint, state)
     old = state.pools[attempt.endpoint]
     read_positions(attempt, [old, *(state.pools[item.name] for item in rows)], state)
