--- a/pimentodrift/instance_registration.py
+++ b/pimentodrift/instance_registration.py
@@ -46,6 +46,8 @@
         value["contact_lease_ms"] = str(CONTACT_LEASE // MILLISECOND)
     if losses.has_limits(state):
         value[losses.ANNOUNCEMENT] = "read"
+    if kind_rows.follows_evacuations(state):
+        value["evacuation_bound_ms"] = str(settings.evacuation_bound // MILLISECOND)
     known = state.view.objects.get(("instance", settings.name))
     if known is not None and known.value == value:
         return
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -34,7 +34,7 @@
 from .dispatch import handle
 from .ejection import judgement
 from .evacuation import draining as evacuation_draining
-from .evacuation import relaying
+from .evacuation import holding, relaying
 from .fencing import coordination, stopping
 from .homes import enforcement, sampling
 from .policies import Policy
@@ -59,6 +59,7 @@
     pools.run,
     evacuation_draining.run,
     judgement.run,
+    holding.run,
     stopping.run,
     coordination.run,
     promotion.run,
@@ -105,6 +106,8 @@
         return False
     if any(row.done_at is None for row in state.evacuations.values()):
         return False
+    if state.primary_holds:
+        return False
     if state.events or state.typed_events:
         return False  # Log lines are written at ticks.
     if not kind_rows.is_every_kind_listed(state):
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -16,7 +16,7 @@
 from .clock import NEVER, Clock
 from .ejection.rows import JudgementRow
 from .errors import Failure
-from .evacuation.rows import EvacuationRow
+from .evacuation.rows import EvacuationRow, HoldRow, SwitchoverRow
 from .event_base import Event
 from .failover_rows import (
     Channel,
@@ -130,6 +130,7 @@
     contact_since: timedelta = NEVER  # When this instance learned of that.
     listed_at: timedelta = NEVER  # When this instance learned of it.
     reads_losses: bool = False  # Its build reads of lost connections to endpoints.
+    follows_evacuations: bool = False  # It takes part in planned switchovers.
 
 
 @define
@@ -435,6 +436,9 @@
     cold_limits: dict[str, WorkspaceRow] = field(factory=dict)
     judgements: dict[str, JudgementRow] = field(factory=dict)  # By endpoint.
     judged_at: timedelta = NEVER
+    primary_holds: dict[str, HoldRow] = field(factory=dict)  # By group.
+    switchovers: dict[str, SwitchoverRow] = field(factory=dict)  # By group.
+    switchover_after: dict[str, timedelta] = field(factory=dict)  # Next one, by group.
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
