Forward statements to owners of endpoints with scarce connections

With more instances than an endpoint accepts connections, each instance's pool, divided by workspace, almost never used a connection twice. Statements and transactions now run at one owner of the endpoint. Where no owner is in use or usable, the instance's own pool serves as before.

--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -21,7 +21,7 @@
     track_contact,
 )
 from .messages import ClosePeer, SendPeer
-from .notices import InstanceDown
+from .notices import InstanceDown, PeerUnreachable
 from .peer_messages import EndpointSample, Hello, Ping, Pong
 from .rejoining import is_readable
 from .tables import EndpointRow, InstanceRow, State
@@ -90,6 +90,7 @@
         state.outbox.append(ClosePeer(row.name))
         suspect(row.name, state)
         handle(InstanceDown(row.name, frozenset()), state)
+        handle(PeerUnreachable(row.name), state)
         return
     row.unanswered += 1
     now = row.pinged_at = state.clock.monotonic()
--- a/pimentodrift/instance_registration.py
+++ b/pimentodrift/instance_registration.py
@@ -10,6 +10,8 @@
 from .fencing.decisions import CONTACT_LEASE
 from .kind_messages import WatchedKind
 from .log_events import InstanceListed
+from .messages import StoreObject
+from .owners import ownership
 from .store_writes import (
     StoreOutcome,
     writable_object,
@@ -44,6 +46,8 @@
         value["fencing"] = state.settings.primary_fencing
         value["contact_lease_ms"] = str(CONTACT_LEASE // MILLISECOND)
     known = state.view.objects.get(("instance", settings.name))
+    if must_offer(known, state):
+        value["serves_sessions"] = "yes"
     if known is not None and known.value == value:
         return
     state.registration_at = now + RETRY_INTERVAL
@@ -51,6 +55,21 @@
     write_object(target, value, Registration(), state)
 
 
+def must_offer(known: StoreObject | None, state: State) -> bool:
+    """Return whether the own object says that this build can own endpoints.
+
+    An object that lacks only this is not written again where no endpoint has an owner:
+    a fleet that needs none makes no calls for them.
+    """
+    if not ownership.is_enabled(state):
+        return False
+    value = known.value if known is not None else None
+    if value is None or "serves_sessions" in value:
+        return True
+    groups = {row.entry.group for row in state.registry.values()}
+    return any(ownership.has_owner(group, state) for group in groups)
+
+
 @write_ended.register
 def _(purpose: Registration, outcome: StoreOutcome, state: State) -> None:
     """Log the outcome; `run` tries again if the view lacks the object."""
--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -204,6 +204,15 @@
     outcome: str
 
 
+@frozen
+class OwnerLost(Event):
+    """An owner of endpoints does not answer; its statements and transactions end."""
+
+    peer: str
+    statements: int
+    transactions: int
+
+
 # --- Sessions
 
 
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -96,6 +96,7 @@
     row.data_centre = value["data_centre"]
     row.presence = Presence(value.get("state", "live"))
     row.can_fence = "fencing" in value
+    row.serves_sessions = "serves_sessions" in value
     lease_ms = value.get("contact_lease_ms")
     contact_lease = None if lease_ms is None else int(lease_ms) * MILLISECOND
     if contact_lease != row.contact_lease:
--- a/pimentodrift/notices.py
+++ b/pimentodrift/notices.py
@@ -137,3 +137,14 @@
     """A relay sent changes of the registry of endpoints."""
 
     update: RegistryUpdate
+
+
+@frozen
+class PeerUnreachable(Notice):
+    """A stream to an instance was lost, or the instance does not answer.
+
+    `unsent` has the numbers of forwarded statements of which no byte was sent.
+    """
+
+    instance: str
+    unsent: frozenset[int] = frozenset()
--- a/pimentodrift/operation_completion.py
+++ b/pimentodrift/operation_completion.py
@@ -6,6 +6,7 @@
 from . import latencies, pools, view
 from .clock import MILLISECOND, NEVER
 from .dispatch import handle
+from .owners import links, replies
 from .request_events import (
     StatementAnswered,
     StatementLate,
@@ -49,6 +50,11 @@
 def answer(operation: OperationRow, message: StepAnswered, state: State) -> None:
     """Answer a statement with the database's result."""
     session = state.sessions[operation.session]
+    if session.origin is not None:
+        replies.send_answer(operation, session.origin, message, state)
+        end_operation(operation, state)
+        replies.forget_if_ended(session, state)
+        return
     state.outbox.append(
         AnswerStatement(
             session.session,
@@ -135,13 +141,21 @@
         if session.phase is Phase.OPEN:
             ended = isinstance(operation.command, Commit)
             session.phase = Phase.IDLE if ended else Phase.FAILED
-        state.outbox.append(RefuseStatement(session.session, session.phase, refusal))
+        if session.origin is not None:
+            replies.send_refusal(operation, session.origin, refusal, state)
+        else:
+            state.outbox.append(
+                RefuseStatement(session.session, session.phase, refusal)
+            )
     end_operation(operation, state)
+    if session is not None:
+        replies.forget_if_ended(session, state)
 
 
 def end_operation(operation: OperationRow, state: State) -> None:
     """Remove a statement and let its session start the next one."""
     state.operations.pop(operation.operation, None)
+    state.forwards.pop(operation.operation, None)
     connection = state.pooled.get(operation.connection)
     if connection is not None and connection.operation == operation.operation:
         connection.operation = 0
@@ -161,6 +175,7 @@
 
 def end_transaction(session: SessionRow, state: State) -> None:
     """Roll back a session's transaction at the database and release its connection."""
+    links.end_remote_transaction(session, state)
     connection = state.pooled.get(session.connection)
     session.connection = 0
     if connection is None:
@@ -177,6 +192,7 @@
     Its transaction is rolled back, unless its commit was already sent.
     """
     state.operations.pop(operation.operation, None)
+    links.abandon_forward(operation.operation, session, state)
     connection = state.pooled.get(operation.connection)
     if connection is None or operation.stage not in (Stage.BEGINNING, Stage.RUNNING):
         pools.remove_waiting(operation, state)
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -20,6 +20,7 @@
     retry_event,
     send_steps,
 )
+from .owners import replies
 from .request_events import TransactionEnded
 from .session_messages import (
     NOT_RUN,
@@ -306,9 +307,16 @@
 def record_fault(connection: PooledRow, fault: Fault, state: State) -> None:
     """Record what a database's error tells about its endpoint."""
     state.counters[f"endpoints.{fault}"] += 1
-    pool = state.pools.get(connection.endpoint)
+    record_endpoint_fault(connection.group, connection.endpoint, fault, state)
+
+
+def record_endpoint_fault(
+    group: str, endpoint: str, fault: Fault, state: State
+) -> None:
+    """Record that an endpoint isn't the primary, or that its log is behind."""
+    pool = state.pools.get(endpoint)
     if fault is Fault.READ_ONLY:
-        leadership.record_denial(connection.group, connection.endpoint, state)
+        leadership.record_denial(group, endpoint, state)
     if fault is Fault.BEHIND and pool is not None:
         pool.behind_until = state.clock.monotonic() + BEHIND_BACKOFF
 
@@ -321,6 +329,7 @@
 ) -> None:
     """Place a statement again that certainly did not run, within MAX_ATTEMPTS."""
     fault = message.fault or Fault.FAILED
+    operation.fault = fault
     record_fault(connection, fault, state)
     state.log_event(retry_event(operation, fault, message.detail, state))
     operation.tried.add(connection.endpoint)
@@ -360,6 +369,7 @@
 def retry_after_loss(operation: OperationRow, state: State) -> None:
     """Place a statement again after its connection or endpoint was lost."""
     operation.tried.add(operation.endpoint)
+    operation.fault = Fault.OVERLOADED
     if operation.attempts >= MAX_ATTEMPTS:
         detail = "the connections to the endpoints were lost"
         refuse(operation, Refusal(Fault.OVERLOADED, detail, RETRY_AFTER), state)
@@ -393,6 +403,8 @@
                 session.session, session.workspace, group, "connection-lost", 0
             )
         )
+        if session.origin is not None:
+            replies.report_rollback(session, session.origin, "connection-lost", state)
 
 
 def check_timeout(operation: OperationRow, state: State) -> None:
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -13,6 +13,7 @@
 from .fencing import contact
 from .messages import Position
 from .operation_completion import access_refusal, refuse
+from .owners import forwarding, replies
 from .policies import Policy
 from .queue_policy import (
     MIN_RETRY_AFTER,
@@ -59,6 +60,9 @@
     if session.connection:
         operation_steps.continue_transaction(operation, session, state)
         return
+    if session.owner:
+        forwarding.continue_transaction(operation, session, state)
+        return
     if not operation.workspace or rates.take_token(operation.workspace, state):
         place(operation, state)
         return
@@ -103,14 +107,23 @@
 
 def place(operation: OperationRow, state: State) -> None:
     """Queue a statement at an endpoint, or hold or refuse it."""
-    refusal = access_refusal(state.sessions[operation.session], operation.route, state)
+    session = state.sessions[operation.session]
+    if session.origin is not None:
+        replies.return_operation(operation, session, session.origin, state)
+        return
+    refusal = access_refusal(session, operation.route, state)
     if refusal is not None:
         refuse(operation, refusal, state)
         return
     target = choose_endpoint(operation, state)
     if target is None:
         hold(operation, state)
-        return
+    elif not forwarding.forward(operation, target, state):
+        queue_at(operation, target, state)
+
+
+def queue_at(operation: OperationRow, target: RegistryRow, state: State) -> None:
+    """Queue a statement for a connection to an endpoint, or refuse it."""
     pool = state.pools[target.name]
     objective = operation.route.objective
     delay = arrival_retry_after(
@@ -268,6 +281,8 @@
                 check_queued(operation, state)
             case Stage.BEGINNING | Stage.RUNNING:
                 operation_steps.check_timeout(operation, state)
+            case Stage.FORWARDED:
+                forwarding.check(operation, state)
 
 
 def check_held(operation: OperationRow, state: State) -> None:
--- /dev/null
+++ b/pimentodrift/owners/serving.py
@@ -0,0 +1,239 @@
+"""Runs statements of other instances' sessions at endpoints that this instance owns.
+
+A row of `SessionRow` stands for the entry's session while it has a statement in
+progress or an open transaction here. Its number is negative, so that it never equals
+that of a client's session.
+"""
+
+from datetime import timedelta
+
+from attrs import evolve
+
+from .. import operation_steps, operations, peers, pools, registry
+from ..clock import MILLISECOND
+from ..dispatch import handle, handle_peer
+from ..fencing import contact
+from ..messages import Access
+from ..operation_completion import access_refusal
+from ..session_messages import (
+    Command,
+    Commit,
+    Execute,
+    Fault,
+    Phase,
+    Prepare,
+    Run,
+    SessionClosed,
+)
+from ..session_rows import OperationRow, Route, SessionRow
+from ..tables import State
+from . import replies
+from .messages import (
+    CloseForwarded,
+    ForwardedAction,
+    ForwardedRoute,
+    ForwardOutcome,
+    ForwardStatement,
+    StatementReply,
+)
+from .rows import Origin
+
+STOPPING = "the owner is stopping"
+UNKNOWN = "the owner does not know the endpoint or the route"
+
+
+@handle_peer.register
+def _(message: ForwardStatement, sender: str, state: State) -> None:
+    origin = Origin(sender, message.process, message.session)
+    session = state.sessions.get(state.served.get(origin, 0))
+    if session is not None and is_repeated(session, message, state):
+        return
+    if message.in_transaction and not message.is_first:
+        continue_transaction(message, origin, session, state)
+        return
+    if session is not None:  # The entry has given up what it was for.
+        close(origin, state)
+    start(message, origin, state)
+
+
+def is_repeated(session: SessionRow, message: ForwardStatement, state: State) -> bool:
+    """Return whether a statement is already in progress."""
+    operation = state.operations.get(session.operation)
+    return operation is not None and operation.forwarded == message.request
+
+
+def start(message: ForwardStatement, origin: Origin, state: State) -> None:
+    """Queue a single statement or the first one of a transaction at its endpoint."""
+    state.counters["owners.received"] += 1
+    session = make_session(message, origin, state)
+    found = state.registry.get(message.endpoint)
+    route = make_route(message.route, state)
+    if state.stopping or found is None or route is None:
+        detail = STOPPING if state.stopping else UNKNOWN
+        replies.send_return(message.request, origin, None, detail, state)
+        return
+    refusal = access_refusal(session, route, state)
+    if refusal is not None:
+        # The entry's copy of the configuration allows it: one of them is older.
+        replies.send_return(message.request, origin, None, refusal.detail, state)
+        return
+    if not accepts(message, route, state):
+        detail = f"{message.endpoint} gets no new work"
+        replies.send_return(message.request, origin, Fault.OVERLOADED, detail, state)
+        return
+    if message.remaining_ms <= 0:
+        refuse_late(message, origin, state)
+        return
+    state.sessions[session.session] = session
+    state.served[origin] = session.session
+    operation = start_operation(message, session, route, state)
+    operations.queue_at(operation, found, state)
+
+
+def accepts(message: ForwardStatement, route: Route, state: State) -> bool:
+    """Return whether this instance may send a statement to its endpoint."""
+    row = state.registry[message.endpoint]
+    needs_primary = message.minimum is None
+    if row.entry.group != route.group:
+        return False
+    if not registry.accepts_work(row, needs_primary, state):
+        return False
+    if not pools.is_available(state.pools[row.name], state):
+        return False
+    if not needs_primary:
+        return True
+    return contact.may_use_primary(route.group, row.name, state)
+
+
+def refuse_late(message: ForwardStatement, origin: Origin, state: State) -> None:
+    """Tell the entry that a statement's time was over when it arrived."""
+    reply = StatementReply(
+        message.request,
+        ForwardOutcome.REFUSED,
+        fault=Fault.OVERLOADED,
+        detail="the time of the statement was over before it was queued",
+        retry_after_ms=operation_steps.RETRY_AFTER // MILLISECOND,
+    )
+    peers.send(origin.entry, reply, state)
+
+
+def continue_transaction(
+    message: ForwardStatement,
+    origin: Origin,
+    session: SessionRow | None,
+    state: State,
+) -> None:
+    """Run a later statement of a transaction that this instance holds open."""
+    route = session.route if session is not None else None
+    if session is None or route is None or not session.connection or session.operation:
+        reply = StatementReply(
+            message.request,
+            ForwardOutcome.REFUSED,
+            fault=Fault.ABORTED,
+            detail="the transaction was rolled back",
+            retry_after_ms=operation_steps.RETRY_AFTER // MILLISECOND,
+        )
+        peers.send(origin.entry, reply, state)
+        return
+    session.values = dict(message.values)
+    session.used_at = state.clock.monotonic()
+    operation = start_operation(message, session, route, state)
+    operation_steps.continue_transaction(operation, session, state)
+
+
+def make_session(message: ForwardStatement, origin: Origin, state: State) -> SessionRow:
+    """Return the row that stands for the entry's session."""
+    now = state.clock.monotonic()
+    return SessionRow(
+        -state.new_number(),
+        message.route.database,
+        message.workspace,
+        message.key_digest,
+        now,
+        phase=Phase.OPEN if message.in_transaction else Phase.IDLE,
+        read_only=message.read_only,
+        began_at=now - message.age_ms * MILLISECOND,
+        route=make_route(message.route, state) if message.in_transaction else None,
+        values=dict(message.values),
+        origin=origin,
+    )
+
+
+def make_route(values: ForwardedRoute, state: State) -> Route | None:
+    """Return the route by the entry's values and this instance's copy of the others."""
+    known = state.routes.get(values.database)
+    if known is None or known.is_open != values.is_open:
+        return None
+    return evolve(
+        known,
+        group=values.group,
+        consistency=values.consistency,
+        max_staleness=values.max_staleness_ms * MILLISECOND,
+        timeout=values.timeout_ms * MILLISECOND,
+        objective=values.objective_ms * MILLISECOND,
+        priority=values.priority,
+    )
+
+
+def start_operation(
+    message: ForwardStatement, session: SessionRow, route: Route, state: State
+) -> OperationRow:
+    """Start the operation of a forwarded statement, which needs no rate token."""
+    now = state.clock.monotonic()
+    elapsed = max(timedelta(0), route.timeout - message.remaining_ms * MILLISECOND)
+    shape = Prepare("", message.access, message.shape) if message.shape else None
+    row = OperationRow(
+        state.new_number(),
+        session.session,
+        message.statement_id,
+        command_of(message),
+        route,
+        message.workspace,
+        message.access,
+        message.text,
+        arrived_at=now - elapsed,
+        aged_from=now - message.age_ms * MILLISECOND,
+        primary_only=message.primary_only,
+        staged_at=now,
+        shape=shape,
+        endpoint=message.endpoint,
+        minimum=message.minimum,
+        forwarded=message.request,
+        received_at=now,
+    )
+    state.operations[row.operation] = row
+    session.operation = row.operation
+    return row
+
+
+def command_of(message: ForwardStatement) -> Command:
+    """Return the command of a forwarded statement."""
+    match message.action:
+        case ForwardedAction.COMMIT:
+            return Commit()
+        case ForwardedAction.EXECUTE:
+            return Execute("", message.text)
+        case ForwardedAction.RUN:
+            return Run(Access(message.access), message.text)
+
+
+# --- Sessions that their entries end
+
+
+def close(origin: Origin, state: State) -> None:
+    """Roll back and forget what this instance has of an entry's session."""
+    number = state.served.pop(origin, None)
+    if number is not None:
+        handle(SessionClosed(number), state)
+
+
+@handle_peer.register
+def _(message: CloseForwarded, sender: str, state: State) -> None:
+    close(Origin(sender, message.process, message.session), state)
+
+
+def close_sessions_of(entry: str, state: State) -> None:
+    """Roll back all transactions of a lost entry."""
+    for origin in [origin for origin in state.served if origin.entry == entry]:
+        state.counters["owners.entry_lost"] += 1
+        close(origin, state)
--- a/pimentodrift/peer_streams.py
+++ b/pimentodrift/peer_streams.py
@@ -17,6 +17,7 @@
 from .errors import Problem, outcome_unknown
 from .listeners import listen
 from .messages import ClosePeer, PeerLost, PeerMessage, PeerReceived, SendPeer
+from .owners.messages import ForwardStatement, StatementReply, too_large_reply
 from .peer_codec import MAX_MESSAGE_BYTES, PeerCodec, PeerCodecError, make_unpacker
 from .peer_messages import Forward, Hello, Reply
 from .shell_base import OutboxHandlers
@@ -44,7 +45,7 @@
 
     def send(self, message: PeerMessage, data: bytes) -> None:
         """Queue an encoded message; close the stream if its backlog is too large."""
-        if isinstance(message, Forward):
+        if isinstance(message, Forward | ForwardStatement):
             self.drop_sent()
             self.unsent.append((self.stream.queued, message.request))
         self.stream.write(data)
@@ -87,6 +88,16 @@
         self.streams.report_lost(self)
 
 
+def smaller_reply(message: PeerMessage) -> PeerMessage | None:
+    """Return what is sent in place of a reply that is too large; None for others."""
+    if isinstance(message, StatementReply):
+        return too_large_reply(message, MAX_MESSAGE_BYTES)
+    if not isinstance(message, Reply):
+        return None
+    detail = f"the result is larger than {MAX_MESSAGE_BYTES} bytes"
+    return Reply(message.request, outcome_unknown(Problem.STATEMENT_FAILED, detail))
+
+
 class PeerStreams:
     """All streams of an instance to other instances."""
 
@@ -119,7 +130,9 @@
             peer = self.dial(message.instance, message.address)
         if peer is None:
             request = message.message
-            unsent = {request.request} if isinstance(request, Forward) else set()
+            unsent: set[int] = set()
+            if isinstance(request, Forward | ForwardStatement):
+                unsent.add(request.request)
             self.deliver_all([PeerLost(message.instance, frozenset(unsent))])
             return
         self.send_on(peer, message.message)
@@ -132,11 +145,10 @@
         data = self.codec.encode(message)
         if len(data) > MAX_MESSAGE_BYTES:
             self.report_too_large(peer, message, len(data))
-            if not isinstance(message, Reply):
+            substitute = smaller_reply(message)
+            if substitute is None:
                 return
-            detail = f"the result is larger than {MAX_MESSAGE_BYTES} bytes"
-            failure = outcome_unknown(Problem.STATEMENT_FAILED, detail)
-            data = self.codec.encode(Reply(message.request, failure))
+            data = self.codec.encode(substitute)
         self.state.counters["peers.sent"] += 1
         peer.send(message, data)
 
--- a/pimentodrift/peers.py
+++ b/pimentodrift/peers.py
@@ -8,7 +8,7 @@
 from .dispatch import handle, handle_peer
 from .membership import suspect
 from .messages import PeerLost, PeerMessage, SendPeer
-from .notices import InstanceDown
+from .notices import InstanceDown, PeerUnreachable
 from .tables import State
 
 
@@ -33,3 +33,4 @@
     else:
         suspect(message.instance, state)
     handle(InstanceDown(message.instance, message.unsent, message.refused), state)
+    handle(PeerUnreachable(message.instance, message.unsent), state)
--- a/pimentodrift/policies.py
+++ b/pimentodrift/policies.py
@@ -13,6 +13,7 @@
     BURST_REDUCTION = "burst-reduction"  # A lowered burst is withdrawn gradually.
     CONNECTION_SHARES = "connection-shares"  # Bind while an endpoint refuses others.
     CONTACT_FENCE = "contact-fence"  # A promotion beside a silent instance is quick.
+    ENDPOINT_OWNERS = "endpoint-owners"  # Scarce connections belong to an owner.
     EVEN_SHARES = "even-shares"  # A part of a rate is divided evenly.
     DIVISIBLE_BURST = "divisible-burst"  # More of a burst is kept, to be divided.
     FLOOD_REFUSAL = "flood-refusal"  # In a flood, waits for tokens are bounded.
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -13,6 +13,7 @@
 from .clock import MILLISECOND
 from .dispatch import handle
 from .log_events import EndpointAnswers, EndpointFailing
+from .owners import ownership
 from .policies import Policy
 from .session_messages import (
     ClosePooled,
@@ -35,6 +36,8 @@
 # instances share, so an instance with more than half of its fair share closes it early.
 SHORT_IDLE_TIMEOUT = timedelta(milliseconds=250)
 IDLE_TIMEOUT = timedelta(seconds=3)
+# At the owner of the endpoint, where idle connections are in nobody's way.
+OWNED_IDLE_TIMEOUT = timedelta(minutes=5)
 IDLE_CHECK_INTERVAL = timedelta(milliseconds=100)  # Finer than both idle timeouts.
 # After this wait, a workspace without a connection gets the place of another
 # workspace's idle connection.
@@ -60,6 +63,9 @@
 
 def connection_limit(pool: PoolRow, state: State) -> int:
     """Return how many connections this instance may open to an endpoint."""
+    owned = ownership.own_limit(pool, state)
+    if owned is not None:
+        return owned
     share = fair_share(pool, state)
     return connection_limits.connection_limit(share, is_crowded(pool, state))
 
@@ -445,12 +451,12 @@
     now = state.clock.monotonic()
     leaving = state.registry.get(pool.endpoint)
     is_leaving = leaving is None or leaving.leaving_since is not None
+    owned = ownership.own_limit(pool, state)
     share = fair_share(pool, state)
     uses_short_timeout = state.settings.uses(Policy.SHORT_IDLE_TIMEOUT)
+    longest = IDLE_TIMEOUT if owned is None else OWNED_IDLE_TIMEOUT
     for row in idle_connections(pool, state):
         is_above = uses_short_timeout and len(pool.connections) * 2 > share
-        closes_early = is_above or is_leaving
-        if now - row.idle_since > (
-            SHORT_IDLE_TIMEOUT if closes_early else IDLE_TIMEOUT
-        ):
+        closes_early = (is_above and owned is None) or is_leaving
+        if now - row.idle_since > (SHORT_IDLE_TIMEOUT if closes_early else longest):
             close_connection(row, state)
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -31,6 +31,7 @@
 )
 from .dispatch import handle
 from .fencing import coordination, stopping
+from .owners import losses
 from .policies import Policy
 from .tables import State
 from .ticks import REST_TICK, TICK, take_outbox
@@ -63,6 +64,7 @@
     "draining",  # Modules listed here are imported to register their handlers.
     "handle",
     "is_ready",
+    "losses",
     "operation_steps",
     "peers",
     "route_configuration",
--- a/pimentodrift/session_draining.py
+++ b/pimentodrift/session_draining.py
@@ -40,7 +40,7 @@
 
 def abort_idle_transactions(state: State) -> None:
     """Abort the transactions in which no statement is running."""
-    for session in state.sessions.values():
+    for session in list(state.sessions.values()):
         if session.phase is Phase.OPEN and not session.operation:
             sessions.abort_transaction(session, "stopping", state)
 
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -11,7 +11,15 @@
 
 from .clock import NEVER
 from .messages import Access, Position
-from .session_messages import ApplyStep, Command, Phase, Prepare, SessionStatement
+from .owners.rows import Origin
+from .session_messages import (
+    ApplyStep,
+    Command,
+    Fault,
+    Phase,
+    Prepare,
+    SessionStatement,
+)
 
 
 class Consistency(StrEnum):
@@ -80,6 +88,10 @@
     writes: dict[str, Position] = field(factory=dict)  # Its last write, by group.
     # Statements that arrived while another one was in progress.
     waiting: deque[SessionStatement] = field(factory=deque)
+    origin: Origin | None = None  # At the owner of an endpoint: the entry's session.
+    owner: str = ""  # At the entry: the instance that its transaction is pinned to.
+    # At the entry: the endpoint of that transaction.
+    owner_endpoint: str = ""
 
 
 class Stage(StrEnum):
@@ -90,6 +102,7 @@
     QUEUED = "queued"  # Waits for a connection.
     BEGINNING = "beginning"  # Waits for its transaction to begin at the database.
     RUNNING = "running"  # Its statement was sent to the database.
+    FORWARDED = "forwarded"  # Was sent to the owner of the endpoint.
 
 
 @define
@@ -119,6 +132,9 @@
     # When it was put into its endpoint's queue; its stage begins anew with each attempt
     # to get a first connection.
     queued_at: timedelta = NEVER
+    forwarded: int = 0  # Number at the entry of one that this instance runs as owner.
+    received_at: timedelta = NEVER  # When the owner received it.
+    fault: Fault | None = None  # Why its last attempt was not run, if that is known.
 
 
 @define
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -16,6 +16,7 @@
     access_refusal,
     end_transaction,
 )
+from .owners import replies
 from .request_events import StatementDenied, TransactionEnded
 from .session_messages import (
     AnswerStatement,
@@ -161,6 +162,8 @@
     )
     end_transaction(session, state)
     session.phase = Phase.FAILED
+    if session.origin is not None:
+        replies.report_rollback(session, session.origin, reason, state)
 
 
 @singledispatch
@@ -367,6 +370,6 @@
     now = state.clock.monotonic()
     limit = state.session_limits.transaction_idle
     for session in list(state.sessions.values()):
-        is_idle = session.connection and not session.operation
+        is_idle = (session.connection or session.owner) and not session.operation
         if is_idle and now - session.used_at > limit:
             abort_transaction(session, "idle", state)
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -14,6 +14,7 @@
 from attrs import Attribute, field, frozen
 
 from .fencing.decisions import PrimaryFencing
+from .owners.decisions import EndpointOwners
 from .policies import Policy
 from .queue_policy import QueuePolicy
 
@@ -251,6 +252,11 @@
         validator=OneOf(tuple(PrimaryFencing)),
         metadata=help_metadata("Who keeps a replaced primary out of use."),
     )
+    endpoint_owners: str = field(
+        default=EndpointOwners.AUTO.value,
+        validator=OneOf(tuple(EndpointOwners)),
+        metadata=help_metadata("Which endpoints of sessions have an owner."),
+    )
     heartbeat_interval: timedelta = field(
         default=timedelta(milliseconds=200),
         validator=Between(timedelta(milliseconds=50), timedelta(seconds=2)),
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -30,6 +30,7 @@
 from .fencing.rows import CoordinationRow, FenceRow
 from .latencies import Latencies
 from .messages import Access, Action, Durability, Position, Statement, StoreObject
+from .owners.rows import ForwardRow, Origin, OwnerRow
 from .rate_rows import (
     AllocationRow,
     ClaimRow,
@@ -121,6 +122,7 @@
     contact_lease: timedelta | None = None
     contact_since: timedelta = NEVER  # When this instance learned of that.
     listed_at: timedelta = NEVER  # When this instance learned of it.
+    serves_sessions: bool = False  # Its build runs statements of others as an owner.
 
 
 @define
@@ -416,6 +418,11 @@
     fences: dict[str, FenceRow] = field(factory=dict)  # By group.
     coordinations: dict[str, CoordinationRow] = field(factory=dict)  # By group.
     latencies: Latencies = field(factory=dict)
+    # Statements at the owners of their endpoints.
+    process: int = 0  # Identifies this process to owners; 0 before it is needed.
+    owners: dict[str, OwnerRow] = field(factory=dict)  # By instance.
+    forwards: dict[int, ForwardRow] = field(factory=dict)  # By operation.
+    served: dict[Origin, int] = field(factory=dict)  # Session of each origin.
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
