Settle statements of lost owners and entries, each failure with its test

An owner without a connection to the endpoint gives statements back, so that another instance runs them; after the word of two owners the entry holds what only this endpoint can run. An owner that was paused or is stopping takes no statements.

--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -309,6 +309,10 @@
     ):
         return
     pools.remove_waiting(operation, state)
+    session = state.sessions[operation.session]
+    if session.origin is not None and replies.is_failing(operation.endpoint, state):
+        place(operation, state)
+        return
     pool = state.pools[operation.endpoint]
     wait = max(MIN_RETRY_AFTER, queue_of(pool, state).expected_wait)
     detail = f"no connection to {operation.endpoint} became free"
--- a/pimentodrift/owners/forwarding.py
+++ b/pimentodrift/owners/forwarding.py
@@ -9,12 +9,13 @@
 from datetime import timedelta
 from functools import singledispatch
 
-from .. import leadership, membership, operation_steps, peers
+from .. import leadership, membership, operation_steps, peers, pools
 from ..clock import MILLISECOND
 from ..dispatch import handle, handle_peer
 from ..fencing.contact import may_use_primary
 from ..log_events import OwnerLost
 from ..messages import Access, ClosePeer
+from ..notices import PeerUnreachable
 from ..operation_completion import access_refusal, answer, refuse, retry_event
 from ..peer_messages import Ping
 from ..request_events import TransactionEnded
@@ -49,6 +50,8 @@
 AVOIDANCE = timedelta(seconds=1)
 # An owner refuses a statement itself when its time is over; the entry waits for longer.
 ANSWER_MARGIN = timedelta(milliseconds=500)
+# Owners without a connection to an endpoint, from which on it counts as failing.
+FAILING_OWNERS = 2
 PING_INTERVAL = PING_TIMEOUT
 
 
@@ -241,11 +244,29 @@
     else:
         avoid(row.owner, endpoint, state)
         operation.tried.add(endpoint)
+    if message.is_endpoint_failing:
+        record_failing(operation, state)
     fault = message.fault or Fault.OVERLOADED
     state.log_event(retry_event(operation, fault, message.detail, state))
     place_again(operation, session, Refusal(fault, message.detail), state)
 
 
+def record_failing(operation: OperationRow, state: State) -> None:
+    """Record that an endpoint fails once two owners have got no connection to it.
+
+    `operations` then holds what only this endpoint can run, until `promotion` has
+    replaced it or a connection shows that it answers.
+    """
+    operation.failing_owners += 1
+    pool = state.pools.get(operation.endpoint)
+    if pool is None or operation.failing_owners < FAILING_OWNERS:
+        return
+    if pool.failing_since is None:
+        now = state.clock.monotonic()
+        pools.record_failure_start(pool, now, pools.UNREACHABLE, state)
+        pools.probe(pool, state)
+
+
 def place_again(
     operation: OperationRow, session: SessionRow, refusal: Refusal, state: State
 ) -> None:
@@ -367,7 +388,7 @@
         row.is_waiting = False
         state.outbox.append(ClosePeer(owner))
         membership.suspect(owner, state)
-        lose_owner(owner, frozenset(), state)
+        handle(PeerUnreachable(owner), state)
         return
     row.pinged_at, row.is_waiting = now, True
     state.counters["owners.pings"] += 1
--- a/pimentodrift/owners/messages.py
+++ b/pimentodrift/owners/messages.py
@@ -82,7 +82,8 @@
 
     `primary_position` is set if the endpoint proved to be the primary after the
     forward was received. `is_owner_unfit` tells that a returned statement may run at
-    the same endpoint through another instance.
+    the same endpoint through another instance, `is_endpoint_failing` that the owner
+    gets no connection to the endpoint.
     """
 
     request: int
@@ -95,6 +96,7 @@
     detail: str = ""
     retry_after_ms: int = -1  # -1 if the client is told no time.
     is_owner_unfit: bool = False
+    is_endpoint_failing: bool = False
 
 
 @frozen
--- a/pimentodrift/owners/replies.py
+++ b/pimentodrift/owners/replies.py
@@ -63,7 +63,12 @@
 
 
 def send_return(
-    request: int, origin: Origin, fault: Fault | None, detail: str, state: State
+    request: int,
+    origin: Origin,
+    fault: Fault | None,
+    detail: str,
+    state: State,
+    is_endpoint_failing: bool = False,
 ) -> None:
     """Give a statement back that certainly did not run; no fault: no endpoint's."""
     state.counters["owners.returned"] += 1
@@ -73,17 +78,27 @@
         fault=fault,
         detail=detail,
         is_owner_unfit=fault is None,
+        is_endpoint_failing=is_endpoint_failing,
     )
     peers.send(origin.entry, reply, state)
 
 
+def is_failing(endpoint: str, state: State) -> bool:
+    """Return whether this instance has no way to an endpoint."""
+    pool = state.pools.get(endpoint)
+    if pool is None or pool.failing_since is not None:
+        return True
+    return not any(state.pooled[number].is_open for number in pool.connections)
+
+
 def return_operation(
     operation: OperationRow, session: SessionRow, origin: Origin, state: State
 ) -> None:
     """Give a statement back that needs another placement, and drop its session."""
     detail = f"{operation.endpoint} did not run the statement"
     fault = operation.fault or Fault.OVERLOADED
-    send_return(operation.forwarded, origin, fault, detail, state)
+    failing = is_failing(operation.endpoint, state)
+    send_return(operation.forwarded, origin, fault, detail, state, failing)
     state.operations.pop(operation.operation, None)
     forget(session, state)
 
--- a/pimentodrift/owners/serving.py
+++ b/pimentodrift/owners/serving.py
@@ -9,7 +9,7 @@
 
 from attrs import evolve
 
-from .. import operation_steps, operations, peers, pools, registry
+from .. import membership, operation_steps, operations, peers, pools, registry
 from ..clock import MILLISECOND
 from ..dispatch import handle, handle_peer
 from ..fencing import contact
@@ -25,7 +25,7 @@
     Run,
     SessionClosed,
 )
-from ..session_rows import OperationRow, Route, SessionRow
+from ..session_rows import OperationRow, PoolRow, Route, SessionRow
 from ..tables import State
 from . import replies
 from .messages import (
@@ -39,6 +39,7 @@
 from .rows import Origin
 
 STOPPING = "the owner is stopping"
+PAUSED = "the owner was paused"
 UNKNOWN = "the owner does not know the endpoint or the route"
 
 
@@ -68,8 +69,8 @@
     session = make_session(message, origin, state)
     found = state.registry.get(message.endpoint)
     route = make_route(message.route, state)
-    if state.stopping or found is None or route is None:
-        detail = STOPPING if state.stopping else UNKNOWN
+    detail = unfit_reason(found is not None and route is not None, state)
+    if detail or found is None or route is None:
         replies.send_return(message.request, origin, None, detail, state)
         return
     refusal = access_refusal(session, route, state)
@@ -81,6 +82,13 @@
         detail = f"{message.endpoint} gets no new work"
         replies.send_return(message.request, origin, Fault.OVERLOADED, detail, state)
         return
+    pool = state.pools[found.name]
+    if pool.failing_since is not None:
+        probe_failing(pool, state)
+        detail = f"{message.endpoint} does not answer"
+        fault = Fault.OVERLOADED
+        replies.send_return(message.request, origin, fault, detail, state, True)
+        return
     if message.remaining_ms <= 0:
         refuse_late(message, origin, state)
         return
@@ -90,6 +98,17 @@
     operations.queue_at(operation, found, state)
 
 
+def unfit_reason(is_known: bool, state: State) -> str:
+    """Return why this instance runs no statements of others now; "" if it does."""
+    if state.stopping:
+        return STOPPING
+    now = state.clock.monotonic()
+    if state.ticked_at is None or now - state.ticked_at > membership.PAUSE:
+        # What waited meanwhile may be older than the entry's patience.
+        return PAUSED
+    return "" if is_known else UNKNOWN
+
+
 def accepts(message: ForwardStatement, route: Route, state: State) -> bool:
     """Return whether this instance may send a statement to its endpoint."""
     row = state.registry[message.endpoint]
@@ -98,13 +117,18 @@
         return False
     if not registry.accepts_work(row, needs_primary, state):
         return False
-    if not pools.is_available(state.pools[row.name], state):
-        return False
     if not needs_primary:
         return True
     return contact.may_use_primary(route.group, row.name, state)
 
 
+def probe_failing(pool: PoolRow, state: State) -> None:
+    """Open a connection to a failing endpoint, to learn when it answers again."""
+    is_opening = not all(state.pooled[number].is_open for number in pool.connections)
+    if pools.is_available(pool, state) and not is_opening:
+        pools.probe(pool, state)
+
+
 def refuse_late(message: ForwardStatement, origin: Origin, state: State) -> None:
     """Tell the entry that a statement's time was over when it arrived."""
     reply = StatementReply(
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -363,6 +363,8 @@
             pool.lost_at = state.clock.monotonic()
         elif fault is Fault.TOO_MANY_CONNECTIONS:
             state.counters["pools.full"] += 1
+            if ownership.has_owner(pool.group, state):
+                pool.failing_since = None  # It answers, and its owner has connections.
             pool.answered_at = state.clock.monotonic()
             record_refusal(pool, state)
             if not any(state.pooled[number].is_open for number in pool.connections):
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -134,6 +134,7 @@
     queued_at: timedelta = NEVER
     forwarded: int = 0  # Number at the entry of one that this instance runs as owner.
     received_at: timedelta = NEVER  # When the owner received it.
+    failing_owners: int = 0  # Owners that got no connection to its endpoint.
     fault: Fault | None = None  # Why its last attempt was not run, if that is known.
 
 
--- a/tests/owner_support.py
+++ b/tests/owner_support.py
@@ -7,7 +7,7 @@
 from pimentodrift import session_messages as m
 from pimentodrift.owners.ownership import owner_of
 
-from .capped_database import DATABASE, CappedNetwork
+from .capped_database import DATABASE, Backend, CappedNetwork
 from .session_support import MILLISECOND, SECOND
 
 COUNT = 20
@@ -19,8 +19,8 @@
 
     opened_connections: int = 0
     answers: dict[tuple[str, int], list[object]] = field(factory=dict)
-    executed: list[m.ApplyStep] = field(factory=list)
-    # Statement ids of open transactions, by connection, and of committed writes.
+    executed: list[str] = field(factory=list)
+    # Statements of open transactions by connection, and those in force.
     open_work: dict[tuple[str, int], list[str]] = field(factory=dict)
     committed: list[str] = field(factory=list)
     cut: set[str] = field(factory=set)  # Instances that can't reach the database.
@@ -53,6 +53,23 @@
             self.run(20 * MILLISECOND)
         return None
 
+    def answer_step(self, backend: Backend) -> None:
+        key, step = (backend.instance, backend.connection), backend.steps[0]
+        match step:
+            case m.BeginWork():
+                self.open_work[key] = []
+            case m.EndWork():
+                self.open_work.pop(key, None)
+            case m.CommitWork():
+                self.committed += self.open_work.pop(key, [])
+            case m.RunStatement():
+                self.executed.append(step.statement_id)
+                if key in self.open_work:
+                    self.open_work[key].append(step.statement_id)
+                else:
+                    self.committed.append(step.statement_id)
+        super().answer_step(backend)
+
     def perform(self, name: str, message: object) -> None:
         match message:
             case m.AnswerStatement() | m.RefuseStatement() | m.RefuseSession() if (
@@ -60,8 +77,13 @@
                 message.session,
             ) in self.answers:
                 self.answers[name, message.session].append(message)
+            case m.StopListening():
+                pass
             case m.OpenPooled() | m.RunSteps() if name in self.cut:
                 pass
+            case m.ClosePooled():
+                self.open_work.pop((name, message.connection), None)
+                super().perform(name, message)
             case m.OpenPooled():
                 self.opened_connections += 1
                 super().perform(name, message)
