--- a/pimentodrift/notices.py
+++ b/pimentodrift/notices.py
@@ -154,3 +154,14 @@
 
     update: RelayedEvacuations
     since: timedelta | None
+
+
+@frozen
+class PeerUnreachable(Notice):
+    """A stream to an instance was lost, or the instance does not answer.
+
+    `unsent` has the numbers of forwarded statements of which no byte was sent.
+    """
+
+    instance: str
+    unsent: frozenset[int] = frozenset()
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -16,6 +16,7 @@
 from .homes import limits, sampling
 from .messages import Position
 from .operation_completion import access_refusal, refuse
+from .owners import forwarding, replies
 from .policies import Policy
 from .queue_policy import (
     MIN_RETRY_AFTER,
@@ -64,6 +65,9 @@
     if session.connection:
         operation_steps.continue_transaction(operation, session, state)
         return
+    if session.owner:
+        forwarding.continue_transaction(operation, session, state)
+        return
     refusal = limits.region_refusal(operation, state)
     if refusal is not None:
         refuse(operation, refusal, state)
@@ -120,6 +124,9 @@
     """Queue a statement at an endpoint, or hold or refuse it."""
     operation.has_cold_token = False  # It was for the endpoint before.
     session = state.sessions[operation.session]
+    if session.origin is not None:
+        replies.return_operation(operation, session, session.origin, state)
+        return
     refusal = access_refusal(session, operation.route, state)
     refusal = refusal or limits.region_refusal(operation, state)
     if refusal is not None:
@@ -129,7 +136,12 @@
     if target is None:
         if not refuse_evacuated(operation, state):
             hold(operation, state)
-        return
+    elif not forwarding.forward(operation, target, state):
+        queue_at(operation, target, state)
+
+
+def queue_at(operation: OperationRow, target: RegistryRow, state: State) -> None:
+    """Queue a statement for a connection to an endpoint, or refuse it."""
     pool = state.pools[target.name]
     refusal = arrival_refusal(operation, pool, state)
     if refusal is not None:
@@ -323,6 +335,8 @@
                 check_queued(operation, state)
             case Stage.BEGINNING | Stage.RUNNING:
                 operation_steps.check_timeout(operation, state)
+            case Stage.FORWARDED:
+                forwarding.check(operation, state)
 
 
 def check_held(operation: OperationRow, state: State) -> None:
@@ -355,6 +369,10 @@
     ):
         return
     pools.remove_waiting(operation, state)
+    session = state.sessions[operation.session]
+    if session.origin is not None and replies.is_failing(operation.endpoint, state):
+        place(operation, state)
+        return
     wait = max(MIN_RETRY_AFTER, queue_of(pool, state).expected_wait)
     detail = f"no connection to {operation.endpoint} became free"
     refuse(operation, Refusal(Fault.OVERLOADED, detail, wait), state)
--- a/pimentodrift/policies.py
+++ b/pimentodrift/policies.py
@@ -14,6 +14,7 @@
     CONNECTION_SHARES = "connection-shares"  # Bind while an endpoint refuses others.
     CONTACT_FENCE = "contact-fence"  # A promotion beside a silent instance is quick.
     EJECTION = "ejection"  # Endpoints whose statements fail get no reads.
+    ENDPOINT_OWNERS = "endpoint-owners"  # Scarce connections belong to an owner.
     EVEN_SHARES = "even-shares"  # A part of a rate is divided evenly.
     DIVISIBLE_BURST = "divisible-burst"  # More of a burst is kept, to be divided.
     FLOOD_REFUSAL = "flood-refusal"  # In a flood, waits for tokens are bounded.
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -37,6 +37,7 @@
 from .evacuation import holding, relaying
 from .fencing import coordination, stopping
 from .homes import enforcement, sampling
+from .owners import losses
 from .policies import Policy
 from .tables import State
 from .ticks import REST_TICK, TICK, take_outbox
@@ -77,6 +78,7 @@
     "draining",  # Modules listed here are imported to register their handlers.
     "handle",
     "is_ready",
+    "losses",
     "operation_steps",
     "peers",
     "receiving",
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -11,7 +11,15 @@
 
 from .clock import NEVER
 from .messages import Access, Position
-from .session_messages import ApplyStep, Command, Phase, Prepare, SessionStatement
+from .owners.rows import Origin
+from .session_messages import (
+    ApplyStep,
+    Command,
+    Fault,
+    Phase,
+    Prepare,
+    SessionStatement,
+)
 from .warmup.decisions import ColdLimit
 
 
@@ -86,6 +94,10 @@
     # Statements that arrived while another one was in progress.
     waiting: deque[SessionStatement] = field(factory=deque)
     failure: str = ""  # Why its transaction was rolled back, if that is known.
+    origin: Origin | None = None  # At the owner of an endpoint: the entry's session.
+    owner: str = ""  # At the entry: the instance that its transaction is pinned to.
+    # At the entry: the endpoint of that transaction.
+    owner_endpoint: str = ""
 
 
 class Stage(StrEnum):
@@ -97,6 +109,7 @@
     BEGINNING = "beginning"  # Waits for its transaction to begin at the database.
     RUNNING = "running"  # Its statement was sent to the database.
     COLD = "cold"  # Waits on its connection for a token of an endpoint that is slow.
+    FORWARDED = "forwarded"  # Was sent to the owner of the endpoint.
 
 
 @define
@@ -129,6 +142,10 @@
     cold: set[str] = field(factory=set)  # Cold endpoints that had no token for it.
     cold_stage: Stage | None = None  # Its stage before it waited for a cold endpoint.
     has_cold_token: bool = False  # Until it is sent.
+    forwarded: int = 0  # Number at the entry of one that this instance runs as owner.
+    received_at: timedelta = NEVER  # When the owner received it.
+    failing_owners: int = 0  # Owners that got no connection to its endpoint.
+    fault: Fault | None = None  # Why its last attempt was not run, if that is known.
 
 
 @define
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -16,6 +16,7 @@
     access_refusal,
     end_transaction,
 )
+from .owners import replies
 from .request_events import StatementDenied, TransactionEnded
 from .service_order.transactions import ROLLED_BACK, is_idle_too_long, record_end
 from .session_messages import (
@@ -166,6 +167,8 @@
     end_transaction(session, state)
     session.phase = Phase.FAILED
     record_end(session, reason, state)
+    if session.origin is not None:
+        replies.report_rollback(session, session.origin, reason, state)
 
 
 @singledispatch
@@ -371,6 +374,6 @@
 def run(state: State) -> None:
     """Abort transactions that have been idle for too long."""
     for session in list(state.sessions.values()):
-        is_idle = session.connection and not session.operation
+        is_idle = (session.connection or session.owner) and not session.operation
         if is_idle and is_idle_too_long(session, state):
             abort_transaction(session, "idle", state)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -32,6 +32,7 @@
 from .fencing.rows import CoordinationRow, FenceRow
 from .latencies import Latencies
 from .messages import Access, Action, Durability, Position, Statement, StoreObject
+from .owners.rows import ForwardRow, Origin, OwnerRow
 from .rate_rows import (
     AllocationRow,
     ClaimRow,
@@ -131,6 +132,7 @@
     listed_at: timedelta = NEVER  # When this instance learned of it.
     reads_losses: bool = False  # Its build reads of lost connections to endpoints.
     follows_evacuations: bool = False  # It takes part in planned switchovers.
+    serves_sessions: bool = False  # Its build runs statements of others as an owner.
 
 
 @define
@@ -439,6 +441,11 @@
     primary_holds: dict[str, HoldRow] = field(factory=dict)  # By group.
     switchovers: dict[str, SwitchoverRow] = field(factory=dict)  # By group.
     switchover_after: dict[str, timedelta] = field(factory=dict)  # Next one, by group.
+    # Statements at the owners of their endpoints.
+    process: int = 0  # Identifies this process to owners; 0 before it is needed.
+    owners: dict[str, OwnerRow] = field(factory=dict)  # By instance.
+    forwards: dict[int, ForwardRow] = field(factory=dict)  # By operation.
+    served: dict[Origin, int] = field(factory=dict)  # Session of each origin.
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
