--- a/pimentodrift/owners/ownership.py
+++ b/pimentodrift/owners/ownership.py
@@ -7,7 +7,7 @@
 from ..policies import Policy
 from ..rendezvous import is_instance_usable, weight
 from ..session_rows import PoolRow, RegistryRow
-from ..tables import InstanceRow, State
+from ..tables import InstanceRow, OwnerCandidates, State
 from .decisions import EndpointOwners, needs_owner, owner_limit
 from .rows import OwnerRow
 
@@ -19,20 +19,34 @@
     row = state.registry.get(endpoint)
     if row is None or not has_owner(row.entry.group, state):
         return ""
-    rows = [item for item in state.instances.values() if may_own(item, endpoint, state)]
-    if not rows:
-        return ""
+    for item in candidates(row, state):
+        if may_own(item, endpoint, state):
+            return item.name
+    return ""
+
+
+def candidates(row: RegistryRow, state: State) -> list[InstanceRow]:
+    """Return the listed instances in the order in which they would own an endpoint.
+
+    The order is kept until the list changes, because hashing 85 names for each
+    statement took longer than running it.
+    """
+    key = (row.entry.data_centre, state.view.version, len(state.instances))
+    known = state.owner_candidates.get(row.name)
+    if known is not None and known.key == key:
+        return known.rows
     region = region_of(row, state)
-    data_centre = row.entry.data_centre
-    best = max(
-        rows,
+    rows = sorted(
+        state.instances.values(),
         key=lambda item: (
-            item.data_centre == data_centre,
+            item.data_centre == row.entry.data_centre,
             item.region == region,
-            weight(endpoint, item.name),
+            weight(row.name, item.name),
         ),
+        reverse=True,
     )
-    return best.name
+    state.owner_candidates[row.name] = OwnerCandidates(key, rows)
+    return rows
 
 
 def is_enabled(state: State) -> bool:
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -234,6 +234,16 @@
     owned_at: timedelta = NEVER
 
 
+@define(eq=False)
+class OwnerCandidates:
+    """The listed instances in the order in which they would own an endpoint."""
+
+    # Data centre of the endpoint, version of the view, and number of instances for
+    # which the order holds.
+    key: tuple[str, int, int]
+    rows: list[InstanceRow]
+
+
 # --- configuration
 
 
@@ -444,6 +454,7 @@
     # Statements at the owners of their endpoints.
     process: int = 0  # Identifies this process to owners; 0 before it is needed.
     owners: dict[str, OwnerRow] = field(factory=dict)  # By instance.
+    owner_candidates: dict[str, OwnerCandidates] = field(factory=dict)  # By endpoint.
     forwards: dict[int, ForwardRow] = field(factory=dict)  # By operation.
     served: dict[Origin, int] = field(factory=dict)  # Session of each origin.
 
