Add the commands evacuate, restore and status

Operators had no way to request an evacuation in the project's own store. The commands write its object by a conditional update; status reads the dump of each instance.

--- a/pimentodrift/cli.py
+++ b/pimentodrift/cli.py
@@ -108,6 +108,47 @@
     ]
 
 
+DataCentre = Annotated[
+    str, cappa.Arg(value_name="DATA_CENTRE", help="Name of the data centre.")
+]
+PlatformUrl = Annotated[
+    str | None,
+    cappa.Arg(
+        long=True,
+        show_default=False,
+        help=f"Base URL of the store. Variable: {PLATFORM_VARIABLE}.",
+    ),
+]
+
+
+@cappa.command(name="evacuate", help="Send nothing more to a data centre's endpoints.")
+@frozen
+class Evacuate:
+    """Evacuate a data centre."""
+
+    data_centre: DataCentre
+    platform: PlatformUrl = None
+
+
+@cappa.command(name="restore", help="Use an evacuated data centre's endpoints again.")
+@frozen
+class Restore:
+    """Withdraw the evacuation of a data centre."""
+
+    data_centre: DataCentre
+    platform: PlatformUrl = None
+
+
+@cappa.command(name="status", help="Tell which instances are done with evacuations.")
+@frozen
+class Status:
+    """Print how far evacuations are."""
+
+    address: Annotated[
+        str, cappa.Arg(value_name="ADDRESS", help="HOST:PORT of any instance.")
+    ]
+
+
 @cappa.command(name="local", help="Run six instances on local stand-ins.")
 @frozen
 class Local:
@@ -152,7 +193,16 @@
     """The root command."""
 
     command: cappa.Subcommands[
-        Proxy | Publish | Check | Dump | Local | NewKey | StandIn
+        Proxy
+        | Publish
+        | Check
+        | Dump
+        | Evacuate
+        | Restore
+        | Status
+        | Local
+        | NewKey
+        | StandIn
     ]
 
 
@@ -175,6 +225,38 @@
     print(f"pimentodrift: {message}", file=sys.stderr)
 
 
+def platform_url(flag: str | None) -> str | None:
+    """Return the store's URL; print an error and return None if it is not valid."""
+    platform = flag or os.environ.get(PLATFORM_VARIABLE, "")
+    if HttpUrl().accepts(platform):
+        return platform
+    print_error(
+        f"setting platform: invalid value {platform!r} in --platform or "
+        f"{PLATFORM_VARIABLE}; allowed: {HttpUrl().allowed()}"
+    )
+    return None
+
+
+def request_evacuation(
+    data_centre: str, platform_flag: str | None, is_wanted: bool
+) -> int:
+    """Evacuate or restore a data centre and return the exit status."""
+    from .evacuation import commands  # noqa: PLC0415
+    from .publishing import failure_text  # noqa: PLC0415
+    from .store_api import StoreApi  # noqa: PLC0415
+
+    platform = platform_url(platform_flag)
+    if platform is None:
+        return EXIT_USAGE
+    result = commands.request(data_centre, is_wanted, StoreApi(platform))
+    if result.is_error():
+        print_error(failure_text(result.error))
+        return EXIT_FAILED
+    state = "is evacuated" if is_wanted else "is in use"
+    print(f"{data_centre} {state}" + ("" if result.ok else " already"))
+    return EXIT_OK
+
+
 @singledispatch
 def execute(command: object) -> int:
     """Run a subcommand and return its exit status."""
@@ -214,12 +296,8 @@
     from .publishing import Publisher, RetryPolicy, failure_text  # noqa: PLC0415
     from .store_api import StoreApi  # noqa: PLC0415
 
-    platform = command.platform or os.environ.get(PLATFORM_VARIABLE, "")
-    if not HttpUrl().accepts(platform):
-        print_error(
-            f"setting platform: invalid value {platform!r} in --platform or "
-            f"{PLATFORM_VARIABLE}; allowed: {HttpUrl().allowed()}"
-        )
+    platform = platform_url(command.platform)
+    if platform is None:
         return EXIT_USAGE
     if not command.directories and not command.remove:
         print_error("publish needs a directory or --remove SERVICE")
@@ -255,6 +333,35 @@
     return EXIT_OK
 
 
+@execute.register
+def _(command: Evacuate) -> int:
+    return request_evacuation(command.data_centre, command.platform, True)
+
+
+@execute.register
+def _(command: Restore) -> int:
+    return request_evacuation(command.data_centre, command.platform, False)
+
+
+@execute.register
+def _(command: Status) -> int:
+    from .evacuation import commands  # noqa: PLC0415
+
+    fetch_dump = import_module(".dump", __package__).fetch_dump
+    try:
+        dumps = commands.collect_dumps(command.address, fetch_dump)
+    except (OSError, ValueError) as error:
+        print_error(f"dump of {command.address}: {error or type(error).__name__}")
+        return EXIT_FAILED
+    found = commands.status_by_data_centre(dumps)
+    for line in commands.report_lines(found):
+        print(line)
+    if not found:
+        print("no data centre is evacuated")
+    is_done = all(row.is_done for rows in found.values() for row in rows)
+    return EXIT_OK if is_done else EXIT_FAILED
+
+
 @execute.register
 def _(command: Local) -> int:
     from .local import run_local  # noqa: PLC0415
--- a/pimentodrift/evacuation/tracking.py
+++ b/pimentodrift/evacuation/tracking.py
@@ -18,6 +18,7 @@
 from .rows import EvacuationRow
 
 OWN_KIND = "evacuation"  # Of the objects in the project's own store.
+EVACUATED, RESTORED = "evacuated", "restored"  # Their states.
 
 
 def is_enabled(state: State) -> bool:
@@ -44,11 +45,16 @@
         names = [
             name
             for (kind, name), item in state.view.objects.items()
-            if kind == OWN_KIND and item.value is not None
+            if kind == OWN_KIND and is_evacuation(item)
         ]
         update(names, confirmed_at, state)
 
 
+def is_evacuation(item: StoreObject) -> bool:
+    """Return whether an object of the project's own store asks for an evacuation."""
+    return item.value is not None and item.value.get("state") != RESTORED
+
+
 def update(names: Iterable[str], confirmed_at: timedelta, state: State) -> None:
     """Begin and end evacuations so that they are those of the given data centres."""
     now = state.clock.monotonic()
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -307,9 +307,11 @@
     sent_at, state.view.watch_sent_at = state.view.watch_sent_at, None
     state.view.watch_failures = 0
     state.view.version = max(state.view.version, message.version)
+    confirmed_before = state.view.confirmed_at
     if sent_at is not None:
         kind_rows.confirm_view(sent_at, state)
-    apply(message.items, state)
+    changed = apply(message.items, state)
+    tracking.update_from_objects(changed, confirmed_before, state)
 
 
 def handle_watch_failure(state: State) -> None:
@@ -370,7 +372,8 @@
     if complete:
         state.view.version = max(state.view.version, message.version)
     items = kind_rows.without_deleted(message.items, state)
-    apply(items, state)
+    changed = apply(items, state)
+    tracking.update_from_objects(changed, state.view.confirmed_at, state)
     if state.kinds:
         kind_rows.record_relayed_objects(items, complete, state)
     sent_at = state.view.subscriptions_sent.get(message.number)
