--- a/pimentodrift/core.py
+++ b/pimentodrift/core.py
@@ -27,6 +27,7 @@
     work_limits,
 )
 from .dispatch import handle
+from .evacuation import listed_endpoints
 from .tables import State
 from .ticks import TICK, take_outbox, tick_interval
 
@@ -46,6 +47,7 @@
     rates.run,
     routing.run,
     work_limits.run,
+    listed_endpoints.run,
     draining.run,
 )
 
--- a/pimentodrift/evacuation/permissions.py
+++ b/pimentodrift/evacuation/permissions.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from ..session_rows import EndpointRole, PooledRow, PoolRow, RegistryRow
-from ..tables import InstanceRow, State
+from ..tables import EndpointRow, InstanceRow, State
 from .decisions import CERTAIN_HOLD
 from .rows import EvacuationRow, SwitchoverRow
 
@@ -113,3 +113,9 @@
     return not attempt.is_broken and all(
         now - sent_at <= CERTAIN_HOLD for _, sent_at in attempt.confirmed.values()
     )
+
+
+def may_use_listed(row: EndpointRow, state: State) -> bool:
+    """Return whether statements may be sent to an endpoint that the store lists."""
+    evacuation = state.evacuations.get(row.data_centre) if row.data_centre else None
+    return evacuation is None or state.clock.monotonic() < evacuation.deadline
--- a/pimentodrift/evacuation/tracking.py
+++ b/pimentodrift/evacuation/tracking.py
@@ -7,12 +7,14 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+from .. import membership
 from ..clock import MILLISECOND
 from ..kind_messages import WatchedKind
 from ..kind_rows import KindRow, follows_evacuations
 from ..log_events import EvacuationEnded, EvacuationSeen
 from ..messages import StoreObject
 from ..peer_messages import RelayedEvacuations
+from ..rendezvous import invalidate_index
 from ..tables import State
 from . import decisions
 from .rows import EvacuationRow
@@ -48,6 +50,9 @@
             if kind == OWN_KIND and is_evacuation(item)
         ]
         update(names, confirmed_at, state)
+        for row in state.endpoints.values():
+            membership.set_presence(row, state)
+        invalidate_index("endpoint", state)
 
 
 def is_evacuation(item: StoreObject) -> bool:
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -118,10 +118,18 @@
     row.address = str(value["address"])
     row.slots = int(str(value["slots"]))
     row.connections = int(str(value["connections"]))
-    row.presence = Presence(str(value.get("state", "live")))
+    row.data_centre = str(value.get("data_centre", ""))
+    row.listed = Presence(str(value.get("state", "live")))
+    set_presence(row, state)
     state.groups.setdefault(row.group, GroupRow(row.group))
 
 
+def set_presence(row: EndpointRow, state: State) -> None:
+    """Set an endpoint's presence; it is leaving while its data centre is evacuated."""
+    is_evacuated = row.data_centre in state.evacuations
+    row.presence = Presence.LEAVING if is_evacuated else row.listed
+
+
 def apply_group(item: StoreObject, value: dict[str, object], state: State) -> None:
     """Apply a group's object; its term and primary only if the term is higher."""
     row = state.groups.setdefault(item.name, GroupRow(item.name))
--- a/pimentodrift/monitoring.py
+++ b/pimentodrift/monitoring.py
@@ -13,6 +13,7 @@
 from .connections import close_connection, open_connection, run_batch
 from .database_group import MalformedAnswer
 from .dispatch import handle
+from .evacuation import permissions
 from .failover_rows import Channel, MonitorRow
 from .messages import Rows, Statement, StatementResult
 from .notices import MonitorAnswered, MonitorConnectionLost, MonitorConnectionReady
@@ -47,7 +48,8 @@
     endpoint: str, channel: Channel, job: object, batch: Batch, state: State
 ) -> bool:
     """Start a job unless the channel is busy; return whether it was started."""
-    if endpoint not in state.endpoints:
+    known = state.endpoints.get(endpoint)
+    if known is None or not permissions.may_use_listed(known, state):
         return False
     row = state.monitors.setdefault((endpoint, channel), MonitorRow(endpoint, channel))
     if row.job is not None:
--- a/pimentodrift/queueing.py
+++ b/pimentodrift/queueing.py
@@ -13,6 +13,7 @@
 from . import work_connections as pool
 from .dispatch import handle, handle_peer
 from .errors import Failure, Problem, not_run
+from .evacuation import permissions
 from .messages import Access, Action
 from .notices import SlotReleased, WorkConnectionLost, WorkConnectionReady
 from .peer_messages import Cancel, Forward
@@ -76,6 +77,9 @@
         return not_run(Problem.ENDPOINT_UNAVAILABLE, "the endpoint is not listed")
     if forward.key_id and forward.key_id not in state.configuration.key_ids:
         return key_failure(state)
+    if not permissions.may_use_listed(endpoint, state):
+        detail = f"the data centre {endpoint.data_centre} is evacuated"
+        return not_run(Problem.ENDPOINT_UNAVAILABLE, detail)
     if forward.transaction:
         return None  # A transaction keeps the connection and term of its beginning.
     group = state.groups[endpoint.group]
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -143,6 +143,9 @@
     sampled_at: timedelta = NEVER
     failing_until: timedelta = NEVER
     received: Position = Position(0, 0)  # End of its log according to its primary.
+    data_centre: str = ""
+    # The presence that its object states; in an evacuated data centre it is leaving.
+    listed: Presence = Presence.LIVE
 
 
 @define
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -55,8 +55,16 @@
 SMALL_FLEET = 16
 
 
-def apply(items: Iterable[StoreObject], state: State) -> list[StoreObject]:
-    """Add the objects that are newer than the copy's; return the added ones."""
+def apply(
+    items: Iterable[StoreObject],
+    state: State,
+    confirmed_before: timedelta | None = None,
+) -> list[StoreObject]:
+    """Add the objects that are newer than the copy's; return the added ones.
+
+    At `confirmed_before`, the copy was current without them; by default, when it was
+    last confirmed.
+    """
     changed = []
     for item in items:
         key = (item.kind, item.name)
@@ -67,6 +75,9 @@
         changed.append(item)
     for item in changed:
         membership.apply(item, state)
+    if confirmed_before is None:
+        confirmed_before = state.view.confirmed_at
+    tracking.update_from_objects(changed, confirmed_before, state)
     if changed:
         configuration.apply_newest_manifest(state)
         # While the objects are listed anew, each one would be an update of its own.
@@ -310,8 +321,7 @@
     confirmed_before = state.view.confirmed_at
     if sent_at is not None:
         kind_rows.confirm_view(sent_at, state)
-    changed = apply(message.items, state)
-    tracking.update_from_objects(changed, confirmed_before, state)
+    apply(message.items, state, confirmed_before)
 
 
 def handle_watch_failure(state: State) -> None:
@@ -372,8 +382,7 @@
     if complete:
         state.view.version = max(state.view.version, message.version)
     items = kind_rows.without_deleted(message.items, state)
-    changed = apply(items, state)
-    tracking.update_from_objects(changed, state.view.confirmed_at, state)
+    apply(items, state)
     if state.kinds:
         kind_rows.record_relayed_objects(items, complete, state)
     sent_at = state.view.subscriptions_sent.get(message.number)
