--- a/pimentodrift/core.py
+++ b/pimentodrift/core.py
@@ -28,6 +28,7 @@
     work_limits,
 )
 from .dispatch import handle
+from .evacuation import listed_endpoints
 from .tables import State
 from .ticks import TICK, take_outbox, tick_interval
 
@@ -48,6 +49,7 @@
     standby_grants.run,
     routing.run,
     work_limits.run,
+    listed_endpoints.run,
     draining.run,
 )
 
--- a/pimentodrift/evacuation/tracking.py
+++ b/pimentodrift/evacuation/tracking.py
@@ -7,17 +7,20 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+from .. import membership
 from ..clock import MILLISECOND
 from ..kind_messages import WatchedKind
 from ..kind_rows import KindRow, follows_evacuations
 from ..log_events import EvacuationEnded, EvacuationSeen
 from ..messages import StoreObject
 from ..peer_messages import RelayedEvacuations
+from ..rendezvous import invalidate_index
 from ..tables import State
 from . import decisions
 from .rows import EvacuationRow
 
 OWN_KIND = "evacuation"  # Of the objects in the project's own store.
+EVACUATED, RESTORED = "evacuated", "restored"  # Their states.
 
 
 def is_enabled(state: State) -> bool:
@@ -44,9 +47,17 @@
         names = [
             name
             for (kind, name), item in state.view.objects.items()
-            if kind == OWN_KIND and item.value is not None
+            if kind == OWN_KIND and is_evacuation(item)
         ]
         update(names, confirmed_at, state)
+        for row in state.endpoints.values():
+            membership.set_presence(row, state)
+        invalidate_index("endpoint", state)
+
+
+def is_evacuation(item: StoreObject) -> bool:
+    """Return whether an object of the project's own store asks for an evacuation."""
+    return item.value is not None and item.value.get("state") != RESTORED
 
 
 def update(names: Iterable[str], confirmed_at: timedelta, state: State) -> None:
--- a/pimentodrift/queueing.py
+++ b/pimentodrift/queueing.py
@@ -13,6 +13,7 @@
 from . import work_connections as pool
 from .dispatch import handle, handle_peer
 from .errors import Failure, Problem, not_run
+from .evacuation import permissions
 from .homes.requests import may_use_endpoint
 from .messages import Access, Action
 from .notices import SlotReleased, WorkConnectionLost, WorkConnectionReady
@@ -79,6 +80,9 @@
         return key_failure(state)
     if not may_use_endpoint(forward.workspace, forward.endpoint, state):
         return not_run(Problem.REGION_FORBIDDEN, "the workspace's regions changed")
+    if not permissions.may_use_listed(endpoint, state):
+        detail = f"the data centre {endpoint.data_centre} is evacuated"
+        return not_run(Problem.ENDPOINT_UNAVAILABLE, detail)
     if forward.transaction:
         return None  # A transaction keeps the connection and term of its beginning.
     group = state.groups[endpoint.group]
