Let neighbours confirm copies of instances without the store

An instance whose relay has no store, or that is a relay itself, now subscribes to a neighbour that has it. The copy counts as current from the sending of the subscription, less the age of the neighbour's copy, so ages never shrink by being passed on. The configuration is not relayed: once it has changed, these instances are not confirmed, and the lease ends their service as before. A relay confirmed by neighbours sends no registry, since theirs may be its own.

--- a/pimentodrift/kind_rows.py
+++ b/pimentodrift/kind_rows.py
@@ -120,11 +120,14 @@
 def registry_update(known: int, state: State) -> RegistryUpdate | None:
     """Return the changes of the registry after the revision `known`, for a subscriber.
 
-    Return None if this copy is not complete, or old because the store does not answer.
+    Return None if this copy is not complete, or old because the store does not answer,
+    or only confirmed by neighbours: their registry may come from this instance.
     """
     row = state.kinds.get(WatchedKind.REGISTRY)
     age = state.clock.monotonic() - state.view.confirmed_at
-    if row is None or not row.revision or age > MAX_RELAYED_AGE:
+    asked = state.clock.monotonic() - state.view.peer_asked_at
+    is_old = age > MAX_RELAYED_AGE or asked <= MAX_RELAYED_AGE
+    if row is None or not row.revision or is_old:
         return None
     after = max(known, row.complete_from)
     changes: list[RelayedEndpoint] = []
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -18,6 +18,7 @@
     membership,
     operation_steps,
     operations,
+    peer_confirmations,
     peers,
     pools,
     promotion,
@@ -41,6 +42,7 @@
 # those that decide by it.
 SYSTEMS: tuple[Callable[[State], None], ...] = (
     kind_watch.run,
+    peer_confirmations.run,
     instance_registration.run,
     membership.run,
     heartbeats.run,
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -97,6 +97,12 @@
     # Parts of the last update that arrived without a gap, by relay.
     parts_received: dict[str, int] = field(factory=dict)
     subscribers: dict[str, SubscriberRow] = field(factory=dict)
+    relay_age: timedelta = NEVER  # Age of the relay's copy, by its last update.
+    # The neighbour asked last to confirm the copy; "" if several or none were.
+    peer: str = ""
+    peer_asked_at: timedelta = NEVER
+    peer_needed_at: timedelta | None = None  # Since when neighbours are needed.
+    peer_confirmed_at: timedelta = NEVER  # `confirmed_at` when it was asked.
 
 
 # --- membership
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -22,6 +22,7 @@
     relay_versions,
     store_eras,
 )
+from .clock import MILLISECOND
 from .dispatch import handle, handle_peer
 from .messages import ObjectsReceived, SendPeer, StoreObject, WatchStore
 from .notices import RegistryRelayed
@@ -348,6 +349,7 @@
     now = state.clock.monotonic()
     if sender == state.view.relay:
         state.view.relay_heard_at = now
+        state.view.relay_age = message.age_ms * MILLISECOND
     message = relay_versions.decode_update(message, state.view.era)
     versions = [message.version, *(item.version for item in message.items)]
     if not store_eras.observe_version(max(versions), state):
