--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -18,6 +18,7 @@
     membership,
     operation_steps,
     operations,
+    peer_confirmations,
     peers,
     pools,
     promotion,
@@ -48,6 +49,7 @@
 # those that decide by it.
 SYSTEMS: tuple[Callable[[State], None], ...] = (
     kind_watch.run,
+    peer_confirmations.run,
     instance_registration.run,
     membership.run,
     heartbeats.run,
