--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -16,7 +16,7 @@
 from .homes import limits, sampling
 from .messages import Position
 from .operation_completion import access_refusal, refuse
-from .owners import forwarding, replies
+from .owners import affinity, forwarding, ownership, positions, replies
 from .policies import Policy
 from .queue_policy import (
     MIN_RETRY_AFTER,
@@ -40,6 +40,7 @@
 from .tables import State
 from .warmup import statements
 
+BUSY = "the queues of the endpoints take longer than the objective allows"
 RATE_EXCEEDED = "the workspace is over its rate"
 # A sample that is nearly too old for a read is not used, because the read also takes
 # time to reach the endpoint; the primary serves the read.
@@ -134,16 +135,36 @@
         return
     target = choose_endpoint(operation, state)
     if target is None:
-        if not refuse_evacuated(operation, state):
-            hold(operation, state)
-    elif not forwarding.forward(operation, target, state):
-        queue_at(operation, target, state)
+        hold_or_refuse(operation, state)
+        return
+    if forwarding.forward(operation, target, state):
+        return
+    if operation.asks_position:
+        operation.endpoint = target.name
+        operation.own_write = forwarding.own_write(operation, session)
+        positions.resolve(operation, state)
+        return
+    queue_at(operation, target, state)
+
+
+def hold_or_refuse(operation: OperationRow, state: State) -> None:
+    """Hold a statement that no endpoint can serve now; refuse it if that won't help."""
+    if operation.busy_retry_after is not None:
+        refusal = Refusal(Fault.OVERLOADED, BUSY, operation.busy_retry_after)
+        refuse(operation, refusal, state)
+    elif not refuse_evacuated(operation, state):
+        hold(operation, state)
 
 
 def queue_at(operation: OperationRow, target: RegistryRow, state: State) -> None:
     """Queue a statement for a connection to an endpoint, or refuse it."""
     pool = state.pools[target.name]
     refusal = arrival_refusal(operation, pool, state)
+    origin = state.sessions[operation.session].origin
+    if refusal is not None and origin is not None and operation.minimum is not None:
+        delay = refusal.retry_after or MIN_RETRY_AFTER
+        replies.return_busy(operation, delay, state)
+        return
     if refusal is not None:
         state.counters["operations.refused_on_arrival"] += 1
         refuse(operation, refusal, state)
@@ -193,9 +214,11 @@
     """Return the endpoint for a statement, or None; set the statement's `minimum`."""
     group = operation.route.group
     operation.minimum = None
+    operation.asks_position = False
     if not operation.primary_only:
         operation.minimum = minimum_position(operation, state)
-    if operation.minimum is None:
+        operation.asks_position = positions.can_ask(operation, state)
+    if operation.minimum is None and not operation.asks_position:
         return usable_primary(group, operation, state)
     rows = [
         row
@@ -204,6 +227,10 @@
     ]
     rows = statements.prefer_usable(operation, rows, state)
     best = placement.choose(make_candidate(row, operation, state) for row in rows)
+    if best is None and operation.asks_position:
+        operation.asks_position = False
+        is_busy = operation.busy_retry_after is not None
+        return None if is_busy else usable_primary(group, operation, state)
     return state.registry[best.endpoint] if best is not None else None
 
 
@@ -227,6 +254,8 @@
 def is_candidate(row: RegistryRow, operation: OperationRow, state: State) -> bool:
     """Return whether an endpoint may be sent a read with a minimum position."""
     pool = state.pools[row.name]
+    if operation.asks_position and not positions.is_replica(row, state):
+        return False
     if row.name in operation.tried or not pools.is_available(pool, state):
         return False
     if judgement.is_ejected(row.name, state):
@@ -252,6 +281,8 @@
         for connection in pools.idle_connections(pool, state)
     )
     connect_time = timedelta(0) if has_idle else 2 * round_trip
+    if ownership.has_owner(row.entry.group, state):
+        connect_time = affinity.detour(row, operation.workspace, state)
     return placement.Candidate(
         row.name,
         min(round_trip, assumed),
@@ -335,6 +366,8 @@
                 check_queued(operation, state)
             case Stage.BEGINNING | Stage.RUNNING:
                 operation_steps.check_timeout(operation, state)
+            case Stage.POSITION:
+                positions.check(operation, state)
             case Stage.FORWARDED:
                 forwarding.check(operation, state)
 
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -110,6 +110,7 @@
     RUNNING = "running"  # Its statement was sent to the database.
     COLD = "cold"  # Waits on its connection for a token of an endpoint that is slow.
     FORWARDED = "forwarded"  # Was sent to the owner of the endpoint.
+    POSITION = "position"  # Its owner asks for the position that it must see.
 
 
 @define
@@ -144,6 +145,9 @@
     has_cold_token: bool = False  # Until it is sent.
     forwarded: int = 0  # Number at the entry of one that this instance runs as owner.
     received_at: timedelta = NEVER  # When the owner received it.
+    asks_position: bool = False  # The owner finds out which position it must see.
+    own_write: Position | None = None  # At the owner: a write that it must see.
+    busy_retry_after: timedelta | None = None  # Told by an owner with a long queue.
     failing_owners: int = 0  # Owners that got no connection to its endpoint.
     fault: Fault | None = None  # Why its last attempt was not run, if that is known.
 
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -32,7 +32,7 @@
 from .fencing.rows import CoordinationRow, FenceRow
 from .latencies import Latencies
 from .messages import Access, Action, Durability, Position, Statement, StoreObject
-from .owners.rows import ForwardRow, Origin, OwnerRow
+from .owners.rows import ForwardRow, Origin, OwnerRow, PositionRow
 from .rate_rows import (
     AllocationRow,
     ClaimRow,
@@ -465,6 +465,7 @@
     owners: dict[str, OwnerRow] = field(factory=dict)  # By instance.
     owner_candidates: dict[str, OwnerCandidates] = field(factory=dict)  # By endpoint.
     forwards: dict[int, ForwardRow] = field(factory=dict)  # By operation.
+    positions: dict[str, PositionRow] = field(factory=dict)  # By group.
     served: dict[Origin, int] = field(factory=dict)  # Session of each origin.
 
     def log_event(self, event: Event) -> None:
