--- a/pimentodrift/owners/forwarding.py
+++ b/pimentodrift/owners/forwarding.py
@@ -13,6 +13,7 @@
 from ..clock import MILLISECOND
 from ..dispatch import handle, handle_peer
 from ..fencing.contact import may_use_primary
+from ..homes import limits
 from ..log_events import OwnerLost
 from ..messages import Access, ClosePeer, Position
 from ..notices import PeerUnreachable
@@ -70,6 +71,8 @@
     owner = owner_of(target.name, state)
     if owner in ("", state.settings.name):
         return False
+    if not limits.allows_instance(operation, owner, state):
+        return False  # The owner is in another region, for want of an instance here.
     session = state.sessions[operation.session]
     operation.endpoint = target.name
     operation.attempts += 1
@@ -89,6 +92,9 @@
     if refusal is None and session.owner not in state.instances:
         detail = f"the owner of {endpoint} is gone"
         refusal = Refusal(Fault.ABORTED, detail, operation_steps.RETRY_AFTER)
+    if refusal is None and not limits.allows_instance(operation, session.owner, state):
+        detail = f"{endpoint} is not in an allowed region any more"
+        refusal = Refusal(Fault.ABORTED, detail, operation_steps.RETRY_AFTER)
     is_fenced = not session.read_only and not may_use_primary(group, endpoint, state)
     if refusal is None and is_fenced:
         detail = f"{endpoint} is not the primary any more"
