--- a/pimentodrift/evacuation/tracking.py
+++ b/pimentodrift/evacuation/tracking.py
@@ -23,14 +23,9 @@
 EVACUATED, RESTORED = "evacuated", "restored"  # Their states.
 
 
-def is_enabled(state: State) -> bool:
-    """Return whether evacuations are followed."""
-    return follows_evacuations(state)
-
-
 def update_from_kind(row: KindRow, state: State) -> None:
     """Follow the copy of the kind, before an answer confirms it."""
-    if row.kind is WatchedKind.EVACUATIONS and is_enabled(state):
+    if row.kind is WatchedKind.EVACUATIONS and follows_evacuations(state):
         update(row.known, row.confirmed_at, state)
 
 
@@ -41,7 +36,7 @@
 
     At `confirmed_at`, the copy was current without them.
     """
-    if state.kinds or not is_enabled(state):
+    if state.kinds or not follows_evacuations(state):
         return
     if any(item.kind == OWN_KIND for item in changed):
         names = [
@@ -79,7 +74,7 @@
 def relayed(state: State) -> RelayedEvacuations | None:
     """Return the evacuations for a subscriber; None without a copy of the kind."""
     row = state.kinds.get(WatchedKind.EVACUATIONS)
-    if row is None or not row.revision or not is_enabled(state):
+    if row is None or not row.revision or not follows_evacuations(state):
         return None
     objects = {name: entry.revision for name, entry in row.known.items()}
     return RelayedEvacuations(row.revision, objects)
--- a/tests/test_switchover.py
+++ b/tests/test_switchover.py
@@ -8,6 +8,7 @@
 import pytest
 from attrs import define, field
 
+from pimentodrift import view
 from pimentodrift.evacuation import switchover
 from pimentodrift.evacuation.messages import Evacuation
 from pimentodrift.evacuation.rows import SwitchoverStage
@@ -278,3 +279,49 @@
     assert not any(node.state.evacuations for node in network.nodes.values())
     network.play(SECOND)
     check_evacuated(network, since)
+
+
+def test_followers_learn_of_it_without_calls() -> None:
+    """Guards against a call of every instance to the store for an evacuation."""
+    network = EvacuatedNetwork(Random(1), settings={"evacuation_bound": BOUND})
+    network.configure(make_configuration())
+    names = [f"n{number}" for number in range(12)]
+    for name in names:
+        network.add(name, "r1")
+    network.run(25 * SECOND)  # The watches from before the subscriptions have ended.
+    network.calls.clear()
+    evacuate(network)
+    network.run(SECOND)
+    nodes = network.nodes.values()
+    assert all(ZONE in node.state.evacuations for node in nodes)
+    assert max(view.copy_age(node.state) for node in nodes) < 2 * SECOND
+    relays = {node.state.settings.name for node in nodes if not node.state.view.relay}
+    assert {name for _, name in network.calls} == relays
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_random_faults(seed: int) -> None:
+    """Guards against lost writes after pauses and cuts during the switchover."""
+    network = make_group(PrimaryFencing.INSTANCES, seed)
+    since, disturbed = evacuate(network), set()
+    for _ in range(12):
+        one, other = network.random.sample(NAMES, 2)
+        match network.random.randrange(5):
+            case 0:
+                network.nodes[one].paused = True
+                disturbed.add(one)
+            case 1:
+                network.partitions.add(frozenset((one, "store")))
+                disturbed.add(one)
+            case 2:
+                network.partitions.add(frozenset((one, other)))
+            case 3:
+                network.partitions.clear()
+        network.play(network.random.choice([100, 300, 500]) * timedelta(milliseconds=1))
+    network.partitions.clear()
+    for name in disturbed:
+        network.resume(name)
+    network.play(12 * SECOND)
+    late = {name for at, name in network.requests if at > since + BOUND}
+    assert network.leader != "e1" and not network.lost and not network.wrong
+    assert late <= disturbed
