Close a connection to an evacuated replica instead of releasing it

Each release assigned it to the next waiting statement, which placed it elsewhere and released it again: with 1,500 reads the recursion limit was reached. A switchover that ends because the evacuation was withdrawn is logged as such.

--- a/pimentodrift/evacuation/switchover.py
+++ b/pimentodrift/evacuation/switchover.py
@@ -53,6 +53,14 @@
         begin(row.group, primary.name, state)
 
 
+def settle(group: str, primary: RegistryRow, state: State) -> None:
+    """End this instance's attempt of a group whose primary is not evacuated."""
+    attempt = state.switchovers.get(group)
+    if attempt is not None:
+        is_done = attempt.endpoint != primary.name
+        end(attempt, "done" if is_done else "withdrawn", state)
+
+
 def leave(group: str, result: str, state: State) -> None:
     """End this instance's attempt of a group, if there is one."""
     attempt = state.switchovers.get(group)
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -74,6 +74,11 @@
         return
     # Without a minimum position, only the group's primary may run the statement.
     connection.needs_primary = operation.minimum is None
+    if not permissions.may_send(connection, state):
+        # Releasing it would assign it to the next waiting statement, and so on.
+        pools.close_connection(connection, state)
+        handle(PlacementNeeded(operation.operation), state)
+        return
     if is_fenced(connection, state):
         pools.release(connection, state)
         handle(PlacementNeeded(operation.operation), state)
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -70,8 +70,8 @@
     is_evacuated = primary is not None and evacuation.is_evacuated(primary, state)
     if primary is not None and failing is not False and not is_leaving:
         probe_primary(row, primary, state)
-    if not is_evacuated:
-        switchover.leave(row.group, "done", state)
+    if primary is not None and not is_evacuated:
+        switchover.settle(row.group, primary, state)
     if not failing and not is_leaving and not is_evacuated and not row.reports:
         row.choosing_since = None
         return
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -5,6 +5,7 @@
 
 from pimentodrift.evacuation.messages import Evacuation
 from pimentodrift.kind_messages import Gone, Unreadable, WatchedKind
+from pimentodrift.route_configuration import RouteConfiguration
 from pimentodrift.session_messages import (
     AnswerStatement,
     Fault,
@@ -22,8 +23,10 @@
     SECOND,
     WRITE,
     SessionHarness,
+    make_configuration,
     make_endpoint,
     make_harness,
+    make_route,
 )
 
 BOUND = 5 * SECOND
@@ -32,9 +35,10 @@
 
 def make_evacuating_harness(
     zones: tuple[str, str, str] = (ZONE, "z2", "z3"),
+    configuration: RouteConfiguration | None = None,
 ) -> SessionHarness:
     """Return a harness that follows evacuations, with a database in each zone."""
-    harness = make_harness(evacuation_bound=BOUND)
+    harness = make_harness(configuration, evacuation_bound=BOUND)
     for name, zone in zip(("e1", "e2", "e3"), zones, strict=True):
         role = EndpointRole.PRIMARY if name == "e1" else EndpointRole.REPLICA
         harness.register(name, make_endpoint(role=role, data_centre=zone))
@@ -168,3 +172,21 @@
     kinds = {getattr(item, "kind", None) for item in harness.sent}
     assert WatchedKind.REGISTRY in kinds
     assert WatchedKind.EVACUATIONS not in kinds
+
+
+def test_long_queue_of_an_evacuated_replica() -> None:
+    """Guards against a recursion for each statement that waits for a connection."""
+    near = "r1-1"
+    route = make_route(timeout=60 * SECOND, objective=60 * SECOND)
+    configuration = make_configuration(routes=(route,))
+    harness = make_evacuating_harness(("z2", near, near), configuration)
+    harness.send(harness.open_session(), WRITE)
+    harness.holds_statements = True
+    sessions = [harness.open_session() for _ in range(1500)]
+    for session in sessions:
+        harness.send(session, READ)
+    evacuate(harness, near)
+    harness.holds_statements = False
+    harness.answer_held()
+    harness.run(SECOND)
+    assert all(harness.answer_for(session) for session in sessions)
