--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -88,6 +88,11 @@
         return
     # Without a minimum position, only the group's primary may run the statement.
     connection.needs_primary = operation.minimum is None
+    if not permissions.may_send(connection, state):
+        # Releasing it would assign it to the next waiting statement, and so on.
+        pools.close_connection(connection, state)
+        handle(PlacementNeeded(operation.operation), state)
+        return
     if is_fenced(connection, state) or not allows_connection(
         operation.route, operation.workspace, connection, state
     ):
