--- a/pimentodrift/homes/sampling.py
+++ b/pimentodrift/homes/sampling.py
@@ -37,24 +37,34 @@
     primary = unallowed_primary(operation, state)
     if primary is None:
         return None
-    region = limits.region_of(primary.entry.data_centre, state)
-    workspaces = [
-        name
-        for name, row in state.configuration.workspaces.items()
-        if not row.regions or is_allowed(region, row.regions)
-    ]
-    if not workspaces:
+    if not sampling_workspaces(primary, state):
         state.counters["homes.refused"] += 1
         detail = (
             f"no workspace may ask the primary {primary.name}, in another region, "
             "for the position that this read needs"
         )
         return Refusal(Fault.OVERLOADED, detail, limits.RETRY_AFTER)
-    if is_usable(primary, state):
-        sample(state.pools[primary.name], workspaces, state)
+    sample_primary(primary, state)
     return None
 
 
+def sampling_workspaces(primary: RegistryRow, state: State) -> list[str]:
+    """Return the workspaces that a primary's region may serve."""
+    region = limits.region_of(primary.entry.data_centre, state)
+    return [
+        name
+        for name, row in state.configuration.workspaces.items()
+        if not row.regions or is_allowed(region, row.regions)
+    ]
+
+
+def sample_primary(primary: RegistryRow, state: State) -> None:
+    """Ask a primary for its position, if it may be asked and is not being asked."""
+    workspaces = sampling_workspaces(primary, state)
+    if workspaces and is_usable(primary, state):
+        sample(state.pools[primary.name], workspaces, state)
+
+
 def is_usable(primary: RegistryRow, state: State) -> bool:
     """Return whether a primary may be asked now."""
     pool = state.pools[primary.name]
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -34,7 +34,7 @@
     Stage,
 )
 from .tables import State
-from .warmup import statements
+from .warmup import samples, statements
 
 RATE_EXCEEDED = "the workspace is over its rate"
 # A sample that is nearly too old for a read is not used, because the read also takes
@@ -169,6 +169,8 @@
     if not operation.primary_only:
         operation.minimum = minimum_position(operation, state)
     if operation.minimum is None:
+        if samples.should_ask(operation, state):
+            return None
         return usable_primary(group, operation, state)
     rows = [
         row
@@ -252,6 +254,7 @@
     if refusal is not None:
         refuse(operation, refusal, state)
         return
+    samples.ask(operation, state)
     if operation.stage is not Stage.HELD:
         operation_steps.set_stage(operation, Stage.HELD, state)
         state.counters["operations.held"] += 1
@@ -299,6 +302,7 @@
     if choose_endpoint(operation, state) is not None:
         place(operation, state)
         return
+    samples.ask(operation, state)
     if state.clock.monotonic() - operation.staged_at > HOLD_LIMIT:
         detail = "no endpoint of the group can serve the statement"
         refusal = Refusal(Fault.OVERLOADED, detail, MIN_RETRY_AFTER)
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -37,6 +37,7 @@
 from .ticks import REST_TICK, TICK, take_outbox
 from .view import is_copy_fresh
 from .warmup import limits as cold_limits
+from .warmup import samples
 
 # Run in this order at each tick: first those that update the instance's knowledge, then
 # those that decide by it.
@@ -55,6 +56,7 @@
     coordination.run,
     promotion.run,
     sampling.run,
+    samples.run,
     operations.run,
     session_opening.run,
     sessions.run,
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -291,7 +291,7 @@
     )
     cold_excess_percent: int = field(
         default=150,
-        validator=Between(100, 1000),
+        validator=Between(0, 1000),
         metadata=help_metadata("Most statements of a cold endpoint, part of its rate."),
     )
     cold_slack: int = field(
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -51,7 +51,7 @@
 )
 from .session_state_rows import EMPTY_STATE, SessionState
 from .settings import Settings
-from .warmup.rows import ColdRow
+from .warmup.rows import ColdRow, ColdSampleRow
 from .work_rows import ConnectionRow, EndpointQueue, TransactionRow, WorkRow
 
 
@@ -422,6 +422,7 @@
     coordinations: dict[str, CoordinationRow] = field(factory=dict)  # By group.
     latencies: Latencies = field(factory=dict)
     cold_endpoints: dict[str, ColdRow] = field(factory=dict)  # By endpoint.
+    cold_samples: dict[str, ColdSampleRow] = field(factory=dict)  # By group.
     # The limits of endpoints that may be cold, by name of the limit.
     cold_limits: dict[str, WorkspaceRow] = field(factory=dict)
 
--- a/pimentodrift/warmup/messages.py
+++ b/pimentodrift/warmup/messages.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-from ..messages import PeerMessage
+from ..messages import PeerMessage, Position
 
 
 @frozen
@@ -11,3 +11,22 @@
 
     endpoint: str
     incarnation: int
+
+
+@frozen
+class ColdPositionQuery(PeerMessage):
+    """Ask for a recent log position of a group's primary, which is cold."""
+
+    group: str
+    number: int
+
+
+@frozen
+class ColdPositionReport(PeerMessage):
+    """Answer a `ColdPositionQuery`; `age_ms` is the age of the position, rounded up."""
+
+    group: str
+    number: int
+    endpoint: str
+    position: Position
+    age_ms: int
--- a/pimentodrift/warmup/rows.py
+++ b/pimentodrift/warmup/rows.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from attrs import define
+from attrs import define, field
 
 from ..clock import NEVER
 
@@ -27,3 +27,15 @@
     told_at: timedelta = NEVER  # When a loss was last told to or by another instance.
     is_cold: bool = False  # As last logged.
     used_at: timedelta = NEVER  # When its entry was last in the registry.
+
+
+@define
+class ColdSampleRow:
+    """The questions for the position of a group's cold primary."""
+
+    group: str
+    asked_at: timedelta = NEVER  # When this instance last asked another one.
+    # When each recent question of this instance was sent, by number.
+    queries: dict[int, timedelta] = field(factory=dict)
+    # The last question of each other instance, and when it arrived.
+    askers: dict[str, tuple[int, timedelta]] = field(factory=dict)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,6 +3,7 @@
 import os
 import subprocess
 import sys
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
@@ -44,6 +45,7 @@
     WriteStore,
 )
 from pimentodrift.session_rows import Consistency, EndpointRole  # noqa: E402
+from pimentodrift.warmup.decisions import ColdLimit  # noqa: E402
 
 SERVER = {
     "upstream": "g",
@@ -335,3 +337,24 @@
             object_decoding.decode_regions(value)
     zones = SETTINGS | {"zones": {"n1": "north", "s1": "south"}}
     assert settings.decode_settings(zones).instance.regions == "n1=north,s1=south"
+
+
+def test_cold_endpoints_are_decoded() -> None:
+    """Guards against a limit that is dropped, or raised by rounding."""
+    group = {"name": "g", "maxConns": 23, "coldStartS": 30, "coldPerS": 12}
+    decoded = object_decoding.decode_configuration(
+        CONFIGURATION | {"upstreams": [group]}
+    )
+    assert decoded.cold["g"] == ColdLimit(timedelta(seconds=30), 12.0)
+    plain = object_decoding.decode_configuration(CONFIGURATION)
+    assert not plain.cold["g"].is_limited
+    with pytest.raises(TypeError):
+        object_decoding.decode_cold_limit(group | {"coldPerS": "12"})
+    left = object_decoding.decode_endpoint(SERVER | {"coldLeftMs": 1500}).cold_left
+    assert left == timedelta(milliseconds=1500)
+    absent = {key: value for key, value in SERVER.items() if key != "coldLeftMs"}
+    assert object_decoding.decode_endpoint(absent).cold_left is None
+    bounds = SETTINGS["bounds"] | {"coldExcess": 1.25, "coldSlack": 3.9}
+    decoded_settings = settings.decode_settings(SETTINGS | {"bounds": bounds})
+    assert decoded_settings.instance.cold_excess_percent == 125
+    assert decoded_settings.instance.cold_slack == 3
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -54,6 +54,8 @@
     incarnations: Counter[str] = field(factory=Counter)
     arrivals: dict[str, list[timedelta]] = field(factory=dict)
     refused: int = 0
+    refused_reads: int = 0
+    reading: set[str] = field(factory=set)  # Instances whose statement is a read.
     reads: Counter[str] = field(factory=Counter)
 
     def register(self, name: str) -> None:
@@ -107,6 +109,7 @@
 
     def end_statement(self, name: str, is_acknowledged: bool) -> None:
         self.refused += not is_acknowledged
+        self.refused_reads += not is_acknowledged and name in self.reading
         super().end_statement(name, is_acknowledged)
 
     def write_everywhere(self) -> None:
@@ -122,6 +125,7 @@
                 number = f"{name}-{self.statements}"
                 self.sent[name] = number
                 command = self.random.choice([READ, READ, WRITE])
+                (self.reading.add if command is READ else self.reading.discard)(name)
                 self.deliver(name, SessionStatement(1, number, command))
 
     def worst_second(self) -> int:
@@ -237,6 +241,19 @@
         assert not knowledge.is_cold("e2", node.state)
 
 
+def test_reads_go_on_while_the_primary_is_cold() -> None:
+    """Guards against replica reads that each need a statement of the cold primary."""
+    network = make_cold_network(20, 3)
+    network.play(2 * SECOND)
+    network.restart_database("e1")
+    network.play(SECOND)
+    network.refused_reads = 0
+    network.reads.clear()
+    network.play(3 * SECOND)
+    assert network.reads["e2"] + network.reads["e3"] > 10 * network.refused_reads
+    assert network.worst_second() < LIMIT
+
+
 def test_without_a_cold_time_nothing_is_limited() -> None:
     """Guards against a limit in deployments that declare none."""
     network = make_cold_network(5, 1)
