--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -38,7 +38,7 @@
     Stage,
 )
 from .tables import State
-from .warmup import statements
+from .warmup import samples, statements
 
 BUSY = "the queues of the endpoints take longer than the objective allows"
 RATE_EXCEEDED = "the workspace is over its rate"
@@ -219,6 +219,8 @@
         operation.minimum = minimum_position(operation, state)
         operation.asks_position = positions.can_ask(operation, state)
     if operation.minimum is None and not operation.asks_position:
+        if samples.should_ask(operation, state):
+            return None
         return usable_primary(group, operation, state)
     rows = [
         row
@@ -326,6 +328,7 @@
     if refusal is not None:
         refuse(operation, refusal, state)
         return
+    samples.ask(operation, state)
     if operation.stage is not Stage.HELD:
         operation_steps.set_stage(operation, Stage.HELD, state)
         state.counters["operations.held"] += 1
@@ -379,6 +382,7 @@
         return
     if refuse_evacuated(operation, state):
         return
+    samples.ask(operation, state)
     if state.clock.monotonic() - operation.staged_at > HOLD_LIMIT:
         detail = "no endpoint of the group can serve the statement"
         refusal = Refusal(Fault.OVERLOADED, detail, MIN_RETRY_AFTER)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -55,7 +55,7 @@
 )
 from .session_state_rows import EMPTY_STATE, SessionState
 from .settings import Settings
-from .warmup.rows import ColdRow
+from .warmup.rows import ColdRow, ColdSampleRow
 from .work_rows import ConnectionRow, EndpointQueue, TransactionRow, WorkRow
 
 
@@ -453,6 +453,7 @@
     services: dict[str, ServiceRow] = field(factory=dict)  # By endpoint.
     evacuations: dict[str, EvacuationRow] = field(factory=dict)  # By data centre.
     cold_endpoints: dict[str, ColdRow] = field(factory=dict)  # By endpoint.
+    cold_samples: dict[str, ColdSampleRow] = field(factory=dict)  # By group.
     # The limits of endpoints that may be cold, by name of the limit.
     cold_limits: dict[str, WorkspaceRow] = field(factory=dict)
     judgements: dict[str, JudgementRow] = field(factory=dict)  # By endpoint.
