Hand ledgers over between live allocators; refuse with the true reason

An allocator that had lost the store was replaced although it was alive, and its successor locked what it might have given out. In a larger fleet one silent instance, even without a share, kept the rest locked for a lease.

The successor now asks its predecessor, which drops its ledger and answers what it had given out: the rest is free at once, and only the named holders have to report. Holders without an answer for 1.1 s also report to the likely successor, which otherwise never learned of the loss in a larger fleet. An allocator that may not change shares grants from its own share until that share's lease ends.

A request without a token because no allocator confirms the rate is refused as rate-unconfirmed, and at once after 3 s without any answer.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -25,6 +25,7 @@
 from .burst_reduction import effective_limits
 from .clock import NEVER
 from .dispatch import handle_peer
+from .ledger_takeover import ask_predecessor, redirect
 from .locked_shares import (
     ask_missing_holders,
     max_predecessor_lease,
@@ -109,8 +110,10 @@
     row = state.allocations.get(message.workspace)
     if row is None:
         check_allocator(message.workspace, state)
+        redirect(message, sender, state)
         return
     if not has_authority(state):
+        grant_without_authority(row, sender, message, state)
         return
     if message.epoch != row.epoch:
         # The holder has not adopted this epoch; another allocator may change its share.
@@ -151,6 +154,20 @@
         collect_tokens(row, holding, state)
 
 
+def grant_without_authority(
+    row: AllocationRow, sender: str, report: ShareReport, state: State
+) -> None:
+    """Grant tokens of the own share while its lease lasts, but change no share.
+
+    A successor counts the own share as held until then.
+    """
+    holding = row.holdings.get(sender)
+    if holding is None or report.is_final or report.epoch != row.epoch:
+        return
+    holding.tokens_needed = report.tokens_needed
+    grant_tokens(row, holding, report, state)
+
+
 def is_change_pending(holding: HoldingRow, report: ShareReport) -> bool:
     """Return whether a change in flight may still be applied by its holder.
 
@@ -187,7 +204,8 @@
         return False
     remaining = max_predecessor_lease(state) - waited
     retry_ms = max(1, remaining // timedelta(milliseconds=1))
-    peers.send(holding.instance, ShareDenied(row.workspace, row.epoch, retry_ms), state)
+    denied = ShareDenied(row.workspace, row.epoch, retry_ms, is_locked=True)
+    peers.send(holding.instance, denied, state)
     return True
 
 
@@ -211,8 +229,11 @@
     holding = HoldingRow(sender, message.rate, message.burst)
     holding.quiet_since = quiet_since(message, state)
     row.holdings[sender] = holding
-    row.locked_rate = max(0.0, row.locked_rate - message.rate)
-    row.locked_burst = max(0.0, row.locked_burst - message.burst)
+    known = (row.ledger or {}).get(sender)
+    # A change in flight from the predecessor is not applied any more.
+    rate, burst = (known.rate, known.burst) if known else (message.rate, message.burst)
+    row.locked_rate = max(0.0, row.locked_rate - rate)
+    row.locked_burst = max(0.0, row.locked_burst - burst)
     if not missing_holders(row, state):
         row.balance_at = NEVER  # What nobody holds can be unlocked and divided.
     return holding
@@ -288,6 +309,7 @@
         return
     reclaim_shares(row, state)
     unlock_shares(row, state)
+    ask_predecessor(row, state)
     ask_missing_holders(row, state)
     resend_operations(row, state)
     row.free_tokens = min(row.free_tokens, max(0.0, free_burst(row, workspace)))
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -248,7 +248,12 @@
 def renewal(row: AllocationRow, number: int = 0) -> ShareRenew:
     """Return the answer to the report with a number, or the news of an epoch."""
     return ShareRenew(
-        row.workspace, row.epoch, number, takes_back=True, standbys=row.standbys
+        row.workspace,
+        row.epoch,
+        number,
+        takes_back=True,
+        standbys=row.standbys,
+        is_locked=row.locked_rate > 0,
     )
 
 
--- a/pimentodrift/errors.py
+++ b/pimentodrift/errors.py
@@ -45,6 +45,7 @@
     INSTANCE_ISOLATED = "instance-isolated"
     INSTANCE_STOPPING = "instance-stopping"
     SESSION_TOKEN_INVALID = "session-token-invalid"
+    RATE_UNCONFIRMED = "rate-unconfirmed"
 
 
 PROBLEMS: dict[Problem, tuple[int, str]] = {
@@ -81,6 +82,7 @@
     Problem.INSTANCE_ISOLATED: (503, "This instance cannot confirm its configuration"),
     Problem.INSTANCE_STOPPING: (503, "This instance is shutting down"),
     Problem.SESSION_TOKEN_INVALID: (400, "The session token cannot be read"),
+    Problem.RATE_UNCONFIRMED: (503, "No allocator confirms the workspace's rate"),
 }
 
 
--- a/pimentodrift/locked_shares.py
+++ b/pimentodrift/locked_shares.py
@@ -70,6 +70,8 @@
 def missing_holders(row: AllocationRow, state: State) -> set[str]:
     """Return the instances that may hold a share and have not reported it yet."""
     expected = state.instances.keys() | {row.predecessor}
+    if row.ledger is not None and row.knows_holders:
+        expected = set(row.ledger)
     return {
         name
         for name in expected - row.holdings.keys() - row.without_share.keys()
--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -270,4 +270,13 @@
     counts: dict[str, int]
 
 
+@frozen
+class AllocatorHandedOver(Event):
+    """This instance handed a workspace's ledger over to its successor as allocator."""
+
+    workspace: str
+    epoch: int  # Of the successor.
+    peer: str
+
+
 BUILT_IN = event_classes()
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -9,7 +9,7 @@
 
 from . import leadership, operation_steps, placement, pools, rates, registry
 from .dispatch import handle
-from .errors import Failure
+from .errors import Failure, Problem
 from .fencing import contact
 from .messages import Position
 from .operation_completion import access_refusal, refuse
@@ -35,6 +35,7 @@
 from .tables import State
 
 RATE_EXCEEDED = "the workspace is over its rate"
+RATE_UNCONFIRMED = "no allocator confirms the rate of the workspace"
 # A sample that is nearly too old for a read is not used, because the read also takes
 # time to reach the endpoint; the primary serves the read.
 SAMPLE_MARGIN = timedelta(milliseconds=50)
@@ -95,7 +96,9 @@
 
 @on_refused.register
 def _(row: OperationRow, failure: Failure, state: State) -> None:
-    refuse(row, Refusal(Fault.OVERLOADED, RATE_EXCEEDED, failure.retry_after), state)
+    is_unconfirmed = failure.problem is Problem.RATE_UNCONFIRMED
+    detail = RATE_UNCONFIRMED if is_unconfirmed else RATE_EXCEEDED
+    refuse(row, Refusal(Fault.OVERLOADED, detail, failure.retry_after), state)
 
 
 # --- Placement of a statement on an endpoint
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -222,6 +222,8 @@
     asks_report: bool = False  # An instance without a share answers a final report.
     # Instances besides the allocator that grant tokens of their own shares.
     standbys: tuple[str, ...] = ()
+    asks_ledger: bool = False  # The allocator before answers a `LedgerHandover`.
+    is_locked: bool = False  # Others may hold a part of the rate; see `locked_shares`.
 
 
 @frozen
@@ -278,6 +280,7 @@
     workspace: str
     epoch: Epoch
     retry_after_ms: int
+    is_locked: bool = False  # Others may hold the rate; the workspace may be within it.
 
 
 @frozen
@@ -293,6 +296,31 @@
     tokens: int
 
 
+@frozen
+class HeldShare:
+    """A share that an instance may hold; `rate` in requests/s, `burst` in requests."""
+
+    instance: str
+    rate: float
+    burst: float
+
+
+@frozen
+class LedgerHandover(PeerMessage):
+    """Tell the allocator of `epoch` what its predecessor, the sender, had given out.
+
+    The sender has stopped giving out shares. `locked_rate` and `locked_burst` are what
+    it did not know the holders of itself; `free_tokens` were in no share.
+    """
+
+    workspace: str
+    epoch: Epoch
+    locked_rate: float
+    locked_burst: float
+    free_tokens: float
+    held: tuple[HeldShare, ...] = ()
+
+
 @frozen
 class TokenQuery(PeerMessage):
     """Ask a standby for tokens of its own share; a `ShareGrant` answers.
--- a/pimentodrift/rate_rows.py
+++ b/pimentodrift/rate_rows.py
@@ -10,7 +10,13 @@
 
 from .clock import NEVER
 from .messages import StoreObject
-from .peer_messages import Epoch, ShareLower, ShareLowered, ShareRaise
+from .peer_messages import (
+    Epoch,
+    HeldShare,
+    ShareLower,
+    ShareLowered,
+    ShareRaise,
+)
 
 
 @define
@@ -51,12 +57,17 @@
     # When each recent report was sent, by number.
     reports_sent: dict[int, timedelta] = field(factory=dict)
     granted: int = 0  # Number of the report that the last grant answered.
+    # When the first report without an answer since was sent; None if none is open.
+    unanswered_since: timedelta | None = None
+    is_locked: bool = False  # Others may hold a part of the rate, by its allocator.
+    is_denial_locked: bool = False  # The last denial was for that reason.
     can_return: bool = False  # The allocator takes back shares that are given up.
     # Tokens granted to others that they may still spend: until when, and how many.
     outstanding: deque[tuple[timedelta, int]] = field(factory=deque)
     grants_after: timedelta = NEVER  # No grant before this time; see `must_defer`.
     standbys: tuple[str, ...] = ()  # Other instances that grant tokens.
     standby_asked_at: timedelta = NEVER  # When the last one was asked for tokens.
+    standby_heard_at: timedelta = NEVER  # When the last one granted tokens.
     standby_asked: int = 0  # Questions to standbys; each goes to the next of them.
     # When each recent question to a standby was sent, by number.
     queries_sent: dict[int, timedelta] = field(factory=dict)
@@ -129,6 +140,10 @@
     without_share: dict[str, timedelta | None] = field(factory=dict)
     asked_at: timedelta = NEVER  # When those that have not reported were last asked.
     standbys: tuple[str, ...] = ()  # Holders of parts of a burst that is not divided.
+    # The shares that the predecessor had given out, by holder, if it has said so.
+    ledger: dict[str, HeldShare] | None = None
+    knows_holders: bool = False  # No instance outside `ledger` has a share.
+    ledger_asked_at: timedelta = NEVER  # When the predecessor was last asked.
 
 
 @define
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -15,7 +15,7 @@
 
 from datetime import timedelta
 
-from . import membership, peers, token_waits, view
+from . import ledger_handover, membership, peers, token_waits, view
 from .clock import MILLISECOND
 from .dispatch import handle, handle_peer
 from .errors import Problem, not_run
@@ -54,6 +54,9 @@
 # Time without grants in which a repeated `ShareLower` arrives: longer than the interval
 # of the repetitions.
 GRANT_PAUSE = timedelta(milliseconds=500)
+# When to retry a request that was refused for want of an allocator: a successor may be
+# found at any time, and until then the refusals cost little.
+UNCONFIRMED_RETRY = timedelta(seconds=1)
 # Requests/s; a lower rate is the rounding error of a rate that was given up.
 MIN_REFILL_RATE = 1e-6
 # Rounding error by which a sum of floating-point shares may fall short of a token.
@@ -158,10 +161,15 @@
     row.waiting.insert(token_waits.count_ahead(row, priority), waiting)
     if now < row.denied_until and refill_delay(row) > MAX_REFILL_WAIT:
         row.waiting.remove(waiting)
-        refuse_request(request, row.denied_until - now, state)
+        refuse_request(request, row.denied_until - now, state, refusal(row, state))
         return
     row.report_at = min(row.report_at, now)
     admit_waiting(row, state)
+    if waiting in row.waiting and token_waits.is_wait_in_vain(row, now):
+        can_refill = is_share_valid(row, state) and refill_delay(row) <= MAX_REFILL_WAIT
+        if not can_refill:
+            row.waiting.remove(waiting)
+            refuse_request(request, UNCONFIRMED_RETRY, state, Problem.RATE_UNCONFIRMED)
 
 
 def expected_wait(workspace: str, priority: int, state: State) -> timedelta | None:
@@ -189,11 +197,24 @@
             return
 
 
-def refuse_request(request: int, retry_after: timedelta, state: State) -> None:
-    """Refuse a request because its workspace is over its rate."""
+def refuse_request(
+    request: int,
+    retry_after: timedelta,
+    state: State,
+    problem: Problem = Problem.RATE_EXCEEDED,
+) -> None:
+    """Refuse a request, usually because its workspace is over its rate."""
     state.counters["rates.refused"] += 1
-    failure = not_run(Problem.RATE_EXCEEDED, retry_after=retry_after)
-    handle(Refused(request, failure), state)
+    if problem is Problem.RATE_UNCONFIRMED:
+        state.counters["rates.refused_unconfirmed"] += 1
+    handle(Refused(request, not_run(problem, retry_after=retry_after)), state)
+
+
+def refusal(row: ShareRow, state: State) -> Problem:
+    """Return why requests that wait for tokens of a share are refused now."""
+    if token_waits.is_unconfirmed(row, state.clock.monotonic()):
+        return Problem.RATE_UNCONFIRMED
+    return Problem.RATE_EXCEEDED
 
 
 def admit_waiting(row: ShareRow, state: State) -> None:
@@ -214,7 +235,8 @@
     now = state.clock.monotonic()
     for item in token_waits.expired(row, now):
         row.waiting.remove(item)
-        refuse_request(item.request, retry_after(row, state), state)
+        problem = refusal(row, state)
+        refuse_request(item.request, retry_after(row, state), state, problem)
 
 
 def retry_after(row: ShareRow, state: State) -> timedelta:
@@ -256,6 +278,8 @@
     """Report the share and the demand of this instance to the allocator."""
     now = state.clock.monotonic()
     row.report_at = now + (URGENT_REPORT_INTERVAL if row.waiting else REPORT_INTERVAL)
+    if row.unanswered_since is None:
+        row.unanswered_since = now
     epoch = newest_epoch(row, state)
     if epoch is None:
         return
@@ -275,12 +299,29 @@
     In a larger fleet, the successor may have no stream to the allocator. The reports of
     the holders then make it check whether the allocator has failed.
     """
-    if holds_all_shares(state) or is_allocator_usable(holder, state):
+    if holds_all_shares(state):
         return holder
+    if is_allocator_usable(holder, state):
+        silence = token_waits.unanswered_time(row, state.clock.monotonic())
+        if silence < token_waits.ALLOCATOR_SILENCE or state.random.getrandbits(1):
+            return holder
+        # It may have lost the store. The instance that is to replace it has to know.
+        return likely_successor(holder, row.workspace, state)
     successor = membership.first_usable(f"allocator/{row.workspace}", "", state)
     return holder if successor is None else successor.name
 
 
+def likely_successor(holder: str, workspace: str, state: State) -> str:
+    """Return the first usable instance that could replace an allocator."""
+    rows = [
+        other
+        for other in state.instances.values()
+        if other.name != holder and membership.is_instance_usable(other, state)
+    ]
+    ranked = membership.ranked(f"allocator/{workspace}", rows)
+    return ranked[0].name if ranked else holder
+
+
 def make_report(row: ShareRow, number: int, state: State) -> ShareReport:
     """Return the report of a share; `needed` is the tokens that its queue lacks."""
     needed = max(0.0, len(row.waiting) - row.tokens)
@@ -358,6 +399,8 @@
 
 @handle_peer.register
 def _(message: ShareRenew, sender: str, state: State) -> None:
+    if message.asks_ledger:
+        ledger_handover.hand_over(message, sender, state)
     is_other = sender != state.settings.name
     if (
         message.workspace not in state.shares
@@ -375,6 +418,8 @@
         row.standbys = message.standbys
     sent_at = row.reports_sent.get(message.number)
     if sent_at is not None:
+        row.unanswered_since = None
+        row.is_locked = message.is_locked
         if sent_at - row.renewed_at > SHARE_LEASE:
             row.usable_since = state.clock.monotonic()
         row.renewed_at = max(row.renewed_at, sent_at)
@@ -448,10 +493,13 @@
     if message.epoch < row.epoch:
         return
     now = state.clock.monotonic()
+    row.unanswered_since = None
+    row.is_denial_locked = message.is_locked
     row.denied_until = now + timedelta(milliseconds=message.retry_after_ms)
     admit_waiting(row, state)
     while row.waiting and refill_delay(row) > MAX_REFILL_WAIT:
-        refuse_request(row.waiting.pop().request, retry_after(row, state), state)
+        request, problem = row.waiting.pop().request, refusal(row, state)
+        refuse_request(request, retry_after(row, state), state, problem)
 
 
 def is_allocator_usable(instance: str, state: State) -> bool:
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -30,6 +30,7 @@
 from .fencing.rows import CoordinationRow, FenceRow
 from .latencies import Latencies
 from .messages import Access, Action, Durability, Position, Statement, StoreObject
+from .peer_messages import LedgerHandover
 from .rate_rows import (
     AllocationRow,
     ClaimRow,
@@ -422,6 +423,8 @@
     fences: dict[str, FenceRow] = field(factory=dict)  # By group.
     coordinations: dict[str, CoordinationRow] = field(factory=dict)  # By group.
     latencies: Latencies = field(factory=dict)
+    # The last hand-over of a workspace's ledger to another allocator, by workspace.
+    handovers: dict[str, LedgerHandover] = field(factory=dict)
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
--- a/pimentodrift/token_grants.py
+++ b/pimentodrift/token_grants.py
@@ -158,6 +158,7 @@
     row = rates.get_or_create_share(message.workspace, state)
     if message.number in row.queries_sent:
         asked_at = row.queries_sent.pop(message.number)
+        row.standby_heard_at = state.clock.monotonic()
         spend_grant(row, message, asked_at, state)
         return
     sent_at = row.reports_sent.get(message.number)
--- a/pimentodrift/token_waits.py
+++ b/pimentodrift/token_waits.py
@@ -12,6 +12,12 @@
 
 # Longest wait for an allocator that does not answer, because a successor may take over.
 MAX_ALLOCATOR_WAIT = timedelta(milliseconds=1500)
+# Without an answer for this long, longer than two intervals of reports, the allocator
+# counts as unreachable.
+ALLOCATOR_SILENCE = timedelta(milliseconds=1100)
+# Within this time, a successor has the role if one can get it: three pings without an
+# answer, the write to the store and the reports to the new allocator.
+MAX_TAKEOVER_TIME = timedelta(seconds=3)
 # A queue whose first request has waited for longer than a round trip to the allocator
 # is one that the allocator cannot empty.
 FLOOD_QUEUE_AGE = timedelta(milliseconds=100)
@@ -21,6 +27,30 @@
 MIN_FLOOD_RATE = 1.0  # Requests/s; a lower rate of admissions is no measure of a wait.
 
 
+def is_unconfirmed(row: ShareRow, now: timedelta) -> bool:
+    """Return whether a refusal is for want of an allocator, not for too many requests.
+
+    Either no allocator answers, or the one that does may not give out the rate yet.
+    """
+    if now < row.denied_until:
+        return row.is_denial_locked
+    return row.is_locked or unanswered_time(row, now) >= ALLOCATOR_SILENCE
+
+
+def is_wait_in_vain(row: ShareRow, now: timedelta) -> bool:
+    """Return whether a new request would wait for a token that cannot come in time."""
+    if now - row.standby_heard_at <= ALLOCATOR_SILENCE:
+        return False
+    return unanswered_time(row, now) >= MAX_TAKEOVER_TIME
+
+
+def unanswered_time(row: ShareRow, now: timedelta) -> timedelta:
+    """Return for how long no allocator has answered the reports about a share."""
+    if row.unanswered_since is None:
+        return timedelta(0)
+    return now - row.unanswered_since
+
+
 def count_ahead(row: ShareRow, priority: int) -> int:
     """Return how many waiting requests are admitted before a new one."""
     return sum(other.priority <= priority for other in row.waiting)
--- a/tests/rate_support.py
+++ b/tests/rate_support.py
@@ -12,6 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pimentodrift import rates
+from pimentodrift.errors import Problem
 from pimentodrift.notices import Admitted, Refused
 from pimentodrift.rate_windows import bucket_for
 from pimentodrift.tables import State
@@ -40,6 +41,7 @@
     asked_at: dict[tuple[str, int], timedelta] = field(factory=dict)
     refusal_waits: list[timedelta] = field(factory=list)
     retry_afters: list[timedelta | None] = field(factory=list)
+    problems: list[Problem] = field(factory=list)
     credit: float = 0.0
 
     def request(self, name: str) -> None:
@@ -102,6 +104,7 @@
         load.refused_at.append(now)
         load.refusal_waits.append(now - asked_at)
         load.retry_afters.append(message.failure.retry_after)
+        load.problems.append(message.failure.problem)
 
     monkeypatch.setattr(rates, "handle", collect)
 
