--- a/pimentodrift/errors.py
+++ b/pimentodrift/errors.py
@@ -46,6 +46,7 @@
     INSTANCE_STOPPING = "instance-stopping"
     SESSION_TOKEN_INVALID = "session-token-invalid"
     REGION_FORBIDDEN = "region-forbidden"
+    RATE_UNCONFIRMED = "rate-unconfirmed"
 
 
 PROBLEMS: dict[Problem, tuple[int, str]] = {
@@ -83,6 +84,7 @@
     Problem.INSTANCE_STOPPING: (503, "This instance is shutting down"),
     Problem.SESSION_TOKEN_INVALID: (400, "The session token cannot be read"),
     Problem.REGION_FORBIDDEN: (403, "No endpoint in an allowed region can serve this"),
+    Problem.RATE_UNCONFIRMED: (503, "No allocator confirms the workspace's rate"),
 }
 
 
--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -392,4 +392,16 @@
     ejected_ms: int
 
 
+# --- Rates
+
+
+@frozen
+class AllocatorHandedOver(Event):
+    """This instance handed a workspace's ledger over to its successor as allocator."""
+
+    workspace: str
+    epoch: int  # Of the successor.
+    peer: str
+
+
 BUILT_IN = event_classes()
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -10,7 +10,7 @@
 from . import leadership, operation_steps, placement, pools, rates, registry
 from .dispatch import handle
 from .ejection import judgement
-from .errors import Failure
+from .errors import Failure, Problem
 from .evacuation import permissions
 from .fencing import contact
 from .homes import limits, sampling
@@ -42,6 +42,7 @@
 
 BUSY = "the queues of the endpoints take longer than the objective allows"
 RATE_EXCEEDED = "the workspace is over its rate"
+RATE_UNCONFIRMED = "no allocator confirms the rate of the workspace"
 # A sample that is nearly too old for a read is not used, because the read also takes
 # time to reach the endpoint; the primary serves the read.
 SAMPLE_MARGIN = timedelta(milliseconds=50)
@@ -115,7 +116,9 @@
         if statements.on_cold_refused(row, failure, state):
             operation_steps.resume_cold(row, state)
         return
-    refuse(row, Refusal(Fault.OVERLOADED, RATE_EXCEEDED, failure.retry_after), state)
+    is_unconfirmed = failure.problem is Problem.RATE_UNCONFIRMED
+    detail = RATE_UNCONFIRMED if is_unconfirmed else RATE_EXCEEDED
+    refuse(row, Refusal(Fault.OVERLOADED, detail, failure.retry_after), state)
 
 
 # --- Placement of a statement on an endpoint
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -33,6 +33,7 @@
 from .latencies import Latencies
 from .messages import Access, Action, Durability, Position, Statement, StoreObject
 from .owners.rows import ForwardRow, Origin, OwnerRow, PositionRow
+from .peer_messages import LedgerHandover
 from .rate_rows import (
     AllocationRow,
     ClaimRow,
@@ -468,6 +469,8 @@
     forwards: dict[int, ForwardRow] = field(factory=dict)  # By operation.
     positions: dict[str, PositionRow] = field(factory=dict)  # By group.
     served: dict[Origin, int] = field(factory=dict)  # Session of each origin.
+    # The last hand-over of a workspace's ledger to another allocator, by workspace.
+    handovers: dict[str, LedgerHandover] = field(factory=dict)
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
