--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -204,6 +204,21 @@
     outcome: str
 
 
+@frozen
+class EndpointOwned(Event):
+    """This instance became the owner of an endpoint."""
+
+    endpoint: str
+
+
+@frozen
+class EndpointGivenUp(Event):
+    """This instance is not the owner of an endpoint any more."""
+
+    endpoint: str
+    owner: str  # The new one; empty if none is in use.
+
+
 @frozen
 class OwnerLost(Event):
     """An owner of endpoints does not answer; its statements and transactions end."""
--- a/pimentodrift/owners/replies.py
+++ b/pimentodrift/owners/replies.py
@@ -5,7 +5,7 @@
 
 from datetime import timedelta
 
-from .. import leadership, peers
+from .. import leadership, peers, pools
 from ..clock import MILLISECOND
 from ..dispatch import handle
 from ..messages import Position
@@ -128,6 +128,8 @@
     pool = state.pools.get(endpoint)
     if pool is None or pool.failing_since is not None:
         return True
+    if pools.is_crowded(pool, state):
+        return False  # It answers, by refusing connections above its limit.
     return not any(state.pooled[number].is_open for number in pool.connections)
 
 
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -367,7 +367,10 @@
                 pool.failing_since = None  # It answers, and its owner has connections.
             pool.answered_at = state.clock.monotonic()
             record_refusal(pool, state)
-            if not any(state.pooled[number].is_open for number in pool.connections):
+            # At the owner the statements wait: others would be refused as well.
+            is_owner = ownership.own_limit(pool, state) is not None
+            numbers = pool.connections
+            if not is_owner and not any(state.pooled[item].is_open for item in numbers):
                 reroute_waiting(pool, state)
         else:
             record_failure(pool, fault, state)
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -31,7 +31,7 @@
 )
 from .dispatch import handle
 from .fencing import coordination, stopping
-from .owners import losses
+from .owners import changes, losses
 from .policies import Policy
 from .tables import State
 from .ticks import REST_TICK, TICK, take_outbox
@@ -46,6 +46,7 @@
     heartbeats.run,
     instance_removal.run,
     registry.run,
+    changes.run,
     allocation.run,
     rates.run,
     pools.run,
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -423,6 +423,8 @@
     owners: dict[str, OwnerRow] = field(factory=dict)  # By instance.
     forwards: dict[int, ForwardRow] = field(factory=dict)  # By operation.
     positions: dict[str, PositionRow] = field(factory=dict)  # By group.
+    owned: set[str] = field(factory=set)  # Endpoints that were owned at the last check.
+    owned_checked_at: timedelta = NEVER
     served: dict[Origin, int] = field(factory=dict)  # Session of each origin.
 
     def log_event(self, event: Event) -> None:
--- a/tests/test_owner_failures.py
+++ b/tests/test_owner_failures.py
@@ -28,6 +28,14 @@
     network.kill(owner)
 
 
+def vanish(network: OwnerNetwork, owner: str, _: str) -> None:
+    """Let an owner lose power; its connections count for three more seconds."""
+    backends = dict(network.backends)
+    network.kill(owner)
+    network.backends = backends
+    network.schedule(3 * SECOND, lambda: network.kill(owner))
+
+
 def freeze(network: OwnerNetwork, owner: str, _: str) -> None:
     network.nodes[owner].paused = True
 
@@ -36,7 +44,7 @@
     network.partitions.add(frozenset((owner, entry)))
 
 
-LOSSES = [kill, freeze, cut_entry]
+LOSSES = [kill, vanish, freeze, cut_entry]
 
 
 def fault_of(answer: object) -> Fault | None:
@@ -68,6 +76,8 @@
     network = make_fleet()
     entry, owner = network.entry(), network.owner()
     session = network.open_client(entry)
+    for workspace in range(network.connection_limit):
+        network.ask(entry, network.open_client(entry, workspace), WRITE)
     fail(network, owner, entry)
     started = network.time
     assert isinstance(network.ask(entry, session, READ), AnswerStatement)
