--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -39,6 +39,7 @@
 from .fencing import coordination, stopping
 from .homes import enforcement, sampling
 from .owners import losses
+from .owners import changes, losses
 from .policies import Policy
 from .tables import State
 from .ticks import REST_TICK, TICK, take_outbox
@@ -57,6 +58,7 @@
     instance_removal.run,
     registry.run,
     cold_limits.run,
+    changes.run,
     allocation.run,
     rates.run,
     standby_grants.run,
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -468,6 +468,8 @@
     owner_candidates: dict[str, OwnerCandidates] = field(factory=dict)  # By endpoint.
     forwards: dict[int, ForwardRow] = field(factory=dict)  # By operation.
     positions: dict[str, PositionRow] = field(factory=dict)  # By group.
+    owned: set[str] = field(factory=set)  # Endpoints that were owned at the last check.
+    owned_checked_at: timedelta = NEVER
     served: dict[Origin, int] = field(factory=dict)  # Session of each origin.
     # The last hand-over of a workspace's ledger to another allocator, by workspace.
     handovers: dict[str, LedgerHandover] = field(factory=dict)
