--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -38,7 +38,6 @@
 from .evacuation import holding, relaying
 from .fencing import coordination, stopping
 from .homes import enforcement, sampling
-from .owners import losses
 from .owners import changes, losses
 from .policies import Policy
 from .tables import State
