Place reads by the expected wait, and keep connections where none shares them

Cause: reads were placed by a service time that a new connection's set-up falsifies; a single user of an endpoint closed idle connections after 250 ms and asked for more than the endpoint accepts; statements waited at a stalled endpoint until their budget's end. Change: with deadline-order, candidates carry the expected wait of their queues, the limit is the endpoint's own, idle connections stay for 3 s, and a statement that became late while nothing was served is refused.

--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -208,6 +208,8 @@
 ) -> placement.Candidate:
     """Return an endpoint with the estimates that placement compares."""
     pool = state.pools[row.name]
+    if selection.is_ordered(pool, state):
+        return serving.candidate(operation, pool, state)
     is_near = row.entry.data_centre == state.settings.data_centre
     assumed = NEAR_ROUND_TRIP if is_near else DISTANT_ROUND_TRIP
     round_trip = pool.round_trip or assumed
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -49,9 +49,14 @@
 ROUND_TRIP_WEIGHT = 0.2  # Of the newest sample in the average round trip.
 
 
+def declared_limit(pool: PoolRow, state: State) -> int:
+    """Return how many connections of all instances an endpoint accepts."""
+    return state.session_limits.connections.get(pool.group, DEFAULT_CONNECTIONS)
+
+
 def fair_share(pool: PoolRow, state: State) -> int:
     """Return this instance's fair share of an endpoint's connection limit."""
-    declared = state.session_limits.connections.get(pool.group, DEFAULT_CONNECTIONS)
+    declared = declared_limit(pool, state)
     live = [
         row
         for row in state.instances.values()
@@ -63,6 +68,8 @@
 def connection_limit(pool: PoolRow, state: State) -> int:
     """Return how many connections this instance may open to an endpoint."""
     share = fair_share(pool, state)
+    if selection.is_ordered(pool, state) and share >= declared_limit(pool, state):
+        return max(connection_limits.MIN_CONNECTION_LIMIT, share)
     return connection_limits.connection_limit(share, is_crowded(pool, state))
 
 
@@ -467,6 +474,8 @@
     is_leaving = leaving is None or leaving.leaving_since is not None
     share = fair_share(pool, state)
     uses_short_timeout = state.settings.uses(Policy.SHORT_IDLE_TIMEOUT)
+    if selection.is_ordered(pool, state) and share >= declared_limit(pool, state):
+        uses_short_timeout = False  # No other instance needs the connections.
     for row in idle_connections(pool, state):
         is_above = uses_short_timeout and len(pool.connections) * 2 > share
         closes_early = is_above or is_leaving
--- a/pimentodrift/service_order/rows.py
+++ b/pimentodrift/service_order/rows.py
@@ -21,6 +21,7 @@
     passed: dict[int, timedelta] = field(factory=dict)
     # Until when refused statements of each priority were told to come back.
     booked_until: dict[int, timedelta] = field(factory=dict)
+    served_at: timedelta = NEVER  # When a statement last got a connection.
     # When refused transactions were told to come back.
     places: list[timedelta] = field(factory=list)
     # Time on connections of all waiting statements, as last added up at `added_at`.
--- a/pimentodrift/service_order/serving.py
+++ b/pimentodrift/service_order/serving.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from datetime import timedelta
 
-from .. import operation_completion, pools
+from .. import operation_completion, placement, pools
 from ..clock import MILLISECOND, NEVER
 from ..session_messages import Fault, Refusal
 from ..session_rows import OperationRow, PooledRow, PoolRow
@@ -18,7 +18,11 @@
 from .decisions import ZERO, Group, Order, Waiting
 from .rows import ServiceRow
 
+# An endpoint that served nothing for a whole objective gives no measure of a wait; its
+# failure is noticed in about this time, and its statements are then placed elsewhere.
+STALLED_AFTER = 500 * MILLISECOND
 TYPICAL_COST = 20 * MILLISECOND  # Until statements of a database have been measured.
+SETUP_TIME = 10 * MILLISECOND  # Typical of a new connection.
 MAX_COST = timedelta(seconds=1)  # A statement that hung says nothing about the usual.
 COST_WEIGHT = 0.1  # Of the newest sample in the average cost.
 NEAR_ROUND_TRIP = MILLISECOND  # Typical of a data centre.
@@ -90,11 +94,16 @@
     return sum(1 for row in rows if row.operation or not row.is_open)
 
 
-def capacity_of(pool: PoolRow, row: ServiceRow, state: State) -> Capacity:
-    """Return how fast an endpoint works."""
+def round_trip_to(pool: PoolRow, state: State) -> timedelta:
+    """Return the usual round trip to an endpoint."""
     entry = state.registry[pool.endpoint].entry
     is_near = entry.data_centre == state.settings.data_centre
-    round_trip = NEAR_ROUND_TRIP if is_near else DISTANT_ROUND_TRIP
+    return NEAR_ROUND_TRIP if is_near else DISTANT_ROUND_TRIP
+
+
+def capacity_of(pool: PoolRow, row: ServiceRow, state: State) -> Capacity:
+    """Return how fast an endpoint works."""
+    entry, round_trip = state.registry[pool.endpoint].entry, round_trip_to(pool, state)
     cost = sum(row.costs.values(), ZERO) / len(row.costs) if row.costs else TYPICAL_COST
     most = decisions.max_running(entry.slots, round_trip, cost)
     return Capacity(most, cost * running_count(pool, state) / 2)
@@ -103,24 +112,53 @@
 # --- Admission
 
 
+def expected_wait(
+    operation: OperationRow, pool: PoolRow, row: ServiceRow, state: State
+) -> timedelta:
+    """Return how long a new statement would wait for a slot of an endpoint."""
+    item, now = describe(operation, row, state), state.clock.monotonic()
+    capacity = capacity_of(pool, row, state)
+    left = admission.booked_left(row.booked_until, item.priority, now)
+    groups = waiting_groups(pool, row, state)
+    return admission.expected_wait(item, groups, order_of(row), capacity, left)
+
+
+def candidate(
+    operation: OperationRow, pool: PoolRow, state: State
+) -> placement.Candidate:
+    """Return an endpoint as placement compares it, with the wait in its queue.
+
+    So a read that is refused could be served in time by none of its endpoints.
+    """
+    row = row_of(pool, state)
+    idle = pools.idle_connections(pool, state)
+    has_idle = any(item.workspace == operation.workspace for item in idle)
+    wait = expected_wait(operation, pool, row, state)
+    return placement.Candidate(
+        pool.endpoint,
+        round_trip_to(pool, state),
+        ZERO if has_idle else SETUP_TIME + round_trip_to(pool, state),
+        wait + cost_of(operation, row),
+        outstanding=0,  # They are in the expected wait.
+        slots=state.registry[pool.endpoint].entry.slots,
+    )
+
+
 def refusal_for(operation: OperationRow, pool: PoolRow, state: State) -> Refusal | None:
     """Return the refusal of a statement on arrival; None if it may wait."""
-    row, now = row_of(pool, state), state.clock.monotonic()
+    row = row_of(pool, state)
     after = transactions.refused_for(operation, pool, state)
     if after is not None:
         state.counters["service_order.refused_transactions"] += 1
         detail = f"as many transactions as {pool.endpoint} may have are open"
         return Refusal(Fault.OVERLOADED, detail, after)
     item = describe(operation, row, state)
-    capacity = capacity_of(pool, row, state)
-    left = admission.booked_left(row.booked_until, item.priority, now)
-    groups = waiting_groups(pool, row, state)
-    wait = admission.expected_wait(item, groups, order_of(row), capacity, left)
+    wait = expected_wait(operation, pool, row, state)
     too_long = admission.excess(item, wait)
     if too_long is None:
         return None
     state.counters["service_order.refused_on_arrival"] += 1
-    after = book(item, too_long, row, capacity, state)
+    after = book(item, too_long, row, capacity_of(pool, row, state), state)
     detail = f"the queue of {pool.endpoint} takes longer than the objective allows"
     return Refusal(Fault.OVERLOADED, detail, after)
 
@@ -145,6 +183,13 @@
     item = describe(operation, row, state)
     if not item.is_late:
         return
+    waited = now - operation.queued_at
+    if row.served_at < operation.queued_at and waited > item.objective:
+        detail = f"no connection to {pool.endpoint} became free"
+        refuse_waiting(
+            operation, pool, Refusal(Fault.OVERLOADED, detail, STALLED_AFTER), state
+        )
+        return
     if row.added_at != now:
         groups = waiting_groups(pool, row, state)
         row.work, row.added_at = sum((group.work for group in groups), ZERO), now
@@ -154,12 +199,18 @@
     too_long = admission.excess(item, wait)
     if too_long is None:
         return
-    pools.remove_waiting(operation, state)
     row.work -= item.cost
-    state.counters["service_order.refused_late"] += 1
     detail = f"{pool.endpoint} can't serve the statement within its timeout"
     after = book(item, too_long, row, capacity, state)
-    refusal = Refusal(Fault.OVERLOADED, detail, after)
+    refuse_waiting(operation, pool, Refusal(Fault.OVERLOADED, detail, after), state)
+
+
+def refuse_waiting(
+    operation: OperationRow, pool: PoolRow, refusal: Refusal, state: State
+) -> None:
+    """Refuse a statement that has waited."""
+    pools.remove_waiting(operation, state)
+    state.counters["service_order.refused_late"] += 1
     operation_completion.refuse(operation, refusal, state)
 
 
@@ -230,6 +281,7 @@
     connection = pools.best_connection(operation, idle, state)
     connection.assigned_at = state.clock.monotonic()
     connection.charged = item.cost
+    row.served_at = connection.assigned_at
     pools.assign(operation, connection, state)
 
 
@@ -269,7 +321,9 @@
     unused = [row for row in rows if row.workspace not in pool.waiting]
     if unused:
         return min(unused, key=lambda row: row.idle_since)
-    owners = Counter(state.pooled[number].workspace for number in pool.connections)
+    # A connection in a transaction serves no other statement of its workspace.
+    connections = (state.pooled[number] for number in pool.connections)
+    owners = Counter(row.workspace for row in connections if not row.session)
     if not rows or owners[item.workspace] or not decisions.waits_unduly(item):
         return None
     return max(rows, key=lambda row: owners[row.workspace])
--- a/pimentodrift/service_order/transactions.py
+++ b/pimentodrift/service_order/transactions.py
@@ -65,9 +65,8 @@
 
 def limit_of(pool: PoolRow, state: State) -> int:
     """Return how many connections of a pool may be in transactions."""
-    most = pools.connection_limit(pool, state)
-    declared = state.session_limits.connections.get(pool.group, most)
-    return transaction_limit(min(most, declared or most))
+    most = min(pools.connection_limit(pool, state), pools.declared_limit(pool, state))
+    return transaction_limit(most)
 
 
 def held(pool: PoolRow, state: State) -> list[PooledRow]:
--- a/tests/order_support.py
+++ b/tests/order_support.py
@@ -15,12 +15,10 @@
 from pimentodrift.route_configuration import DeclaredWorkspace, RouteConfiguration
 from pimentodrift.session_rows import Consistency, EndpointRole
 
-from .capped_database import HANDSHAKE, POSITION, Backend
-from .kind_network import KindNetwork
+from .capped_database import DATABASE, HANDSHAKE, POSITION, Backend, CappedNetwork
 from .session_support import GROUP, MILLISECOND, SECOND, make_endpoint, make_route
 
 ENTRY = "i0"
-DATABASE = "e1"
 HOLD = timedelta(milliseconds=2900)  # A transaction may be idle for 3 s.
 TRANSPORT = MILLISECOND  # One way to the endpoint.
 
@@ -57,18 +55,15 @@
 
 
 @define
-class OrderNetwork(KindNetwork):
+class OrderNetwork(CappedNetwork):
     """One instance before an endpoint; events happen at their exact times."""
 
     kinds: dict[str, Kind] = field(factory=lambda: dict(KINDS))
     slots: int = 4
     workspaces: int = 8
     connection_limit: int = 56
-    working: int = 0
     jobs: deque[tuple[timedelta, Callable[[], None]]] = field(factory=deque)
-    backends: dict[int, Backend] = field(factory=dict)
-    pending: dict[int, Request] = field(factory=dict)
-    sessions: int = 0
+    requests: dict[int, Request] = field(factory=dict)  # By session.
     opened: int = 0
     value: float = 0.0
     # By kind or workspace and outcome; and those that came back at the time told.
@@ -150,7 +145,7 @@
 
     def submit(self, request: Request) -> None:
         self.sessions += 1
-        self.pending[self.sessions] = request
+        self.requests[self.sessions] = request
         opened = m.SessionOpened(self.sessions, request.kind, request.workspace)
         self.deliver(ENTRY, opened)
         command = m.Run(Access.WRITE, request.kind)
@@ -221,14 +216,9 @@
             case m.RefuseStatement() if message.session in self.holders:
                 self.end_holder(message)
             case m.OpenPooled():
-                self.schedule(TRANSPORT, lambda: self.open(message.connection))
-            case m.RunSteps():
-                self.schedule(TRANSPORT, lambda: self.receive(message))
-            case m.ClosePooled():
-                number = message.connection
-                self.schedule(TRANSPORT, lambda: self.backends.pop(number, None))
+                self.schedule(TRANSPORT, lambda: self.accept(message.connection))
             case m.AnswerStatement():
-                request = self.pending.pop(message.session)
+                request = self.requests.pop(message.session)
                 took = self.time - request.sent_at
                 objective = self.kinds[request.kind].objective_ms * MILLISECOND
                 is_of_use = took <= self.kinds[request.kind].budget_ms * MILLISECOND
@@ -236,11 +226,9 @@
                 self.finish(request, "in time" if took <= objective else outcome)
                 self.returns["served"] += request.told
             case m.RefuseStatement():
-                request = self.pending.pop(message.session)
+                request = self.requests.pop(message.session)
                 assert message.refusal.retry_after is not None
                 self.repeat(request, message.refusal.retry_after)
-            case m.AcceptSession():
-                pass
             case _:
                 super().perform(name, message)
 
@@ -264,24 +252,15 @@
     def reply(self, message: object) -> None:
         self.schedule(TRANSPORT, lambda: self.deliver(ENTRY, message))
 
-    def open(self, number: int) -> None:
+    def accept(self, number: int) -> None:
         if len(self.backends) >= self.connection_limit:
             self.reply(m.PooledLost(number, m.Fault.TOO_MANY_CONNECTIONS))
             return
         self.opened += 1
-        self.backends[number] = Backend(ENTRY, number)
+        self.backends[ENTRY, number] = Backend(ENTRY, number)
         done = m.PooledOpened(number, POSITION)
         self.use_slot(HANDSHAKE, lambda: self.reply(done))
 
-    def receive(self, message: m.RunSteps) -> None:
-        backend = self.backends.get(message.connection)
-        if backend is None:
-            return
-        is_idle = not backend.steps
-        backend.steps.extend(message.steps)
-        if is_idle:
-            self.run_next(backend)
-
     def run_next(self, backend: Backend) -> None:
         if not backend.steps:
             return
@@ -293,16 +272,6 @@
         else:
             self.answer_step(backend)
 
-    def answer_step(self, backend: Backend) -> None:
-        step = backend.steps.popleft()
-        if isinstance(step, m.BeginWork):
-            backend.phase = m.Phase.OPEN
-        elif isinstance(step, m.EndWork | m.CommitWork):
-            backend.phase = m.Phase.IDLE
-        number = backend.connection
-        self.reply(m.StepAnswered(number, backend.phase, position=POSITION))
-        self.run_next(backend)
-
 
 def play(policy: str, load: Callable[[OrderNetwork], None], seed: int) -> OrderNetwork:
     """Play a load under a queue policy and let all statements end."""
--- a/tests/test_service_order.py
+++ b/tests/test_service_order.py
@@ -1,5 +1,6 @@
 """Order of service at an endpoint with slots, against the policy before it."""
 
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 from random import Random
@@ -11,7 +12,7 @@
 from pimentodrift.service_order.decisions import Group, Order, Waiting
 
 from .order_support import KINDS, OrderNetwork, play
-from .session_support import MILLISECOND, SECOND
+from .session_support import MILLISECOND, READ, SECOND, make_endpoint, make_harness
 
 ZERO = timedelta(0)
 USUAL = 0.9
@@ -87,6 +88,31 @@
     assert refused <= 2 + 0.1 * served
 
 
+def test_stalled_endpoint_is_not_waited_for() -> None:
+    """Guards against statements that are held until the end of their budget."""
+    network = OrderNetwork(Random(1), settings={"queue_policy": "deadline-order"})
+    network.start()
+    network.connection_limit = 0
+    network.send_at(0, "saves", "w1")
+    network.run(4 * SECOND)
+    assert network.returns["refused"] >= 2
+
+
+def test_reads_go_where_the_wait_is_short() -> None:
+    """Guards against a refusal by one replica while another could be in time."""
+    harness = make_harness()
+    harness.state.settings = evolve(
+        harness.state.settings, queue_policy="deadline-order"
+    )
+    for name in ("e2", "e3"):
+        harness.register(name, make_endpoint())
+    harness.holds_statements = True
+    for _ in range(30):
+        harness.send(harness.open_session(), READ)
+    counts = Counter(row.endpoint for row in harness.state.operations.values())
+    assert max(counts.values()) - min(counts[name] for name in ("e2", "e3")) <= 3
+
+
 ITEM = Waiting(1, "w1", 1, SECOND, SECOND, 4 * SECOND, 10 * MILLISECOND)
 ORDER = Order({}, ZERO, {})
 
