--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -10,7 +10,7 @@
 
 from attrs import evolve
 
-from . import membership, peers, store_eras, view
+from . import ledger_handover, membership, peers, store_eras, view
 from .clock import NEVER
 from .messages import StoreObject
 from .peer_messages import Epoch, ShareRenew
@@ -105,8 +105,14 @@
     # earlier claim was unknown. This instance claims again.
     if stored.holder != own and first_candidate(workspace, state) != own:
         return
+    claim_role(workspace, stored, state)
+
+
+def claim_role(workspace: str, stored: Epoch, state: State) -> None:
+    """Write the `allocator` object with the epoch after the stored one."""
+    own = state.settings.name
     epoch = Epoch(next_token(state.view.era, stored.number), own)
-    claim = ClaimRow(workspace, epoch, stored.holder, now)
+    claim = ClaimRow(workspace, epoch, stored.holder, state.clock.monotonic())
     state.claims[workspace] = claim
     value = {"epoch": epoch.number, "holder": own}
     target = writable_object("allocator", workspace, state)
@@ -202,6 +208,8 @@
     if stored <= row.epoch and not is_lost:
         return False
     del state.allocations[row.workspace]
+    if not is_lost:
+        ledger_handover.keep_handover(row, stored, state)
     state.counters["allocator.lost" if is_lost else "allocator.superseded"] += 1
     return True
 
--- a/pimentodrift/core.py
+++ b/pimentodrift/core.py
@@ -10,6 +10,7 @@
 from . import (
     admission,
     allocation,
+    allocator_spread,
     connections,
     detection,
     draining,
@@ -44,6 +45,7 @@
     reservations.run,
     replication.run,
     allocation.run,
+    allocator_spread.run,
     rates.run,
     standby_grants.run,
     routing.run,
--- a/pimentodrift/ledger_handover.py
+++ b/pimentodrift/ledger_handover.py
@@ -7,7 +7,7 @@
 
 from . import peers
 from .log_events import AllocatorHandedOver
-from .peer_messages import HeldShare, LedgerHandover, ShareRenew
+from .peer_messages import Epoch, HeldShare, LedgerHandover, ShareRenew
 from .rate_rows import AllocationRow
 from .tables import State
 
@@ -21,7 +21,7 @@
     is_successor = sender == message.epoch.holder != state.settings.name
     if row is not None and row.epoch < message.epoch and is_successor:
         del state.allocations[message.workspace]
-        state.handovers[message.workspace] = make_handover(row, message)
+        keep_handover(row, message.epoch, state)
         state.counters["allocator.handed_over"] += 1
         state.log_event(
             AllocatorHandedOver(message.workspace, message.epoch.number, sender)
@@ -31,11 +31,14 @@
         peers.send(sender, answer, state)
 
 
-def make_handover(row: AllocationRow, message: ShareRenew) -> LedgerHandover:
-    """Return what a ledger has; a share being changed counts with its greater size."""
-    return LedgerHandover(
+def keep_handover(row: AllocationRow, epoch: Epoch, state: State) -> None:
+    """Keep what a dropped ledger has, for the allocator of a newer epoch.
+
+    A share that is being changed counts with its greater size.
+    """
+    state.handovers[row.workspace] = LedgerHandover(
         row.workspace,
-        message.epoch,
+        epoch,
         row.locked_rate,
         row.locked_burst,
         row.free_tokens,
--- a/pimentodrift/locked_shares.py
+++ b/pimentodrift/locked_shares.py
@@ -89,7 +89,8 @@
     now = state.clock.monotonic()
     if not is_locked(row) or now - row.asked_at < ASK_INTERVAL:
         return
-    if holds_all_shares(state) or len(state.instances) > MAX_ASKED_FLEET:
+    is_large = len(state.instances) > MAX_ASKED_FLEET and not row.knows_holders
+    if holds_all_shares(state) or is_large:
         return
     row.asked_at = now
     question = evolve(renewal(row), asks_report=True)
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -321,6 +321,14 @@
     held: tuple[HeldShare, ...] = ()
 
 
+@frozen
+class AllocatorOffer(PeerMessage):
+    """Offer the role of allocator of a workspace; `epoch` is that of the sender."""
+
+    workspace: str
+    epoch: Epoch
+
+
 @frozen
 class TokenQuery(PeerMessage):
     """Ask a standby for tokens of its own share; a `ShareGrant` answers.
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -25,6 +25,7 @@
     quiet_time,
     report_no_share,
 )
+from .granted_tokens import must_defer, refill_until
 from .notices import Admitted, Refused
 from .peer_messages import (
     Epoch,
@@ -51,9 +52,6 @@
 # In a larger fleet, a share without a request for this long is given up: each one costs
 # two reports and two answers a second.
 IDLE_SHARE_LIFETIME = timedelta(seconds=2)
-# Time without grants in which a repeated `ShareLower` arrives: longer than the interval
-# of the repetitions.
-GRANT_PAUSE = timedelta(milliseconds=500)
 # When to retry a request that was refused for want of an allocator: a successor may be
 # found at any time, and until then the refusals cost little.
 UNCONFIRMED_RETRY = timedelta(seconds=1)
@@ -94,19 +92,6 @@
     refill_until(now, row)
 
 
-def refill_until(time: timedelta, row: ShareRow) -> None:
-    """Add the tokens up to a time; granted ones that may be unspent count as held."""
-    elapsed = (time - row.refilled_at).total_seconds()
-    row.refilled_at = time
-    limit = row.burst - outstanding_tokens(row)
-    row.tokens = min(max(0.0, limit), row.tokens + row.rate * elapsed)
-
-
-def outstanding_tokens(row: ShareRow) -> int:
-    """Return how many tokens were granted that other instances may still spend."""
-    return sum(tokens for _, tokens in row.outstanding)
-
-
 def is_share_valid(row: ShareRow, state: State) -> bool:
     """Return whether the share may be used: its lease holds, or the store is down.
 
@@ -443,18 +428,6 @@
         peers.send(sender, row.last_lowered, state)
 
 
-def must_defer(message: ShareLower, row: ShareRow, state: State) -> bool:
-    """Return whether burst has to stay because it covers tokens that others may spend.
-
-    The allocator repeats the message; until then, this instance grants no more tokens.
-    """
-    outstanding = outstanding_tokens(row)
-    if not outstanding or row.burst - message.burst >= outstanding:
-        return False
-    row.grants_after = state.clock.monotonic() + GRANT_PAUSE
-    return True
-
-
 def lower_share(row: ShareRow, message: ShareLower) -> ShareLowered:
     """Subtract rate and burst from the share, with the tokens that no longer fit."""
     rate = min(row.rate, message.rate)
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -9,6 +9,7 @@
 
 from . import (
     allocation,
+    allocator_spread,
     draining,
     heartbeats,
     instance_registration,
@@ -49,6 +50,7 @@
     instance_removal.run,
     registry.run,
     allocation.run,
+    allocator_spread.run,
     rates.run,
     standby_grants.run,
     pools.run,
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -425,6 +425,7 @@
     latencies: Latencies = field(factory=dict)
     # The last hand-over of a workspace's ledger to another allocator, by workspace.
     handovers: dict[str, LedgerHandover] = field(factory=dict)
+    offered_at: timedelta = NEVER  # When a role of allocator was last offered.
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
