--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -9,6 +9,7 @@
 
 from . import (
     allocation,
+    allocator_spread,
     draining,
     heartbeats,
     instance_registration,
@@ -59,6 +60,7 @@
     cold_limits.run,
     changes.run,
     allocation.run,
+    allocator_spread.run,
     rates.run,
     standby_grants.run,
     pools.run,
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -473,6 +473,7 @@
     served: dict[Origin, int] = field(factory=dict)  # Session of each origin.
     # The last hand-over of a workspace's ledger to another allocator, by workspace.
     handovers: dict[str, LedgerHandover] = field(factory=dict)
+    offered_at: timedelta = NEVER  # When a role of allocator was last offered.
 
     def log_event(self, event: Event) -> None:
         """Keep an event until the shell writes it to the log."""
