--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -13,7 +13,7 @@
 from .fencing import contact
 from .messages import Position
 from .operation_completion import access_refusal, refuse
-from .owners import affinity, forwarding, ownership, positions, replies
+from .owners import affinity, forwarding, overdue, ownership, positions, replies
 from .policies import Policy
 from .queue_policy import (
     MIN_RETRY_AFTER,
@@ -308,7 +308,7 @@
             case Stage.POSITION:
                 positions.check(operation, state)
             case Stage.FORWARDED:
-                forwarding.check(operation, state)
+                overdue.check(operation, state)
 
 
 def check_held(operation: OperationRow, state: State) -> None:
--- a/pimentodrift/owners/forwarding.py
+++ b/pimentodrift/owners/forwarding.py
@@ -14,10 +14,8 @@
 from ..dispatch import handle, handle_peer
 from ..fencing.contact import may_use_primary
 from ..log_events import OwnerLost
-from ..messages import Access, ClosePeer, Position
-from ..notices import PeerUnreachable
+from ..messages import Access, Position
 from ..operation_completion import access_refusal, answer, refuse, retry_event
-from ..peer_messages import Ping
 from ..request_events import TransactionEnded
 from ..session_messages import (
     Command,
@@ -39,7 +37,6 @@
 )
 from ..tables import State
 from . import links
-from .decisions import PING_TIMEOUT, is_overdue
 from .messages import (
     ForwardedAction,
     ForwardedRolledBack,
@@ -55,11 +52,8 @@
 # at all: as long as a new owner takes to open connections, and short for one that only
 # lags behind in its copy of the configuration.
 AVOIDANCE = timedelta(seconds=1)
-# An owner refuses a statement itself when its time is over; the entry waits for longer.
-ANSWER_MARGIN = timedelta(milliseconds=500)
 # Owners without a connection to an endpoint, from which on it counts as failing.
 FAILING_OWNERS = 2
-PING_INTERVAL = PING_TIMEOUT
 
 
 # --- Sending
@@ -375,41 +369,3 @@
         return
     refusal = operation_steps.loss_refusal(operation, session)
     refuse(operation, Refusal(refusal.fault, detail, refusal.retry_after), state)
-
-
-# --- Checks at each tick
-
-
-def check(operation: OperationRow, state: State) -> None:
-    """Ping the owner of a statement whose answer is overdue."""
-    row = state.forwards.get(operation.operation)
-    if row is None:
-        return
-    now = state.clock.monotonic()
-    waited = now - max(row.sent_at, state.resumed_at)
-    if waited > 2 * operation.route.timeout + ANSWER_MARGIN:
-        settle(row, False, state)
-        return
-    pool = state.pools.get(operation.endpoint)
-    expected = pool.service if pool is not None else timedelta(0)
-    if is_overdue(waited, expected):
-        check_owner(row.owner, state)
-
-
-def check_owner(owner: str, state: State) -> None:
-    """Ping an owner; treat it as lost if it does not answer."""
-    now = state.clock.monotonic()
-    row, instance = owner_row(owner, state), state.instances.get(owner)
-    is_silent = instance is None or instance.last_heard < row.pinged_at
-    if now - row.pinged_at <= PING_INTERVAL:
-        return
-    was_pinged = row.pinged_at > state.resumed_at and row.is_waiting
-    if was_pinged and is_silent:
-        row.is_waiting = False
-        state.outbox.append(ClosePeer(owner))
-        membership.suspect(owner, state)
-        handle(PeerUnreachable(owner), state)
-        return
-    row.pinged_at, row.is_waiting = now, True
-    state.counters["owners.pings"] += 1
-    peers.send(owner, Ping(state.new_number()), state)
--- a/tests/test_owner_failures.py
+++ b/tests/test_owner_failures.py
@@ -3,7 +3,10 @@
 from collections.abc import Callable
 
 import pytest
+from attrs import evolve
 
+from pimentodrift.fencing.decisions import PromotionDecision
+from pimentodrift.fencing.permissions import fence_row
 from pimentodrift.messages import StopRequested
 from pimentodrift.owners import forwarding, ownership
 from pimentodrift.session_messages import (
@@ -18,7 +21,7 @@
 
 from .capped_database import DATABASE
 from .owner_support import OwnerNetwork, make_fleet
-from .session_support import COMMIT, MILLISECOND, READ, SECOND, WRITE
+from .session_support import COMMIT, GROUP, MILLISECOND, READ, SECOND, WRITE
 
 TICK = 20 * MILLISECOND
 Failure = Callable[[OwnerNetwork, str, str], None]
@@ -241,3 +244,36 @@
     session = network.open_client(state.settings.name)
     answer = network.ask(state.settings.name, session, WRITE)
     assert isinstance(answer, AnswerStatement) and answer.phase is Phase.IDLE
+
+
+@pytest.mark.parametrize("in_transaction", [False, True])
+def test_owner_checks_the_key_by_its_own_copy(in_transaction: bool) -> None:
+    """Guards against a withdrawn key that is used because the entry's copy is older."""
+    network = make_fleet()
+    entry, owner = network.entry(), network.owner()
+    session = (
+        begin_work(network, entry) if in_transaction else network.open_client(entry)
+    )
+    network.nodes[owner].state.configuration.keys.clear()
+    before = len(network.executed)
+    network.send_statement(entry, session, WRITE)
+    network.run(5 * TICK)
+    assert not any(key[0] == owner for key in network.open_work)
+    if in_transaction:
+        assert fault_of(network.last(entry, session)) is Fault.KEY_INVALID
+        assert len(network.executed) == before
+    else:  # Another owner, whose copy has the key, runs it.
+        assert owner not in {name for name, _ in network.backends}
+
+
+def test_owner_checks_the_fence_before_each_send() -> None:
+    """Guards against work at a replaced primary that only the owner knows of."""
+    network = make_fleet()
+    entry, owner = network.entry(), network.owner()
+    session = begin_work(network, entry)
+    state = network.nodes[owner].state
+    state.settings = evolve(state.settings, primary_fencing="instances")
+    fence_row(GROUP, state).told = PromotionDecision(1, "e2")
+    answer = network.ask(entry, session, WRITE)
+    assert fault_of(answer) is Fault.ABORTED
+    assert len(network.executed) == 1 and not network.open_work
