--- a/pimentodrift/allocator_spread.py
+++ b/pimentodrift/allocator_spread.py
@@ -28,7 +28,7 @@
 def run(state: State) -> None:
     """Offer a role to another instance while this one has more than its part."""
     now = state.clock.monotonic()
-    if now - state.offered_at < OFFER_INTERVAL:
+    if now - state.offered_at < OFFER_INTERVAL or len(state.allocations) <= MIN_LIMIT:
         return
     if len(state.allocations) <= role_limit(state) or not view.is_copy_fresh(state):
         return
--- a/pimentodrift/owners/serving.py
+++ b/pimentodrift/owners/serving.py
@@ -12,6 +12,7 @@
 from .. import membership, operation_steps, operations, peers, pools, registry
 from ..clock import MILLISECOND
 from ..dispatch import handle, handle_peer
+from ..ejection import judgement
 from ..fencing import contact
 from ..messages import Access
 from ..operation_completion import access_refusal
@@ -82,6 +83,11 @@
         detail = f"{message.endpoint} gets no new work"
         replies.send_return(message.request, origin, Fault.OVERLOADED, detail, state)
         return
+    if not needs_primary(message) and judgement.is_ejected(found.name, state):
+        # The entry tries the group's other endpoints, as if this one's log were behind.
+        detail = f"{message.endpoint} is ejected from reads"
+        replies.send_return(message.request, origin, Fault.BEHIND, detail, state)
+        return
     pool = state.pools[found.name]
     if pool.failing_since is not None:
         probe_failing(pool, state)
@@ -127,16 +133,21 @@
 def accepts(message: ForwardStatement, route: Route, state: State) -> bool:
     """Return whether this instance may send a statement to its endpoint."""
     row = state.registry[message.endpoint]
-    needs_primary = message.minimum is None and not message.asks_position
+    is_for_primary = needs_primary(message)
     if row.entry.group != route.group:
         return False
-    if not registry.accepts_work(row, needs_primary, state):
+    if not registry.accepts_work(row, is_for_primary, state):
         return False
-    if not needs_primary:
+    if not is_for_primary:
         return True
     return contact.may_use_primary(route.group, row.name, state)
 
 
+def needs_primary(message: ForwardStatement) -> bool:
+    """Return whether only the primary may run a statement."""
+    return message.minimum is None and not message.asks_position
+
+
 def probe_failing(pool: PoolRow, state: State) -> None:
     """Open a connection to a failing endpoint, to learn when it answers again."""
     is_opening = not all(state.pooled[number].is_open for number in pool.connections)
--- a/pimentodrift/service_order/transactions.py
+++ b/pimentodrift/service_order/transactions.py
@@ -28,11 +28,8 @@
 # --- Idle time
 
 
-def idle_limit(session: SessionRow, state: State) -> timedelta:
-    """Return how long a session's transaction may be idle."""
-    route = session.route
-    if route is not None and route.transaction_idle > timedelta(0):
-        return route.transaction_idle
+def idle_limit(state: State) -> timedelta:
+    """Return how long a transaction may be idle."""
     return state.session_limits.transaction_idle
 
 
@@ -42,13 +39,13 @@
     What its client sent while this process was paused has not been read yet.
     """
     since = max(session.used_at, state.resumed_at)
-    return state.clock.monotonic() - since > idle_limit(session, state)
+    return state.clock.monotonic() - since > idle_limit(state)
 
 
 def record_end(session: SessionRow, reason: str, state: State) -> None:
     """Keep why a transaction was rolled back, for the answer to its client."""
     if reason == "idle":
-        limit = idle_limit(session, state) // MILLISECOND
+        limit = idle_limit(state) // MILLISECOND
         session.failure = f"{ROLLED_BACK}: it was idle for more than {limit} ms"
     else:
         detail = REASONS.get(reason)
@@ -104,7 +101,7 @@
     now = state.clock.monotonic()
     sessions = [state.sessions[row.session] for row in held(pool, state)]
     idle_left = [
-        max(timedelta(0), session.used_at + idle_limit(session, state) - now)
+        max(timedelta(0), session.used_at + idle_limit(state) - now)
         for session in sessions
     ]
     waiting = [
@@ -119,7 +116,7 @@
         known.places = booked
     after = place_after(idle_left, len(waiting) + len(booked))
     if after is None:
-        after = max([idle_limit(session, state) for session in sessions])
+        after = idle_limit(state)
     route = operation.route
     if now + after <= operation.arrived_at + route.objective:
         return None
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -44,8 +44,6 @@
     priority: int  # 0 is the highest.
     is_open: bool  # Its sessions need no key.
     regions: frozenset[str] = frozenset()  # Allowed for endpoints; empty: all.
-    # An idle transaction is rolled back after this time; 0: that of `SessionLimits`.
-    transaction_idle: timedelta = timedelta(0)
 
 
 @define
--- a/tests/test_idle_transactions.py
+++ b/tests/test_idle_transactions.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+from attrs import evolve
+
 from pimentodrift import session_core
 from pimentodrift.service_order import transactions
 from pimentodrift.session_messages import Phase, RefuseStatement
@@ -17,7 +19,6 @@
     SessionHarness,
     make_configuration,
     make_harness,
-    make_route,
 )
 
 
@@ -58,8 +59,8 @@
 
 def test_client_learns_why_its_transaction_was_rolled_back() -> None:
     """Guards against an end that comes too soon, or without its true reason."""
-    route = make_route(database="primary-db", transaction_idle=1200 * MILLISECOND)
-    harness = make_harness(make_configuration(routes=[route]))
+    limits = evolve(make_configuration(), transaction_idle=1200 * MILLISECOND)
+    harness = make_harness(limits)
     session = begin(harness)
     row = harness.state.sessions[session]
     harness.run(1200 * MILLISECOND)
