--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -399,22 +399,25 @@
     now = state.clock.monotonic()
     route = operation.route
     pool = state.pools[operation.endpoint]
-    if selection.is_ordered(pool, state):
-        serving.check_waiting(operation, pool, state)
-        return
-    if not is_wait_over(
+    is_over = is_wait_over(
         selection.policy_for(pool, state),
         now - operation.staged_at,
         now - operation.queued_at,
         route.objective,
         route.timeout,
-    ):
-        return
-    pools.remove_waiting(operation, state)
+    )
     session = state.sessions[operation.session]
-    if session.origin is not None and replies.is_failing(operation.endpoint, state):
+    is_remote = session.origin is not None
+    if is_over and is_remote and replies.is_failing(operation.endpoint, state):
+        pools.remove_waiting(operation, state)
         place(operation, state)
         return
+    if selection.is_ordered(pool, state):
+        serving.check_waiting(operation, pool, state)
+        return
+    if not is_over:
+        return
+    pools.remove_waiting(operation, state)
     wait = max(MIN_RETRY_AFTER, queue_of(pool, state).expected_wait)
     detail = f"no connection to {operation.endpoint} became free"
     refuse(operation, Refusal(Fault.OVERLOADED, detail, wait), state)
