Read replicas at the earliest position that is young enough

Earlier samples of the same primary that the staleness allows now serve. Also count transactions of a pool only when a waiting statement begins one.

--- a/pimentodrift/leadership.py
+++ b/pimentodrift/leadership.py
@@ -19,6 +19,9 @@
 # long, even if the registry says so: its entry may be older than the refusal. Later
 # the endpoint is tried again.
 DENIAL_LIFETIME = timedelta(milliseconds=300)
+# Longer than the staleness that routes accept for their reads.
+SAMPLE_LIFETIME = timedelta(seconds=5)
+SAMPLE_INTERVAL = timedelta(milliseconds=50)  # Between two samples that are kept.
 
 
 def row_of(group: str, state: State) -> LeadershipRow:
@@ -41,6 +44,7 @@
     """Set another endpoint as the group's primary and log the change."""
     state.log_event(PrimaryChosen(row.group, endpoint, row.primary, source))
     row.primary = endpoint
+    row.samples.clear()
 
 
 def record_proof(
@@ -60,6 +64,16 @@
     if position is not None:
         row.position = position
         row.sampled_at = sent_at
+        keep_sample(row, sent_at, position)
+
+
+def keep_sample(row: LeadershipRow, sampled_at: timedelta, position: Position) -> None:
+    """Keep a sample among the earlier ones, and drop those that are too old."""
+    samples = row.samples
+    if not samples or sampled_at - samples[-1][0] >= SAMPLE_INTERVAL:
+        samples.append((sampled_at, position))
+    while sampled_at - samples[0][0] > SAMPLE_LIFETIME:
+        samples.popleft()
 
 
 def record_denial(group: str, endpoint: str, state: State) -> None:
@@ -68,6 +82,7 @@
     row.denied[endpoint] = state.clock.monotonic()
     if row.primary == endpoint:
         row.primary = ""
+        row.samples.clear()
 
 
 def primary(group: str, state: State) -> RegistryRow | None:
@@ -96,3 +111,15 @@
     """Return a position that covers all writes acknowledged before `since`, or None."""
     row = row_of(group, state)
     return row.position if row.sampled_at >= since else None
+
+
+def earliest_position(group: str, since: timedelta, state: State) -> Position | None:
+    """Return the lowest known position that covers all writes before `since`, or None.
+
+    A replica is more likely to have it than the newest position, which it lacks for the
+    time of its lag after each write.
+    """
+    for sampled_at, position in row_of(group, state).samples:
+        if sampled_at >= since:
+            return position
+    return confirmed_position(group, since, state)
--- a/pimentodrift/owners/positions.py
+++ b/pimentodrift/owners/positions.py
@@ -76,7 +76,7 @@
     """Return the position that a read must see; None if none is young enough."""
     route = operation.route
     since = operation.aged_from - route.max_staleness
-    sampled = leadership.confirmed_position(route.group, since, state)
+    sampled = leadership.earliest_position(route.group, since, state)
     if sampled is None or operation.own_write is None:
         return sampled
     return max(sampled, operation.own_write)
--- a/pimentodrift/service_order/serving.py
+++ b/pimentodrift/service_order/serving.py
@@ -67,11 +67,13 @@
     transaction may begin.
     """
     ends: dict[tuple[str, str, bool], tuple[OperationRow, OperationRow, int]] = {}
-    is_full = transactions.is_full(pool, state)
+    is_full: bool | None = None  # Counted only for statements that it matters to.
     for workspace, queue in pool.waiting.items():
         for number in queue:
             operation = state.operations[number]
             begins = transactions.begins(operation, state)
+            if begins and is_full is None:
+                is_full = transactions.is_full(pool, state)
             if begins and is_full:
                 continue
             key = workspace, operation.route.database, begins
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -249,6 +249,8 @@
     sampled_at: timedelta = NEVER
     # When each endpoint refused work as not the primary.
     denied: dict[str, timedelta] = field(factory=dict)
+    # Earlier samples of the present primary, oldest first: (sampled_at, position).
+    samples: deque[tuple[timedelta, Position]] = field(factory=deque)
 
 
 @define
