--- a/tests/test_system_owners.py
+++ b/tests/test_system_owners.py
@@ -41,7 +41,7 @@
 
 
 def is_refused_by_rate(answer: list[str]) -> bool:
-    """Return whether a workspace's rate, or the want of its allocator, was the reason."""
+    """Return whether the reason was the rate, or that no allocator confirms it."""
     return "over its rate" in answer[0] or "no allocator confirms" in answer[0]
 
 
