Run systems of a tick when they are due

Cause: two thirds of an instance's time went into ticks that asked 27 modules fifty times a second whether there was anything to do; with statements in progress, which is nearly always, all of them ran every 20 ms, and each tick looked at 16 workspaces for a missing allocator.

Change: systems that no statement waits for keep the pace of the resting tick, except during a start, a stop, an evacuation or a change of primary, and right after a failure of an endpoint or an answer of the store. The role of an allocator is checked every 500 ms, and at once when its object, an instance or a suspicion changes (`due_times`). A message looks for an end of the rest only if the next tick is further away than the shortest interval.

Weighed: due times for every row of every module, which needs a wake-up at each change of a row; the poll at a slower pace for all, which the tests refuse for heartbeats and for the division of rates (test_starting_fleet, test_owners), so these stay prompt.

Cost: silence of a primary is noticed up to 80 ms later than before while statements are in progress, as it was at rest.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -17,10 +17,10 @@
 from . import membership, peers, view
 from .allocator_claims import (
     claim_if_vacant,
+    claim_vacant_roles,
     drop_superseded,
     renewal,
     stored_epoch,
-    workspaces_to_examine,
 )
 from .burst_reduction import effective_limits
 from .clock import NEVER
@@ -56,7 +56,7 @@
     target_rates,
 )
 from .standby_grants import choose_standbys
-from .tables import State, WorkspaceRow
+from .tables import State
 from .token_grants import grant_tokens, update_scarcity, usable_limits
 from .warmup.limits import limit_named
 
@@ -80,14 +80,11 @@
 
 def run(state: State) -> None:
     """Claim workspaces without an allocator; balance those that this one allocates."""
-    for workspace in workspaces_to_examine(state):
-        claim_if_vacant(workspace, state)
-    for name, row in list(state.allocations.items()):
-        limits = usable_limits(row, state)
-        if limits is None:
-            del state.allocations[name]
-        elif not drop_superseded(row, state):
-            balance_shares(row, limits, state)
+    claim_vacant_roles(state)
+    now = state.clock.monotonic()
+    for row in list(state.allocations.values()):
+        if not drop_superseded(row, state) and now >= row.balance_at:
+            balance_shares(row, state)
 
 
 def reclaim_shares(row: AllocationRow, state: State) -> None:
@@ -300,12 +297,13 @@
         holding.operation = None
 
 
-def balance_shares(row: AllocationRow, workspace: WorkspaceRow, state: State) -> None:
-    """Adjust the shares to the demand, at most once in `BALANCE_INTERVAL`."""
-    now = state.clock.monotonic()
-    if now < row.balance_at:
+def balance_shares(row: AllocationRow, state: State) -> None:
+    """Adjust the shares to the demand; end the ledger if there is no such limit."""
+    row.balance_at = state.clock.monotonic() + BALANCE_INTERVAL
+    workspace = usable_limits(row, state)
+    if workspace is None:
+        del state.allocations[row.workspace]
         return
-    row.balance_at = now + BALANCE_INTERVAL
     if not has_authority(state):
         return
     reclaim_shares(row, state)
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -6,7 +6,6 @@
 """
 
 from datetime import timedelta
-from itertools import islice
 
 from attrs import evolve
 
@@ -40,22 +39,23 @@
 # `RAPID_CHANGE_INTERVAL`.
 MAX_ROLE_COOLDOWN = timedelta(seconds=20)
 RAPID_CHANGE_INTERVAL = timedelta(seconds=10)
-# Up to this many workspaces are all checked for a missing allocator at each tick. More
-# are checked in turn, all of them within a second, because checking 2,300 at each tick
-# took half a core.
-MIN_EXAMINED = 16
-EXAMINATION_TICKS = 50
+# Time after which the holder of a role is checked again if nothing has happened to it.
+EXAMINATION_INTERVAL = timedelta(milliseconds=500)
 
 
-def workspaces_to_examine(state: State) -> list[str]:
-    """Return the workspaces to check for a missing allocator in this tick."""
-    names = all_limits(state)
-    count = max(MIN_EXAMINED, -(-len(names) // EXAMINATION_TICKS))
-    if len(names) <= count:
-        return list(names)
-    start = state.counters["allocator.examined"] % len(names)
-    state.counters["allocator.examined"] += min(count, len(names) - start)
-    return list(islice(names, start, start + count))
+def claim_vacant_roles(state: State) -> None:
+    """Claim the vacant roles among those that are due to be checked."""
+    limits, now = all_limits(state), state.clock.monotonic()
+    vacancies = state.vacancies
+    # Names change with the configuration, or as endpoints come and go.
+    source = (state.configuration.version, len(limits))
+    if source != state.vacancies_source:
+        state.vacancies_source = source
+        vacancies.keep_only(limits, now)
+    for workspace in vacancies.take_due(now):
+        is_settled = not claim_if_vacant(workspace, state)
+        pause = EXAMINATION_INTERVAL if is_settled else timedelta(0)
+        vacancies.put(workspace, now + pause)
 
 
 def stored_epoch(workspace: str, state: State) -> Epoch:
@@ -69,44 +69,51 @@
     return Epoch(int(item.value["epoch"]), str(item.value["holder"]))
 
 
-def claim_if_vacant(workspace: str, state: State) -> None:
-    """Claim the role of allocator if it is vacant and this is the first candidate."""
+def claim_if_vacant(workspace: str, state: State) -> bool:
+    """Claim a role if this is the first candidate; return whether it is vacant."""
     own = state.settings.name
     item = state.view.objects.get(("allocator", workspace))
     seen = track_epoch(workspace, item, state)
-    if item is not None and item.value is not None:
-        holder = item.value["holder"]
-        if (
-            holder != own
-            and is_allocator_usable(holder, state)
-            and can_reach_store(holder, state)
-        ):
-            return
-    stored = seen.epoch
+    holder = seen.epoch.holder
+    if holder == own and workspace in state.allocations:
+        return False
+    if holder not in ("", own) and can_allocate(holder, state):
+        return False
+    if may_claim(workspace, seen, state):
+        claim_role(workspace, seen.epoch, state)
+    return True
+
+
+def can_allocate(holder: str, state: State) -> bool:
+    """Return whether the holder of a role can go on with it."""
+    return is_allocator_usable(holder, state) and can_reach_store(holder, state)
+
+
+def may_claim(workspace: str, seen: EpochSeen, state: State) -> bool:
+    """Return whether this instance may claim a vacant role now."""
+    own, stored = state.settings.name, seen.epoch
     now = state.clock.monotonic()
     if stored.holder not in ("", own) and is_epoch_recent(seen, state):
-        return
+        return False
     claim = state.claims.get(workspace)
     if claim is not None and now - claim.sent_at < CLAIM_TIMEOUT:
-        return
+        return False
     if workspace in state.allocations or state.stopping:
-        return
+        return False
     # A claim that an outage of the store delays would replace an allocator that lives.
     is_old = view.copy_age(state) > state.settings.allocator_lease
     if is_old and state.settings.uses(Policy.STEADY_CLAIMS):
-        return
+        return False
     if not view.is_copy_fresh(state):
-        return
+        return False
     # The smaller side of a network partition would take the role from the larger one
     # again and again. Between equal sides that both reach the store, the check of
     # `is_epoch_recent` above limits the changes.
     if not view.reaches_half(state):
-        return
+        return False
     # If the object names this instance, but there is no ledger, then the outcome of an
     # earlier claim was unknown. This instance claims again.
-    if stored.holder != own and first_candidate(workspace, state) != own:
-        return
-    claim_role(workspace, stored, state)
+    return stored.holder == own or first_candidate(workspace, state) == own
 
 
 def claim_role(workspace: str, stored: Epoch, state: State) -> None:
--- a/pimentodrift/homes/enforcement.py
+++ b/pimentodrift/homes/enforcement.py
@@ -18,9 +18,10 @@
 
     A statement in flight is answered first.
     """
-    if not has_limits(state):
+    pinned = [row for row in state.pooled.values() if row.session]
+    if not pinned or not has_limits(state):
         return
-    for connection in list(state.pooled.values()):
+    for connection in pinned:
         session = state.sessions.get(connection.session)
         if session is None or session.operation or not session.connection:
             continue
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -54,6 +54,7 @@
 from .notices import RegistryRelayed
 from .store_versions import era_of
 from .tables import State
+from .ticks import hasten_steady_run
 
 # A watch without a change ends after this time. The next one is another call to the
 # store, so the wait is long.
@@ -229,6 +230,7 @@
     row.sent_at = None
     row.failures = 0
     row.next_at = now
+    hasten_steady_run(state)
     if row.is_lost:
         row.is_lost = False
         lost_ms = (now - row.lost_at) // MILLISECOND
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -62,7 +62,11 @@
     """Update the rows that a changed object of the store describes."""
     value = item.value
     invalidate_index(item.kind, state)
+    if item.kind == "instance":
+        state.vacancies.hasten_all()
     match item.kind:
+        case "allocator":
+            state.vacancies.hasten(item.name, NEVER)
         case "instance" if value is None:
             remove_instance(item.name, state)
         case "instance":
@@ -174,6 +178,7 @@
         state.events.append(("instance_suspected", {"peer": name}))
     row.suspected_number = state.new_number()
     state.counters["membership.suspected"] += 1
+    state.vacancies.hasten_all()
 
 
 def has_ended_since(name: str, since: timedelta, state: State) -> bool:
--- a/pimentodrift/peers.py
+++ b/pimentodrift/peers.py
@@ -30,6 +30,7 @@
         # The process has ended, so the next answer comes from a new one.
         suspect(message.instance, state, timedelta(0))
         state.ended[message.instance] = state.clock.monotonic()
+        state.vacancies.hasten_all()
     else:
         suspect(message.instance, state)
     handle(InstanceDown(message.instance, message.unsent, message.refused), state)
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -31,6 +31,7 @@
 )
 from .session_rows import OperationRow, PooledRow, PoolRow
 from .tables import State
+from .ticks import hasten_steady_run
 from .warmup import knowledge, losses
 
 UNREACHABLE = "unreachable"  # Logged as the fault when the endpoint gave none.
@@ -448,6 +449,7 @@
     knowledge.record_loss(pool.endpoint, state)
     if pool.failing_since is None:
         pool.failing_since = max(since, state.resumed_at)
+        hasten_steady_run(state)  # `promotion` asks the others if it is a primary.
         results.record_outage(pool, state)
         state.log_event(EndpointFailing(pool.endpoint, fault))
 
--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from enum import Enum
 
 from . import (
     allocation,
@@ -42,42 +43,58 @@
 from .owners import changes, losses
 from .policies import Policy
 from .tables import State
-from .ticks import REST_TICK, TICK, take_outbox
+from .ticks import (
+    REST_TICK,
+    TICK,
+    begin_steady_run,
+    hasten_steady_run,
+    take_outbox,
+)
 from .view import is_copy_fresh
 from .warmup import limits as cold_limits
 from .warmup import samples
 
-# Run in this order at each tick: first those that update the instance's knowledge, then
-# those that decide by it.
-SYSTEMS: tuple[Callable[[State], None], ...] = (
-    kind_watch.run,
-    peer_confirmations.run,
-    instance_registration.run,
-    membership.run,
-    heartbeats.run,
-    instance_removal.run,
-    registry.run,
-    cold_limits.run,
-    changes.run,
-    allocation.run,
-    allocator_spread.run,
-    rates.run,
-    standby_grants.run,
-    pools.run,
-    evacuation_draining.run,
-    judgement.run,
-    holding.run,
-    stopping.run,
-    coordination.run,
-    promotion.run,
-    sampling.run,
-    samples.run,
-    operations.run,
-    session_opening.run,
-    sessions.run,
-    enforcement.run,
-    session_draining.run,
+
+class Pace(Enum):
+    """How often a system runs."""
+
+    PROMPT = "prompt"  # At each tick: statements wait for it.
+    STEADY = "steady"  # As often as at rest, unless something is being changed over.
+
+
+# In the order in which they run in a tick: first those that update the instance's
+# knowledge, then those that decide by it.
+SYSTEMS: tuple[tuple[Callable[[State], None], Pace], ...] = (
+    (kind_watch.run, Pace.STEADY),
+    (peer_confirmations.run, Pace.STEADY),
+    (instance_registration.run, Pace.STEADY),
+    (membership.run, Pace.PROMPT),
+    (heartbeats.run, Pace.PROMPT),
+    (instance_removal.run, Pace.STEADY),
+    (registry.run, Pace.STEADY),
+    (cold_limits.run, Pace.PROMPT),
+    (changes.run, Pace.STEADY),
+    (allocation.run, Pace.PROMPT),
+    (allocator_spread.run, Pace.STEADY),
+    (rates.run, Pace.PROMPT),
+    (standby_grants.run, Pace.PROMPT),
+    (pools.run, Pace.PROMPT),
+    (evacuation_draining.run, Pace.PROMPT),
+    (judgement.run, Pace.STEADY),
+    (holding.run, Pace.PROMPT),
+    (stopping.run, Pace.PROMPT),
+    (coordination.run, Pace.PROMPT),
+    (promotion.run, Pace.STEADY),
+    (sampling.run, Pace.PROMPT),
+    (samples.run, Pace.PROMPT),
+    (operations.run, Pace.PROMPT),
+    (session_opening.run, Pace.PROMPT),
+    (sessions.run, Pace.PROMPT),
+    (enforcement.run, Pace.STEADY),
+    (session_draining.run, Pace.PROMPT),
 )
+ALL_SYSTEMS = tuple(run for run, _ in SYSTEMS)
+PROMPT_SYSTEMS = tuple(run for run, pace in SYSTEMS if pace is Pace.PROMPT)
 
 __all__ = [
     "SYSTEMS",
@@ -98,9 +115,13 @@
 
 
 def tick(state: State) -> None:
-    """Run every system once."""
-    for system in SYSTEMS:
-        system(state)
+    """Run the systems that are due."""
+    is_full = begin_steady_run(state)
+    if needs_every_tick(state):
+        is_full = True
+        hasten_steady_run(state)  # Once more after the end of the change.
+    for run in ALL_SYSTEMS if is_full else PROMPT_SYSTEMS:
+        run(state)
 
 
 def tick_interval(state: State) -> timedelta:
@@ -111,19 +132,28 @@
 
 def is_at_rest(state: State) -> bool:
     """Return whether no statement, change of primary or stop is in progress."""
-    if state.operations or state.openings or state.coordinations or state.stopping:
-        return False
-    if any(row.done_at is None for row in state.evacuations.values()):
-        return False
-    if state.primary_holds:
+    if state.operations or state.openings:
         return False
     if state.events or state.typed_events:
         return False  # Log lines are written at ticks.
+    return not is_changing_over(state)
+
+
+def needs_every_tick(state: State) -> bool:
+    """Return whether all systems run at each tick, whatever their pace."""
+    return not state.settings.uses(Policy.REST_TICKS) or is_changing_over(state)
+
+
+def is_changing_over(state: State) -> bool:
+    """Return whether a start, stop, evacuation or change of primary is in progress."""
+    if state.coordinations or state.stopping or state.primary_holds:
+        return True
+    if any(row.done_at is None for row in state.evacuations.values()):
+        return True
     if not kind_rows.is_every_kind_listed(state):
-        return False
-    return not any(
-        promotion_decisions.is_in_progress(row) for row in state.promotions.values()
-    )
+        return True
+    rows = state.promotions.values()
+    return any(promotion_decisions.is_in_progress(row) for row in rows)
 
 
 def is_ready(state: State) -> bool:
--- a/pimentodrift/shell_base.py
+++ b/pimentodrift/shell_base.py
@@ -114,8 +114,11 @@
 
     def hasten_tick(self) -> None:
         """Run the next tick sooner if a message has ended the rest."""
+        left_s = self.next_tick_s - monotonic()
+        if left_s <= TICK / SECOND:
+            return  # No interval is shorter.
         interval_s = self.tick_interval_s()
-        if self.next_tick_s - monotonic() > interval_s:
+        if left_s > interval_s:
             self.schedule_tick(interval_s)
 
     def tick_interval_s(self) -> float:
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -14,6 +14,7 @@
 from attrs import Factory, define, field
 
 from .clock import NEVER, Clock
+from .due_times import DueTimes
 from .ejection.rows import JudgementRow
 from .errors import Failure
 from .evacuation.rows import EvacuationRow, HoldRow, SwitchoverRow
@@ -392,8 +393,13 @@
     allocations: dict[str, AllocationRow] = field(factory=dict)
     claims: dict[str, ClaimRow] = field(factory=dict)
     epochs_seen: dict[str, EpochSeen] = field(factory=dict)
+    # When to check whether the role of a workspace's allocator is vacant.
+    vacancies: DueTimes = field(factory=DueTimes, repr=False)
+    # Version of the configuration and number of limits that `vacancies` is made from.
+    vacancies_source: tuple[int, int] = (0, 0)
     # Heartbeats, monitoring, replication, failover.
     ticked_at: timedelta | None = None
+    steady_run_at: timedelta = NEVER  # Last run of the systems with the steady pace.
     resumed_at: timedelta = NEVER  # When this process last detected its own pause.
     stop_requested_at: timedelta | None = None
     exit_sent: bool = False
