Answer an entry whose stream the owner lost

Two instances can have two streams, one dialed by each. When the owner lost its own, it dropped what it ran for the entry without a word, while the stream on which the entry waited still worked.

Change: what the database has begun is answered as usual; what certainly did not run is given back, and a transaction that is rolled back is reported.

--- a/pimentodrift/owners/losses.py
+++ b/pimentodrift/owners/losses.py
@@ -8,5 +8,5 @@
 
 @handle.register
 def _(message: PeerUnreachable, state: State) -> None:
-    serving.close_sessions_of(message.instance, state)
+    serving.release_entry(message.instance, state)
     forwarding.lose_owner(message.instance, message.unsent, state)
--- a/pimentodrift/owners/serving.py
+++ b/pimentodrift/owners/serving.py
@@ -26,12 +26,13 @@
     Run,
     SessionClosed,
 )
-from ..session_rows import OperationRow, PoolRow, Route, SessionRow
+from ..session_rows import OperationRow, PoolRow, Route, SessionRow, Stage
 from ..tables import State
 from . import positions, replies
 from .messages import (
     CloseForwarded,
     ForwardedAction,
+    ForwardedRolledBack,
     ForwardedRoute,
     ForwardOutcome,
     ForwardStatement,
@@ -41,6 +42,8 @@
 
 STOPPING = "the owner is stopping"
 PAUSED = "the owner was paused"
+UNREACHABLE = "the owner lost its stream to this instance"
+ENTRY_LOST = "entry-lost"  # Reason of a rollback, in the log of the entry.
 UNKNOWN = "the owner does not know the endpoint or the route"
 
 
@@ -176,14 +179,7 @@
     """Run a later statement of a transaction that this instance holds open."""
     route = session.route if session is not None else None
     if session is None or route is None or not session.connection or session.operation:
-        reply = StatementReply(
-            message.request,
-            ForwardOutcome.REFUSED,
-            fault=Fault.ABORTED,
-            detail="the transaction was rolled back",
-            retry_after_ms=operation_steps.RETRY_AFTER // MILLISECOND,
-        )
-        peers.send(origin.entry, reply, state)
+        refuse_rolled_back(message.request, origin, state)
         return
     session.values = dict(message.values)
     session.used_at = state.clock.monotonic()
@@ -191,6 +187,18 @@
     operation_steps.continue_transaction(operation, session, state)
 
 
+def refuse_rolled_back(request: int, origin: Origin, state: State) -> None:
+    """Tell an entry that the transaction of its statement was rolled back."""
+    reply = StatementReply(
+        request,
+        ForwardOutcome.REFUSED,
+        fault=Fault.ABORTED,
+        detail="the transaction was rolled back",
+        retry_after_ms=operation_steps.RETRY_AFTER // MILLISECOND,
+    )
+    peers.send(origin.entry, reply, state)
+
+
 def make_session(message: ForwardStatement, origin: Origin, state: State) -> SessionRow:
     """Return the row that stands for the entry's session."""
     now = state.clock.monotonic()
@@ -283,8 +291,40 @@
     close(Origin(sender, message.process, message.session), state)
 
 
-def close_sessions_of(entry: str, state: State) -> None:
-    """Roll back all transactions of a lost entry."""
+# --- Loss of a stream to an entry
+
+
+def release_entry(entry: str, state: State) -> None:
+    """Settle what this instance has of an entry that seems lost, and tell the entry.
+
+    The entry may live and have noticed nothing: each of the two can have a stream of
+    its own, and only this instance's may be lost.
+    """
     for origin in [origin for origin in state.served if origin.entry == entry]:
+        session = state.sessions[state.served[origin]]
+        operation = state.operations.get(session.operation)
+        if operation is not None and may_have_run(operation, session):
+            continue  # Its answer is sent as usual.
         state.counters["owners.entry_lost"] += 1
+        report_end(operation, session, origin, state)
         close(origin, state)
+
+
+def may_have_run(operation: OperationRow, session: SessionRow) -> bool:
+    """Return whether only the database can tell the outcome of a statement."""
+    if operation.stage is not Stage.RUNNING:
+        return False
+    return session.phase is not Phase.OPEN or isinstance(operation.command, Commit)
+
+
+def report_end(
+    operation: OperationRow | None, session: SessionRow, origin: Origin, state: State
+) -> None:
+    """Tell an entry that its statement was not run or its transaction rolled back."""
+    if operation is None:
+        message = ForwardedRolledBack(origin.process, origin.session, ENTRY_LOST)
+        peers.send(origin.entry, message, state)
+    elif session.ran or operation.stage is Stage.RUNNING:
+        refuse_rolled_back(operation.forwarded, origin, state)
+    else:
+        replies.send_return(operation.forwarded, origin, None, UNREACHABLE, state)
--- a/tests/test_owner_failures.py
+++ b/tests/test_owner_failures.py
@@ -7,7 +7,7 @@
 
 from pimentodrift.fencing.decisions import PromotionDecision
 from pimentodrift.fencing.permissions import fence_row
-from pimentodrift.messages import StopRequested
+from pimentodrift.messages import PeerLost, StopRequested
 from pimentodrift.owners import forwarding, ownership
 from pimentodrift.session_messages import (
     AnswerStatement,
@@ -18,6 +18,7 @@
     RefuseStatement,
     SessionClosed,
 )
+from pimentodrift.session_rows import Stage
 
 from .capped_database import DATABASE
 from .owner_support import OwnerNetwork, make_fleet
@@ -136,6 +137,50 @@
     assert not network.committed
 
 
+def run_until_stage(network: OwnerNetwork, owner: str, stage: Stage) -> None:
+    """Run until the owner's only statement is in a stage."""
+    rows = network.nodes[owner].state.operations
+    for _ in range(200):
+        if [row.stage for row in rows.values()] == [stage]:
+            return
+        network.run(MILLISECOND)
+    pytest.fail(f"no statement was {stage}")
+
+
+@pytest.mark.parametrize("command", [READ, WRITE])
+@pytest.mark.parametrize("stage", [Stage.QUEUED, Stage.RUNNING])
+def test_owner_that_lost_a_stream_to_the_entry_answers(
+    command: Command, stage: Stage
+) -> None:
+    """Guards against an answer that is dropped when one of two streams is lost.
+
+    The entry's own stream still works, so it hears nothing of the loss.
+    """
+    network = make_fleet()
+    entry, owner = network.entry(), network.owner()
+    session = network.open_client(entry)
+    network.send_statement(entry, session, command)
+    run_until_stage(network, owner, stage)
+    network.deliver(owner, PeerLost(entry, frozenset()))
+    network.run(SECOND)
+    assert isinstance(network.last(entry, session), AnswerStatement)
+    check_nothing_ran_twice(network)
+
+
+def test_entry_hears_that_its_transaction_was_rolled_back() -> None:
+    """Guards against a statement in a transaction that is never answered."""
+    network = make_fleet()
+    entry, owner = network.entry(), network.owner()
+    session = begin_work(network, entry)
+    network.send_statement(entry, session, WRITE)
+    run_until_stage(network, owner, Stage.RUNNING)
+    network.deliver(owner, PeerLost(entry, frozenset()))
+    network.run(0.5 * SECOND)
+    assert fault_of(network.last(entry, session)) is Fault.ABORTED
+    check_nothing_ran_twice(network)
+    assert not network.committed
+
+
 def test_owner_without_a_way_to_the_endpoint_is_replaced() -> None:
     """Guards against an owner that keeps an endpoint it can't reach."""
     network = make_fleet()
