--- a/pimentodrift/due_times.py
+++ b/pimentodrift/due_times.py
@@ -48,9 +48,9 @@
             self.is_all_due = False
             self.heap.clear()
             return list(self.at)
-        due = []
+        due: dict[str, None] = {}  # A set that keeps the order.
         while self.heap and self.heap[0][0] <= now:
             at, name = heappop(self.heap)
-            if self.at.get(name) == at and name not in due:
-                due.append(name)
-        return due
+            if self.at.get(name) == at:
+                due[name] = None
+        return list(due)
