--- a/pimentodrift/session_core.py
+++ b/pimentodrift/session_core.py
@@ -58,8 +58,12 @@
 class Pace(Enum):
     """How often a system runs."""
 
-    PROMPT = "prompt"  # At each tick: statements wait for it.
-    STEADY = "steady"  # As often as at rest, unless something is being changed over.
+    # At each tick: statements, or the shares of rates and the instances that they need,
+    # wait for it.
+    PROMPT = "prompt"
+    # As often as at rest, except during a start, a stop, an evacuation or a change of
+    # primary.
+    STEADY = "steady"
 
 
 # In the order in which they run in a tick: first those that update the instance's
