Look at a vacant role ten times a second

Cause: since roles are checked when they are due, one that is vacant was looked at in each tick by every instance, 72 roles instead of 16 a tick before; while a third of a fleet is cut off from the store, each look ranks all instances.

--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -41,6 +41,9 @@
 RAPID_CHANGE_INTERVAL = timedelta(seconds=10)
 # Time after which the holder of a role is checked again if nothing has happened to it.
 EXAMINATION_INTERVAL = timedelta(milliseconds=500)
+# The same for a vacant role that its first candidate has not claimed yet; to find that
+# candidate can mean to rank all instances.
+VACANCY_INTERVAL = timedelta(milliseconds=100)
 
 
 def claim_vacant_roles(state: State) -> None:
@@ -53,8 +56,8 @@
         state.vacancies_source = source
         vacancies.keep_only(limits, now)
     for workspace in vacancies.take_due(now):
-        is_settled = not claim_if_vacant(workspace, state)
-        pause = EXAMINATION_INTERVAL if is_settled else timedelta(0)
+        is_vacant = claim_if_vacant(workspace, state)
+        pause = VACANCY_INTERVAL if is_vacant else EXAMINATION_INTERVAL
         vacancies.put(workspace, now + pause)
 
 
