Keep the counter of examined roles

Cause: the counter `allocator.examined` left the process as a metric and was removed with the round in which it chose the workspaces of a tick; a dashboard of the build before would find nothing.

--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -56,6 +56,7 @@
         state.vacancies_source = source
         vacancies.keep_only(limits, now)
     for workspace in vacancies.take_due(now):
+        state.counters["allocator.examined"] += 1
         is_vacant = claim_if_vacant(workspace, state)
         pause = VACANCY_INTERVAL if is_vacant else EXAMINATION_INTERVAL
         vacancies.put(workspace, now + pause)
