Examine the role of a cold limit that replaces another

A cold endpoint that takes the place of another between two ticks left the number as it was, so its bucket would have got no allocator until the next change of the configuration. Change: the names of the cold limits are compared. The test fails before.

--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -51,7 +51,7 @@
     limits, now = all_limits(state), state.clock.monotonic()
     vacancies = state.vacancies
     # Names change with the configuration, or as endpoints come and go.
-    source = (state.configuration.version, len(limits))
+    source = (state.configuration.version, tuple(state.cold_limits))
     if source != state.vacancies_source:
         state.vacancies_source = source
         vacancies.keep_only(limits, now)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -395,8 +395,8 @@
     epochs_seen: dict[str, EpochSeen] = field(factory=dict)
     # When to check whether the role of a workspace's allocator is vacant.
     vacancies: DueTimes = field(factory=DueTimes, repr=False)
-    # Version of the configuration and number of limits that `vacancies` is made from.
-    vacancies_source: tuple[int, int] = (0, 0)
+    # Version of the configuration and cold limits that `vacancies` is made from.
+    vacancies_source: tuple[int, tuple[str, ...]] = (0, ())
     # Heartbeats, monitoring, replication, failover.
     ticked_at: timedelta | None = None
     steady_run_at: timedelta = NEVER  # Last run of the systems with the steady pace.
--- a/tests/test_tick_cost.py
+++ b/tests/test_tick_cost.py
@@ -8,11 +8,12 @@
 from attrs import evolve
 
 from pimentodrift import session_core
-from pimentodrift.allocator_claims import EXAMINATION_INTERVAL
+from pimentodrift.allocator_claims import EXAMINATION_INTERVAL, claim_vacant_roles
 from pimentodrift.due_times import DueTimes
 from pimentodrift.messages import PeerReceived, StoreObject
 from pimentodrift.peer_messages import Ping, Pong
 from pimentodrift.route_configuration import DeclaredWorkspace
+from pimentodrift.tables import WorkspaceRow
 
 from .session_support import (
     MILLISECOND,
@@ -99,6 +100,15 @@
     assert 20 <= harness.state.counters["allocator.examined"] - before <= 3 * 20
 
 
+def test_limit_that_replaces_another_is_examined() -> None:
+    """Guards against a cold endpoint whose bucket never gets an allocator."""
+    state = make_fleet_member(1).state
+    for name in ("cold.a", "cold.b"):
+        state.cold_limits = {name: WorkspaceRow(name, 5.0, 5.0)}
+        claim_vacant_roles(state)
+    assert set(state.vacancies.at) == {"w0", "cold.b"}
+
+
 def test_due_times_return_only_what_is_due() -> None:
     """Guards against rows that are looked at early, twice or never again."""
     due = DueTimes()
