Review: send a zone's usual rate in the case of cut requests

Cause: at half the rate, the stopping nodes were often idle for a moment and exited early. Change: 125 requests a second instead of 66, as a zone of the sheets has.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -16,7 +16,7 @@
 STOPPED = 2  # The first nodes of z1: two of five machines.
 CALM_S = 6.0
 WATCHED_S = 8.0  # After the SIGTERM; graceS + 1 s and a rest.
-PAUSE_S = 0.015
+PAUSE_S = 0.008  # About 125 requests a second, as one zone of the sheets has.
 # A lookup of the sheets: 55 ms on average, 410 ms at the most.
 WORK_LOG_S, WORK_SPREAD, WORK_MAX_S = -3.15, 0.7, 0.41
 TRANSACTIONS = 0.25
