Give open transactions half of the time until the kill

Cause: the adapter sets the stop timeout to graceS less a margin of 0.7 s, and the core took half of the stop timeout for transactions.

Change: the setting stop_transaction_timeout, half of the stop timeout by default; the adapter sets it to half of graceS. It holds at entry and owner alike. Messages and stored objects are unchanged.

--- a/pimentodrift/session_draining.py
+++ b/pimentodrift/session_draining.py
@@ -1,7 +1,7 @@
 """The graceful shutdown of an instance whose clients hold sessions on connections.
 
 Idle sessions are closed once the load balancer sends new clients elsewhere. Open
-transactions may complete during the first half of the stop timeout. When it is over,
+transactions may complete during the first part of the stop timeout. When it is over,
 each statement without a result gets an answer that says what may have happened.
 """
 
@@ -22,7 +22,7 @@
     StopListening,
 )
 from .session_rows import OperationRow, SessionRow, Stage
-from .stop_times import RETRY_AFTER, STOPPED, TRANSACTION_FRACTION, UNLISTED_AFTER
+from .stop_times import RETRY_AFTER, STOPPED, UNLISTED_AFTER, transaction_timeout
 from .tables import State
 
 # Stages in which a statement may run at a database.
@@ -34,7 +34,7 @@
     if state.stop_requested_at is None or state.exit_sent:
         return
     waited = state.clock.monotonic() - state.stop_requested_at
-    if waited >= state.settings.stop_timeout * TRANSACTION_FRACTION:
+    if waited >= transaction_timeout(state.settings):
         abort_idle_transactions(state)
     if waited >= UNLISTED_AFTER:
         close_idle_sessions(state)
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -236,6 +236,13 @@
         validator=Between(timedelta(seconds=1), timedelta(minutes=10)),
         metadata=help_metadata("Time that a graceful shutdown may take."),
     )
+    stop_transaction_timeout: timedelta = field(
+        default=timedelta(0),
+        validator=Between(timedelta(0), timedelta(minutes=10)),
+        metadata=help_metadata(
+            "Part of it in which sessions may end open transactions; 0: half."
+        ),
+    )
     configuration_lease: timedelta = field(
         default=timedelta(milliseconds=3500),
         validator=Between(timedelta(seconds=1), timedelta(minutes=1)),
--- a/tests/owner_support.py
+++ b/tests/owner_support.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from random import Random
+from typing import Any
 
 from attrs import define, evolve, field
 
@@ -159,7 +160,7 @@
         return next(name for name in reversed(self.nodes) if name != owner)
 
 
-def make_fleet(count: int = COUNT, seed: int = 1, **settings: str) -> OwnerNetwork:
+def make_fleet(count: int = COUNT, seed: int = 1, **settings: Any) -> OwnerNetwork:
     """Return instances that are more than the database accepts connections."""
     network = OwnerNetwork(Random(seed), settings=settings)
     network.connection_limit = 16
--- a/tests/test_owner_failures.py
+++ b/tests/test_owner_failures.py
@@ -247,6 +247,28 @@
     assert not network.nodes[owner].alive
 
 
+def test_stopping_owner_gives_transactions_their_time() -> None:
+    """Guards against a rollback at the owner before the time that clients have."""
+    network = make_fleet(stop_timeout=4 * SECOND, stop_transaction_timeout=3 * SECOND)
+    entry, owner = network.entry(), network.owner()
+    session = begin_work(network, entry)
+    network.deliver(owner, StopRequested())
+    network.run(2800 * MILLISECOND)
+    assert isinstance(network.ask(entry, session, WRITE), AnswerStatement)
+    assert isinstance(network.ask(entry, session, COMMIT), AnswerStatement)
+
+
+def test_stopping_entry_gives_transactions_their_time() -> None:
+    """Guards against a rollback at the entry before the time that clients have."""
+    network = make_fleet(stop_timeout=4 * SECOND, stop_transaction_timeout=3 * SECOND)
+    entry = network.entry()
+    session = begin_work(network, entry)
+    network.deliver(entry, StopRequested())
+    network.run(2800 * MILLISECOND)
+    assert isinstance(network.ask(entry, session, WRITE), AnswerStatement)
+    assert isinstance(network.ask(entry, session, COMMIT), AnswerStatement)
+
+
 @pytest.mark.parametrize("leaves", [True, False])
 def test_transaction_of_a_lost_client_is_rolled_back(leaves: bool) -> None:
     """Guards against transactions that stay open when the client or entry is gone."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -247,6 +247,15 @@
     assert read.instance.stop_timeout.total_seconds() < 6
 
 
+@pytest.mark.parametrize("grace_s", [6, 3.5, 20])
+def test_open_transactions_have_half_of_the_grace(grace_s: float) -> None:
+    """Guards against a time that is taken from the time after the margin."""
+    bounds = {**SETTINGS["bounds"], "graceS": grace_s}
+    read = settings.decode_settings({**SETTINGS, "bounds": bounds}).instance
+    assert read.stop_transaction_timeout.total_seconds() == grace_s / 2
+    assert read.stop_transaction_timeout < read.stop_timeout
+
+
 @pytest.mark.parametrize(
     ("bounds", "fencing"),
     [
--- a/tests/test_sessions_losses.py
+++ b/tests/test_sessions_losses.py
@@ -198,6 +198,34 @@
     return harness
 
 
+@pytest.mark.parametrize(
+    ("timeout", "expected"),
+    [
+        (timedelta(0), STOP_TIMEOUT / 2),
+        (STOP_TIMEOUT * 0.6, STOP_TIMEOUT * 0.6),
+        (STOP_TIMEOUT * 2, STOP_TIMEOUT),
+    ],
+)
+def test_open_transactions_have_their_time_to_end(
+    timeout: timedelta, expected: timedelta
+) -> None:
+    """Guards against a rollback before the time that clients were promised."""
+    harness = make_harness(stop_timeout=STOP_TIMEOUT, stop_transaction_timeout=timeout)
+    session = harness.open_session("own-db")
+    assert_answered(harness.send(session, BEGIN))
+    harness.deliver(StopRequested())
+    for _ in range(2):
+        assert_answered(harness.send(session, WRITE))
+        harness.run(expected / 2 - TICK)
+    assert harness.state.sessions[session].phase is Phase.OPEN
+    harness.send(session, WRITE)
+    harness.run(TICK)
+    assert_answered(harness.last_message(session))
+    harness.run(3 * TICK)
+    remaining = harness.state.sessions.get(session)
+    assert remaining is None or remaining.phase is Phase.FAILED
+
+
 def test_new_work_near_the_exit_is_refused() -> None:
     """Guards against requests that are run and cut by the exit.
 
