Check copies of the store by their age

Each answer to a check that showed a newer store than the copy of another kind started a check of that kind at once. An instance also checked right after its first lists.

Change: a copy is checked once it is as old as the interval of the checks, and because of another answer once it is half as old. Ages are as before.

Tests: test_checks_keep_their_pace_while_the_store_changes and test_new_copy_is_not_checked fail on the code before. The other tests of the file wait for the check that used to follow the lists at once, with the same bounds.

--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -66,6 +66,9 @@
 # is short because an outage of the store is tolerated only for the configuration lease
 # less the age of the last confirmation.
 CHECK_INTERVAL = timedelta(milliseconds=700)
+# Age at which a copy is checked because an answer shows that the store has changed.
+# Checks of two kinds would otherwise follow each other for as long as anybody writes.
+FOLLOW_UP_AGE = CHECK_INTERVAL / 2
 # Least time between two watches of a kind, so that changes in quick succession share an
 # answer: databases that start or restart change the registry several times a second.
 WATCH_INTERVALS = {
@@ -118,7 +121,8 @@
         if not (is_following and is_relayed(row, state)):
             start_call(row, state)
     if not is_following or view.copy_age(state) > MAX_RELAYED_AGE:
-        start_check(row_of(WatchedKind.CONFIGURATION, state), state)
+        configuration = row_of(WatchedKind.CONFIGURATION, state)
+        start_check(configuration, state, CHECK_INTERVAL)
 
 
 def is_relayed(row: KindRow, state: State) -> bool:
@@ -146,10 +150,11 @@
     state.outbox.append(ListKind(row.kind, row.listed_after))
 
 
-def start_check(row: KindRow, state: State) -> None:
-    """Send a check of a kind if it is due and none is in flight."""
+def start_check(row: KindRow, state: State, max_age: timedelta) -> None:
+    """Send a check of a kind unless one is in flight or the copy is younger."""
     now = state.clock.monotonic()
-    if row.checked_at is None and row.revision and now >= row.check_after:
+    is_due = now >= max(row.check_after, row.confirmed_at + max_age)
+    if row.checked_at is None and row.revision and is_due:
         row.checked_at = now
         row.check_after = now + CHECK_INTERVAL
         state.outbox.append(CheckKind(row.kind, row.revision))
@@ -317,7 +322,7 @@
         elif other is not row and row.kind is not WatchedKind.EVACUATIONS:
             # The answer to a check of the evacuations comes last and starts no other.
             other.check_after = NEVER
-            start_check(other, state)
+            start_check(other, state, FOLLOW_UP_AGE)
 
 
 @handle.register
