Wait for the choice of a relay before the first watches

An instance that starts in a fleet sent a watch of each kind as soon as the kind was listed, although the list of instances, which comes a few milliseconds later, names a relay that sends the same changes. Its own objects are still watched at once, since they name the relays; the other kinds 200 ms later.

The tests of the first watch wait for it.

--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -77,6 +77,9 @@
     WatchedKind.OWN: timedelta(milliseconds=100),
     WatchedKind.EVACUATIONS: timedelta(milliseconds=100),
 }
+# After its first list, an instance waits for so long before it watches what a relay may
+# send it: the list of instances, which names the relays, may come a little later.
+RELAY_CHOICE_TIME = timedelta(milliseconds=200)
 WATCH_BACKOFF_BASE = timedelta(milliseconds=100)
 CHECK_BACKOFF = timedelta(milliseconds=500)
 # Longer than CHECK_BACKOFF, because a check that succeeds also ends the backoff of the
@@ -274,6 +277,8 @@
         row.listed_after = message.entries[-1].name
         return
     row.listed_after = ""
+    if row.kind is not WatchedKind.OWN and not row.complete_from:
+        row.next_at += RELAY_CHOICE_TIME
     # The watch starts at the revision of the first part, so that it brings the changes
     # made while the other parts were read.
     row.revision = row.changed_revision = row.list_revision
--- a/tests/test_kind_relays.py
+++ b/tests/test_kind_relays.py
@@ -54,6 +54,14 @@
     assert max(copy_ages(network, set(NAMES))) < 2 * SECOND
 
 
+def test_starting_fleet_watches_little() -> None:
+    """Guards against a watch of each kind by instances that a relay serves at once."""
+    names = tuple(ascii_lowercase[:24])
+    network = make_network(names)
+    network.run(4 * SECOND)
+    assert network.count(WatchKind) < len(names)
+
+
 def test_own_object_reaches_subscribers_without_calls() -> None:
     """Guards against a call by every instance for each change of an allocator."""
     network = network_with_relays()
--- a/tests/test_kind_watch.py
+++ b/tests/test_kind_watch.py
@@ -19,7 +19,7 @@
     WatchedKind,
     WatchKind,
 )
-from pimentodrift.kind_watch import CHECK_INTERVAL
+from pimentodrift.kind_watch import CHECK_INTERVAL, RELAY_CHOICE_TIME
 from pimentodrift.tables import State
 
 from .session_support import SECOND, make_configuration, make_endpoint
@@ -177,6 +177,9 @@
     assert ListKind(REGISTRY, "e1") in asked
     deliver(state, KindListed(REGISTRY, (second,), 12, False))
     assert set(state.registry) == {"e1", "e2"}
+    clock = state.clock
+    assert isinstance(clock, ManualClock)
+    clock.advance(RELAY_CHOICE_TIME)
     watches = [message for message in tick(state) if isinstance(message, WatchKind)]
     assert watches[0].revision == 10
 
@@ -221,6 +224,7 @@
 def test_next_watch_is_sent_at_once_after_a_quiet_period() -> None:
     """Guards against a delay before the next change, such as a new primary, arrives."""
     state, clock = listed_state()
+    clock.advance(RELAY_CHOICE_TIME)
     tick(state)
     clock.advance(SECOND)
     deliver(state, KindChanged(REGISTRY, (), 10))
