--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -181,11 +181,11 @@
         return False
 
 
-def wait_for(condition: Any) -> None:
+def wait_for(condition: Any, interval_s: float = POLL_INTERVAL_S) -> None:
     end = time.monotonic() + WAIT_S
     while not condition():
         assert time.monotonic() < end, "the condition was not met in time"
-        time.sleep(POLL_INTERVAL_S)
+        time.sleep(interval_s)
 
 
 @pytest.fixture
@@ -296,6 +296,31 @@
     wait_for(lambda: again.ask("WRITE a one") == ["DONE signed"])
 
 
+def signal_action(process: subprocess.Popen[bytes], number: signal.Signals) -> str:
+    """Return what a process does with a signal: ignored, caught or default."""
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    for name, action in (("SigIgn", "ignored"), ("SigCgt", "caught")):
+        if int(fields[name], 16) >> (number - 1) & 1:
+            return action
+    return "default"
+
+
+def test_settings_may_change_while_an_instance_starts(system: System) -> None:
+    """Guards against an instance that a reload ends before it handles the signal."""
+    system.start_instance(2)
+    process = system.processes[2]
+    wait_for(lambda: signal_action(process, signal.SIGHUP) != "default", 0.005)
+    assert signal_action(process, signal.SIGHUP) == "ignored"
+    process.send_signal(signal.SIGHUP)
+    wait_for(lambda: is_ready(system.ports[2][1]))
+    wait_for(lambda: signal_action(process, signal.SIGHUP) == "caught")
+    process.send_signal(signal.SIGHUP)
+    log = system.folder / "node-2.log"
+    wait_for(lambda: "settings_reloaded" in log.read_text())
+    assert process.poll() is None
+
+
 @pytest.mark.parametrize(
     "data",
     [
