Reserve the ports of local runs and of tests until they are used

Change: ports are chosen in blocks. A process reserves a block with a socket on its first port and keeps it until it ends; tests take their ports the same way. test_reserved_ports_are_given_out_once covers it.

--- a/pimentodrift/local_layout.py
+++ b/pimentodrift/local_layout.py
@@ -7,11 +7,11 @@
 
 import socket
 from collections.abc import Iterator
-from contextlib import ExitStack, suppress
+from contextlib import suppress
 from datetime import timedelta
 from itertools import count
 from pathlib import Path
-from random import SystemRandom
+from random import Random, SystemRandom
 
 from attrs import field, frozen
 
@@ -23,6 +23,8 @@
 DEFAULT_FIRST_EPHEMERAL_PORT = 32_768
 FIRST_PORT = 10_000  # Well-known services mostly listen below it.
 MIN_PORT_COUNT = 5_000
+BLOCK_SIZE = 50  # Ports that a process reserves together.
+block_guards: list[socket.socket] = []
 
 
 @frozen
@@ -161,22 +163,43 @@
 
 
 def free_addresses(number: int) -> list[str]:
-    """Return different addresses with free ports.
+    """Return different addresses with free ports, for servers to be started later.
 
     The ports are below those for outgoing connections: such a connection could take a
-    port before the server listens on it.
+    port before the server listens on it. Nor does another process get them that
+    chooses its ports here, while this one runs.
+    """
+    ports: list[int] = []
+    while len(ports) < number:
+        ports += reserve_block(SystemRandom())
+    return [f"{LOOPBACK}:{port}" for port in ports[:number]]
+
+
+def reserve_block(random: Random) -> list[int]:
+    """Return the free ports of a block that no other process has reserved.
+
+    A block is reserved by a socket on its first port, until the process ends.
     """
     limit = max(first_ephemeral_port(EPHEMERAL_PORTS), FIRST_PORT + MIN_PORT_COUNT)
-    random = SystemRandom()
-    addresses: list[str] = []
-    with ExitStack() as stack:
-        while len(addresses) < number:
-            port = random.randrange(FIRST_PORT, limit)
-            free = stack.enter_context(socket.socket())
-            with suppress(OSError):
-                free.bind((LOOPBACK, port))
-                addresses.append(f"{LOOPBACK}:{port}")
-    return addresses
+    first = random.randrange(FIRST_PORT, limit - BLOCK_SIZE + 1, BLOCK_SIZE)
+    guard = socket.socket()
+    try:
+        guard.bind((LOOPBACK, first))
+    except OSError:
+        guard.close()
+        return []
+    block_guards.append(guard)
+    return [port for port in range(first + 1, first + BLOCK_SIZE) if is_free(port)]
+
+
+def is_free(port: int) -> bool:
+    """Return whether nothing uses a port of the loopback address."""
+    with socket.socket() as item:
+        try:
+            item.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 def platform_objects(layout: Layout) -> Iterator[tuple[str, str, dict[str, object]]]:
--- a/tests/standin_processes.py
+++ b/tests/standin_processes.py
@@ -1,26 +1,23 @@
 """Runs the stand-ins as processes and calls them, for tests."""
 
-import itertools
-import os
-import socket
 import subprocess
 import sys
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
+from random import SystemRandom
 from typing import Any
 
 import psycopg
 from attrs import define, field
 
+from pimentodrift.local_layout import reserve_block
+
 TIMEOUT_S = 20  # Ends a test that would wait forever; no result depends on it.
 
 
-# The range is below the ephemeral ports. An outgoing connection could otherwise occupy
-# a port before the server listens on it.
-FIRST_PORT = 12_000
-PORT_COUNT = 20_000
-port_candidates = itertools.count(os.getpid() * 97)
+unused_ports: deque[int] = deque()
 
 
 def free_ports(count: int) -> list[int]:
@@ -28,11 +25,10 @@
 
 
 def free_port() -> int:
-    while True:
-        port = FIRST_PORT + next(port_candidates) % PORT_COUNT
-        with socket.socket() as item, suppress(OSError):
-            item.bind(("127.0.0.1", port))
-            return port
+    """Return a port that no other test run gets, below those of connections."""
+    while not unused_ports:
+        unused_ports.extend(reserve_block(SystemRandom()))
+    return unused_ports.popleft()
 
 
 def wait_for(condition: Callable[[], bool]) -> None:
--- a/tests/test_operators_local.py
+++ b/tests/test_operators_local.py
@@ -1,8 +1,11 @@
 """The local run: instances read its layout, and its child processes are stopped."""
 
+import subprocess
 import sys
 from datetime import timedelta
+from itertools import count
 from pathlib import Path
+from random import Random
 
 import pytest
 
@@ -14,6 +17,7 @@
     free_addresses,
     make_layout,
     platform_objects,
+    reserve_block,
 )
 from pimentodrift.messages import StoreObject
 
@@ -38,6 +42,20 @@
     assert all(port < 20_000 for port in ports)
 
 
+def test_reserved_ports_are_given_out_once() -> None:
+    """Guards against two runs that choose the same ports before either uses them."""
+    seed = next(seed for seed in count() if reserve_block(Random(seed)))
+    # In another process, the same random numbers lead to the same block.
+    code = (
+        "from random import Random\n"
+        "from pimentodrift.local_layout import reserve_block\n"
+        f"print(reserve_block(Random({seed})))"
+    )
+    command = [sys.executable, "-c", code]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
 @pytest.mark.parametrize("text", [None, "", "none of them"])
 def test_unknown_range_of_outgoing_connections(
     text: str | None, tmp_path: Path
