Average the demand safely at the same moment, and say what is asked of whom

Two balances of a workspace at the same moment would have divided by zero where the average of its demand has no window of its own (rates above 60 requests/s): found by reading, shown by test_demand_is_averaged_again_at_the_same_moment. Docstrings of the checks, of the questions for tokens and of the new setting name what they are about.

--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -154,7 +154,7 @@
 
 
 def start_check(row: KindRow, state: State, max_age: timedelta) -> None:
-    """Send a check of a kind unless one is in flight or the copy is younger."""
+    """Send a check of a kind if its copy has this age, unless one is in flight."""
     now = state.clock.monotonic()
     is_due = now >= max(row.check_after, row.confirmed_at + max_age)
     if row.checked_at is None and row.revision and is_due:
@@ -277,7 +277,8 @@
         row.listed_after = message.entries[-1].name
         return
     row.listed_after = ""
-    if row.kind is not WatchedKind.OWN and not row.complete_from:
+    is_first_list = not row.complete_from
+    if is_first_list and row.kind is not WatchedKind.OWN:
         row.next_at += RELAY_CHOICE_TIME
     # The watch starts at the revision of the first part, so that it brings the changes
     # made while the other parts were read.
--- a/pimentodrift/local_layout.py
+++ b/pimentodrift/local_layout.py
@@ -24,7 +24,7 @@
 FIRST_PORT = 10_000  # Well-known services mostly listen below it.
 MIN_PORT_COUNT = 5_000
 BLOCK_SIZE = 50  # Ports that a process reserves together.
-block_guards: list[socket.socket] = []
+block_guards: list[socket.socket] = []  # Sockets that reserve blocks.
 
 
 @frozen
--- a/pimentodrift/settings.py
+++ b/pimentodrift/settings.py
@@ -240,7 +240,7 @@
         default=timedelta(0),
         validator=Between(timedelta(0), timedelta(minutes=10)),
         metadata=help_metadata(
-            "Part of it in which sessions may end open transactions; 0: half."
+            "Part of the stop timeout for open transactions of sessions; 0: half."
         ),
     )
     configuration_lease: timedelta = field(
--- a/pimentodrift/standby_grants.py
+++ b/pimentodrift/standby_grants.py
@@ -6,6 +6,9 @@
 are divided among the allocator and a few standbys, which it names in its renewals. A
 holder whose requests wait asks them in turn, and a standby grants from its own share.
 
+The holders of a divided burst ask each other in the same way while no allocator
+answers.
+
 No message has to pass between allocator and standby: tokens that were granted count as
 held by the standby's share until they are spent or discarded (`rates.refill_bucket`).
 """
@@ -76,14 +79,14 @@
 
 
 def run(state: State) -> None:
-    """Ask a standby for each share whose requests wait for the allocator."""
+    """Ask another instance for each share whose requests wait for the allocator."""
     for row in state.shares.values():
         if row.waiting:
             ask_standby(row, state)
 
 
 def ask_standby(row: ShareRow, state: State) -> None:
-    """Ask the next standby for tokens if the allocator has not given any in time."""
+    """Ask the next standby or holder for tokens if the allocator gave none in time."""
     now = state.clock.monotonic()
     oldest = min(waiting.since for waiting in row.waiting)
     if now - max(oldest, row.standby_asked_at) < ALLOCATOR_ANSWER_TIME:
@@ -114,8 +117,12 @@
     silence = token_waits.unanswered_time(row, state.clock.monotonic())
     if silence < ALLOCATOR_ABSENCE or not rates.holds_all_shares(state):
         return []
-    others = state.instances.keys() - {own, allocator}
-    return [name for name in sorted(others) if rates.is_allocator_usable(name, state)]
+    return sorted(
+        other.name
+        for other in state.instances.values()
+        if other.name not in (own, allocator)
+        and membership.is_instance_usable(other, state)
+    )
 
 
 @handle_peer.register
--- a/pimentodrift/token_grants.py
+++ b/pimentodrift/token_grants.py
@@ -72,7 +72,8 @@
     # The holders' demand is an average already.
     window = SCARCITY_SAMPLE / workspace.rate - rates.DEMAND_WINDOW.total_seconds()
     window = min(window, (now - row.taken_at).total_seconds())
-    row.demand += (demand - row.demand) * elapsed / max(elapsed, window)
+    weight = elapsed / window if window > elapsed else 1.0
+    row.demand += (demand - row.demand) * weight
     row.measured_at = now
     part = SCARCITY_END if row.is_scarce else SCARCITY_START
     row.is_scarce = row.demand > part * workspace.rate
--- a/tests/test_rates_allocators.py
+++ b/tests/test_rates_allocators.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pimentodrift import membership
+from pimentodrift import membership, token_grants
 
 from .rate_support import (
     NAMES,
@@ -257,6 +257,20 @@
     assert row.is_scarce
 
 
+@pytest.mark.parametrize("rate", [1.0, 30.0, 60.0, 1000.0])
+def test_demand_is_averaged_again_at_the_same_moment(rate: float) -> None:
+    """Guards against a division by the time since the last average."""
+    load = make_window_load(rate)
+    state = load.network.nodes[allocator_name(load)].state
+    row, workspace = state.allocations["w"], state.configuration.workspaces["w"]
+    for _ in range(2):
+        token_grants.update_scarcity(row, workspace, state)
+    assert not row.is_scarce
+    row.taken_at = row.measured_at = state.clock.monotonic()
+    token_grants.update_scarcity(row, workspace, state)
+    assert not row.is_scarce
+
+
 @pytest.mark.parametrize("store_down", [False, True])
 def test_workspace_with_a_small_burst_outlives_its_allocator(store_down: bool) -> None:
     """Guards against the same for a burst below a request an instance."""
