Leave no change out at the end of a watch

Instances of a test system stayed at an old publication for 60 s in three runs of test_two_publishers_at_once. The new report of the test showed two of six instances at version 37 of the manifest while the store and the others had 41.

Cause: the store's stand-in answered a watch whose wait had ended with the objects found before the wait and the version after it. A write in between was skipped for good. A product's fault was looked for and not found.

Change: the objects are looked up again after the wait, in the same step as the version. test_change_at_the_end_of_a_watch_is_not_skipped failed before.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -215,11 +215,15 @@
         except ValueError as error:
             return json_response({"error": str(error)}, 400)
         deadline = asyncio.get_running_loop().time() + wait_ms / 1000
-        while not (items := self.store.objects_after(after)):
+        items = self.store.objects_after(after)
+        is_in_time = True
+        while is_in_time and not items:
             if self.store.faults.down:
                 return json_response({"error": "the store is down"}, 503)
-            if not await self.wait_for_change(deadline):
-                break
+            is_in_time = await self.wait_for_change(deadline)
+            # An object may have changed since the wait ended. The version below would
+            # tell that the caller has it.
+            items = self.store.objects_after(after)
         return json_response(
             {
                 "version": max(self.store.version, after),
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,5 +1,6 @@
 """Tests that the stand-ins speak the protocols of the systems that they replace."""
 
+import asyncio
 import json
 import select
 import socket
@@ -10,8 +11,11 @@
 
 import psycopg
 import pytest
+from aiohttp.test_utils import make_mocked_request
 from psycopg import pq
 
+from standins.platform_server import RegionalApi, Store
+
 from .standin_processes import (
     TIMEOUT_S,
     Endpoint,
@@ -268,3 +272,23 @@
         assert lines.readline() == "ok\n"
         assert command_result(connection.pgconn) == pq.ExecStatus.COMMAND_OK
         assert database.run("SELECT * FROM t") == [(1,)]
+
+
+def test_change_at_the_end_of_a_watch_is_not_skipped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a version whose change the watch has left out.
+
+    A caller that watches from that version would never see the change.
+    """
+
+    async def end_of_wait(api: RegionalApi, deadline: float) -> bool:
+        api.store.write(("piece", "late"), {"value": 1})
+        return False
+
+    monkeypatch.setattr(RegionalApi, "wait_for_change", end_of_wait)
+    api = RegionalApi(Store(), "r1")
+    request = make_mocked_request("GET", "/v1/objects?after=0&wait_ms=10")
+    body = json.loads(asyncio.run(api.watch(request)).body)
+    assert body["version"] == 1
+    assert [item["name"] for item in body["items"]] == ["late"]
