--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import secrets
 import shutil
 import signal
 import socket
@@ -25,6 +26,7 @@
 HOST = "127.0.0.1"
 KEPT, BROKEN, NOT_RUN = 0, 1, 2  # Exit statuses of a case.
 OK, CREATED, NOT_FOUND, CONFLICT, GONE = 200, 201, 404, 409, 410
+LISTEN_PORTS = range(20000, 32000)
 HISTORY = 5000  # Changes that the store keeps.
 HEARTBEAT_S = 1.2
 START_S = 40.0
@@ -49,10 +51,12 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free now, below those that connections get."""
+    while True:
+        port = secrets.choice(LISTEN_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 # --- The platform's store and its promote call
@@ -784,10 +788,12 @@
         for _ in range(count):
             self.start_instance()
         end = time.monotonic() + START_S
-        for port in self.ready:
+        for number, port in enumerate(self.ready):
             while not await is_ready(port):
-                if time.monotonic() > end:
-                    raise CannotRun("an instance did not become ready")
+                status = self.processes[number].poll()
+                if time.monotonic() > end or status is not None:
+                    text = (self.folder / f"node-{number}.log").read_text()
+                    raise CannotRun(f"{number} is not ready, {status}: {text[-500:]}")
                 await asyncio.sleep(0.1)
         self.record.note(f"{count} instances are ready")
 
