--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -270,6 +270,7 @@
     term: int
     number: int
     writes: list[tuple[str, str, str]]  # Statement id, item and data.
+    received: asyncio.Event = field(default_factory=asyncio.Event)  # By a replica.
 
 
 @dataclass(eq=False)
@@ -287,6 +288,7 @@
     promote_s: float = 0.3
     max_connections: int = 20
     slots: int = 3
+    sync: int = 0  # Replicas that must have received a commit before its answer.
 
     async def start(self, names: list[str]) -> None:
         """Start databases; the first one is the primary."""
@@ -298,7 +300,8 @@
     def register(self) -> None:
         """Write the entries of all databases."""
         for item in self.databases.values():
-            item.register()
+            if not item.is_down:
+                item.register()
 
     async def heartbeats(self) -> None:
         """Write all entries again and again."""
@@ -309,6 +312,8 @@
     async def promote(self, body: dict[str, Any], token: int, holder: str) -> int:
         """Let a database lead the next term."""
         target = self.databases[body["id"]]
+        if target.is_down:
+            return CONFLICT
         if target.name != self.primary:
             asyncio.get_running_loop().call_later(self.promote_s, self.lead, target)
         return OK
@@ -319,6 +324,7 @@
         self.primary = target.name
         for other in self.databases.values():
             other.log = list(target.log)
+            other.is_paused = False
         self.record.note(f"primary {target.name} term {self.term}")
         self.register()
 
@@ -327,7 +333,8 @@
         loop = asyncio.get_running_loop()
         for other in self.databases.values():
             if other is not origin:
-                loop.call_later(self.lag_s, other.receive, commit)
+                lag_s = self.lag_s if other.lag_s is None else other.lag_s
+                loop.call_later(lag_s, other.receive, commit)
 
 
 @dataclass(eq=False)
@@ -343,6 +350,11 @@
     connections: dict[int, "Backend"] = field(default_factory=dict)
     count: int = 0  # Connections so far.
     state: str = "ready"
+    zone: str = "z1"
+    lag_s: float | None = None  # Until it receives a commit; None: that of the group.
+    is_paused: bool = False  # It was told to receive nothing.
+    is_deaf: bool = False  # Nothing reaches it from the primary.
+    is_down: bool = False
     server: asyncio.Server | None = None
     # Called before a statement that needs a slot; may wait, and may return a refusal.
     before: Callable[["Backend", str, str], Awaitable[str | None]] | None = None
@@ -362,6 +374,17 @@
         for backend in self.connections.values():
             backend.writer.transport.abort()
 
+    def crash(self) -> None:
+        """End at once; the entry is removed after three liveness intervals."""
+        self.group.record.note(f"{self.name} crashes")
+        assert self.server is not None
+        self.is_down = True
+        self.server.close()
+        for backend in self.connections.values():
+            backend.writer.transport.abort()
+        loop = asyncio.get_running_loop()
+        loop.call_later(3 * HEARTBEAT_S, self.group.store.remove, "servers", self.name)
+
     @property
     def is_primary(self) -> bool:
         """Return whether this database leads its group."""
@@ -381,7 +404,7 @@
         spec = {
             "upstream": self.group.name,
             "address": self.address,
-            "zone": "z1",
+            "zone": self.zone,
             "version": "1",
             "slots": self.group.slots,
             "state": self.state,
@@ -396,8 +419,11 @@
     def receive(self, commit: Commit) -> None:
         """Apply a commit of the primary, if it is the next one."""
         last = self.log[-1].number if self.log else 0
+        if self.is_paused or self.is_deaf or self.is_down:
+            return
         if commit.number == last + 1 and commit.term == self.group.term:
             self.log.append(commit)
+            commit.received.set()
 
     def item(self, name: str) -> str:
         """Return the value of an item in the log."""
@@ -443,6 +469,7 @@
     may_write: bool = False
     pending: list[tuple[str, str, str]] = field(default_factory=list)
     inside: list[str] = field(default_factory=list)  # Statement ids of the transaction.
+    commits: list[Commit] = field(default_factory=list)  # Whose answer is due.
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, str] = field(default_factory=dict)
     is_silent: bool = False  # Nothing that arrives or leaves gets through any more.
@@ -485,11 +512,22 @@
                 continue
             statement, _, text = rest.partition(" ")
             lines = await self.answer(statement, text)
+            await self.wait_for_replica(statement)
             term, number = self.database.position
             lines.append(f"READY {self.state} {term}.{number}")
             note(f"{self} {statement} {text} -> {' | '.join(lines)}")
             self.send(*lines)
 
+    async def wait_for_replica(self, statement: str) -> None:
+        """Wait until a replica has received the statement's commit, where it must."""
+        log = self.database.log
+        if not self.database.group.sync or not self.commits:
+            return
+        commit = self.commits.pop()
+        await commit.received.wait()
+        if self.database.is_down or commit not in log:
+            raise ConnectionResetError(statement)
+
     def start(self, rest: str) -> bool:
         """Answer STARTUP; return whether the connection stays open."""
         database = self.database
@@ -553,9 +591,23 @@
             case "WRITE":
                 return self.write(statement, rest)
             case _:
-                return ["ERROR MALFORMED -"]
+                return self.control(word, rest)
         return ["DONE -"]
 
+    def control(self, word: str, rest: str) -> list[str]:
+        """Tell the status; stop receiving commits, or go on."""
+        database = self.database
+        if word not in ("STATUS", "PAUSE", "RESUME"):
+            return ["ERROR MALFORMED -"]
+        if word == "PAUSE" and not database.is_primary:
+            database.is_paused = int(rest) > database.group.term
+        if word == "RESUME":
+            database.is_paused = False
+        role = "primary" if database.is_primary else "replica"
+        term, number = database.position
+        held = database.group.term
+        return [f"ROW {role} {held} {term}.{number} {held} 0 0 1", "DONE -"]
+
     def change(self, word: str, rest: str) -> None:
         """Change the values or the prepared statements of the connection."""
         name, _, text = rest.partition(" ")
@@ -610,6 +662,7 @@
             last = database.log[-1].number if database.log else 0
             commit = Commit(database.group.term, last + 1, list(self.pending))
             database.log.append(commit)
+            self.commits.append(commit)
             database.group.replicate(commit, database)
         self.end()
         return [f"DONE d-{statement}"]
@@ -711,7 +764,11 @@
     ) -> None:
         """Write the operator's configuration."""
         upstreams = [
-            {"name": group.name, "maxConns": group.max_connections, "syncReplicas": 0}
+            {
+                "name": group.name,
+                "maxConns": group.max_connections,
+                "syncReplicas": group.sync,
+            }
             for group in self.groups
         ]
         spec = {
@@ -750,7 +807,7 @@
             f'node = "front-z1-{number}"\nrole = "proxy"\nmachineClass = "front"\n'
             f'serves = ["front"]\nip = "{HOST}"\nzone = "z1"\nregion = "r1"\n'
             f"portRange = [{peer}, {peer}]\nseeds = []\nbootstrap = true\n"
-            'heartbeatMs = 1200\n[zones]\nz1 = "r1"\n'
+            'heartbeatMs = 1200\n[zones]\nz1 = "r1"\nz2 = "r2"\nz3 = "r3"\n'
             f'[listen]\nfront = "{HOST}:{front}"\nreadiness = "{HOST}:{ready}"\n'
             "[limits]\ncpuShare = 1.0\ncores = 1\nmemoryMb = 300\nmaxFds = 4200\n"
             f"[bounds]\n{lines}"
