Count evacuated replicas among those that may have a commit

With syncReplicas 1, one replica evacuated and the other one receiving nothing, a crash of the primary lost some 700 acknowledged commits.

Cause: of n replicas, n - k + 1 logs hold each commit that k of them acknowledged, but n left out the replicas in evacuated data centres. These may not be asked, but go on receiving commits.

Why this works: evacuated replicas count in n and are never asked or promoted, so a choice is made only if the others' logs are enough without them. Otherwise the group waits for its primary or the end of the evacuation.

A stopped replica whose data centre is evacuated is told to resume afterwards.

--- a/pimentodrift/sync_replicas.py
+++ b/pimentodrift/sync_replicas.py
@@ -12,7 +12,7 @@
 
 from . import leadership, pools, registry
 from .clock import NEVER
-from .evacuation.permissions import is_evacuated
+from .evacuation.permissions import evacuation_of, is_evacuated
 from .fencing.coordination import newest_term
 from .messages import Position
 from .session_messages import ReplicaCommand
@@ -31,11 +31,11 @@
     return state.session_limits.sync_replicas.get(group, 0) > 0
 
 
-def replicas_to_stop(group: str, old: str, state: State) -> list[RegistryRow]:
+def acknowledging_replicas(group: str, old: str, state: State) -> list[RegistryRow]:
     """Return the replicas that may be the only one with an acknowledged commit.
 
-    A leaving replica still receives commits and counts for their acknowledgment. One in
-    an evacuated data centre does too, but may not be asked.
+    A leaving replica still receives commits and counts for their acknowledgment. So
+    does one in an evacuated data centre, although it may not be asked.
     """
     primaries = (old, leadership.row_of(group, state).primary)
     return [
@@ -43,7 +43,6 @@
         for member in registry.group_members(group, state)
         if member.name not in primaries
         and member.entry.role is not EndpointRole.PRIMARY
-        and not is_evacuated(member, state)
     ]
 
 
@@ -53,9 +52,9 @@
     """Return the replicas that have all acknowledged commits, with their positions.
 
     There are none before that is certain. A leaving replica is among them only if no
-    other is.
+    other is, one in an evacuated data centre never.
     """
-    members = replicas_to_stop(row.group, old, state)
+    members = acknowledging_replicas(row.group, old, state)
     since = row.choosing_since
     if since is None:
         return {}
@@ -66,7 +65,8 @@
         position = pool.received if pool.stop_asked_at >= since else None
         if position is not None and (pool.has_stopped or is_late):
             received[member.name] = position
-        if (position is None or not pool.has_stopped) and may_demand(pool, state):
+        is_known = position is not None and pool.has_stopped
+        if not is_known and may_demand(member, pool, state):
             demand_stop(row, member.name, state)
     count = state.session_limits.sync_replicas[row.group]
     # A commit in none of these logs was received by fewer than `count` replicas.
@@ -74,9 +74,11 @@
         return {}
     last = max(received.values())
     complete = {
-        name: position
-        for name, position in received.items()
-        if position == last and name not in row.rejected
+        member.name: last
+        for member in members
+        if received.get(member.name) == last
+        and member.name not in row.rejected
+        and not is_evacuated(member, state)
     }
     if not complete:
         row.rejected.clear()
@@ -84,8 +86,10 @@
     return {name: complete[name] for name in complete if name in names} or complete
 
 
-def may_demand(pool: PoolRow, state: State) -> bool:
+def may_demand(member: RegistryRow, pool: PoolRow, state: State) -> bool:
     """Return whether no demand is on its way and the last one was some time ago."""
+    if is_evacuated(member, state):
+        return False
     if state.clock.monotonic() - pool.stop_sent_at < DEMAND_INTERVAL:
         return False
     rows = (state.pooled[number] for number in pool.connections)
@@ -111,9 +115,12 @@
     A promotion may have ended that already; the command then changes nothing.
     """
     primary = leadership.row_of(row.group, state).primary
-    for endpoint in sorted(row.stopped - {primary}):
+    row.stopped.discard(primary)
+    for endpoint in sorted(row.stopped):
+        if evacuation_of(endpoint, state) is not None:
+            continue  # It is told once the evacuation has ended.
+        row.stopped.discard(endpoint)
         pool = state.pools.get(endpoint)
         if pool is not None:
             pool.stop_asked_at = pool.stop_sent_at = NEVER
             pools.probe(pool, state, ReplicaCommand.RESUME_RECEIVING)
-    row.stopped.clear()
