Count a replica only once it has stopped receiving

Acknowledged commits were missing after a promotion.

Cause: a replica that answered the demand to stop without carrying it out counted after 1 s with the position that it told. The comment and the design note supposed that a primary which fails is gone. One that a majority of the instances can't reach still serves the others, and what it acknowledges through such a replica after the answer is unknown to the choice.

Why this works: only positions of replicas that receive nothing more are compared. A stopped replica is asked again each second, and counts for 2 s, since it receives again after its restart.

test_received_commits_count expected a promotion where databases don't know the command. The test now expects none until the command is carried out, and the right replica then.

--- a/pimentodrift/sync_replicas.py
+++ b/pimentodrift/sync_replicas.py
@@ -16,14 +16,15 @@
 from .fencing.coordination import newest_term
 from .messages import Position
 from .session_messages import ReplicaCommand
-from .session_rows import EndpointRole, PoolRow, PromotionRow, RegistryRow
+from .session_rows import EndpointRole, PromotionRow, RegistryRow
 from .tables import State
 
 # Between two demands that a replica stops receiving.
 DEMAND_INTERVAL = timedelta(milliseconds=300)
-# After this time, a replica that answers but does not stop is not waited for: a primary
-# that is gone acknowledges nothing more.
-STOP_PATIENCE = timedelta(seconds=1)
+# A replica that has stopped receives again after a restart, so it is asked again, and
+# counts for no longer than this after the last demand.
+STOP_REPEAT_INTERVAL = timedelta(seconds=1)
+STOP_LIFETIME = timedelta(seconds=2)
 
 
 def are_required(group: str, state: State) -> bool:
@@ -55,18 +56,12 @@
     other is, one in an evacuated data centre never.
     """
     members = acknowledging_replicas(row.group, old, state)
-    since = row.choosing_since
-    if since is None:
-        return {}
     received = {}
-    is_late = state.clock.monotonic() - since >= STOP_PATIENCE
     for member in members:
-        pool = state.pools[member.name]
-        position = pool.received if pool.stop_asked_at >= since else None
-        if position is not None and (pool.has_stopped or is_late):
+        position = stopped_position(row, member.name, state)
+        if position is not None:
             received[member.name] = position
-        is_known = position is not None and pool.has_stopped
-        if not is_known and may_demand(member, pool, state):
+        if may_demand(member, position, state):
             demand_stop(row, member.name, state)
     count = state.session_limits.sync_replicas[row.group]
     # A commit in none of these logs was received by fewer than `count` replicas.
@@ -86,11 +81,23 @@
     return {name: complete[name] for name in complete if name in names} or complete
 
 
-def may_demand(member: RegistryRow, pool: PoolRow, state: State) -> bool:
-    """Return whether no demand is on its way and the last one was some time ago."""
+def stopped_position(row: PromotionRow, endpoint: str, state: State) -> Position | None:
+    """Return the last position of a replica that receives nothing more, or None."""
+    pool = state.pools[endpoint]
+    since = row.choosing_since
+    if since is None or pool.stop_asked_at < since or not pool.has_stopped:
+        return None
+    is_old = state.clock.monotonic() - pool.stop_asked_at > STOP_LIFETIME
+    return None if is_old else pool.received
+
+
+def may_demand(member: RegistryRow, position: Position | None, state: State) -> bool:
+    """Return whether a replica is to be told to stop receiving, perhaps again."""
     if is_evacuated(member, state):
         return False
-    if state.clock.monotonic() - pool.stop_sent_at < DEMAND_INTERVAL:
+    pool = state.pools[member.name]
+    pause = DEMAND_INTERVAL if position is None else STOP_REPEAT_INTERVAL
+    if state.clock.monotonic() - pool.stop_sent_at < pause:
         return False
     rows = (state.pooled[number] for number in pool.connections)
     return not any(
--- a/tests/test_leaving_primary.py
+++ b/tests/test_leaving_primary.py
@@ -51,6 +51,8 @@
     knows_commands: bool = True  # Replicas stop receiving when they are told so.
     stopped: set[str] = field(factory=set)  # Replicas that receive nothing.
     dropped: set[str] = field(factory=set)  # Acknowledged commits that were lost.
+    mute: set[str] = field(factory=set)  # Databases that can't reach the store.
+    starts: Counter[str] = field(factory=Counter)  # Starts after the first, by name.
     # When connections were opened, by database.
     uses: defaultdict[str, list[timedelta]] = field(factory=lambda: defaultdict(list))
 
@@ -58,9 +60,21 @@
         member = self.members[name]
         role = EndpointRole.PRIMARY if member.believes else EndpointRole.REPLICA
         entry = make_endpoint(
-            role=role, is_leaving=name in self.leaving, data_centre=ZONES[name]
+            role=role,
+            is_leaving=name in self.leaving,
+            data_centre=ZONES[name],
+            incarnation=1 + self.starts[name],
         )
-        self.change(WatchedKind.REGISTRY, name, entry)
+        if name not in self.mute:
+            self.change(WatchedKind.REGISTRY, name, entry)
+
+    def restart_empty(self, name: str) -> None:
+        """Start a replica again, under its name and without its log."""
+        self.starts[name] += 1
+        self.received[name] = self.members[name].offset = 0
+        for key in [key for key, other in self.links.items() if other == name]:
+            del self.links[key]
+        self.register(name)
 
     def open(self, name: str, message: OpenPooled) -> None:
         self.uses[message.endpoint].append(self.time)
@@ -250,7 +264,7 @@
 def test_received_commits_count(knows_commands: bool) -> None:
     """Guards against a replica that has applied more and received less than another.
 
-    Nor may the group stay without a primary where databases know no such command.
+    Databases that do not carry out the command go on receiving, so none is chosen.
     """
     network = make_group()
     network.knows_commands = knows_commands
@@ -259,6 +273,9 @@
     network.play(3 * SECOND)
     crash(network, "e1")
     network.play(4 * SECOND)
+    assert network.leader == ("e3" if knows_commands else "e1")
+    network.knows_commands = True
+    network.play(4 * SECOND)
     assert network.leader == "e3"
     assert not network.dropped
     check_writes(network)
--- a/tests/test_unknown_commits.py
+++ b/tests/test_unknown_commits.py
@@ -3,10 +3,12 @@
 A replica that can't be asked may be the only one that has received a commit.
 """
 
+import pytest
+
 from pimentodrift.evacuation.messages import Evacuation
 from pimentodrift.kind_messages import WatchedKind
 
-from .session_support import SECOND
+from .session_support import MILLISECOND, SECOND
 from .test_leaving_primary import (
     LeavingNetwork,
     check_writes,
@@ -43,3 +45,22 @@
     network.play(3 * SECOND)
     assert network.leader == "e1"
     check_recovery(network)
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_replicas_that_go_on_receiving(seed: int) -> None:
+    """Guards against a choice by positions that are old when it takes effect.
+
+    Such a replica has refused to stop, and the primary still serves an instance.
+    """
+    network = make_group(seed=seed)
+    network.knows_commands = False
+    network.jitter = 100 * MILLISECOND
+    for name in ("a", "b"):
+        network.partitions.add(frozenset((name, "e1")))
+    network.play(5 * SECOND)
+    assert not network.dropped and not network.wrong
+    network.knows_commands = True
+    network.play(4 * SECOND)
+    assert network.leader != "e1"
+    assert not network.dropped and not network.wrong
