Ask a replica that still calls itself the primary

Acknowledged commits were missing after a promotion.

Cause: a deposed primary receives commits as a replica. If it can't reach the store, its entry in the registry still says that it is the primary, and the choice left out each endpoint that says so.

Evidence: test_replica_that_still_calls_itself_the_primary failed before: the commits that only the deposed primary had received were dropped.

Why this works: whichever endpoint is not the primary that is being replaced may have acknowledged commits. A replica's own status decides whether its answer counts.

--- a/pimentodrift/sync_replicas.py
+++ b/pimentodrift/sync_replicas.py
@@ -16,7 +16,7 @@
 from .fencing.coordination import newest_term
 from .messages import Position
 from .session_messages import ReplicaCommand
-from .session_rows import EndpointRole, PromotionRow, RegistryRow
+from .session_rows import PromotionRow, RegistryRow
 from .tables import State
 
 # Between two demands that a replica stops receiving.
@@ -36,14 +36,14 @@
     """Return the replicas that may be the only one with an acknowledged commit.
 
     A leaving replica still receives commits and counts for their acknowledgment. So
-    does one in an evacuated data centre, although it may not be asked.
+    does one in an evacuated data centre, although it may not be asked, and one whose
+    entry still says that it is the primary, if another endpoint is.
     """
     primaries = (old, leadership.row_of(group, state).primary)
     return [
         member
         for member in registry.group_members(group, state)
         if member.name not in primaries
-        and member.entry.role is not EndpointRole.PRIMARY
     ]
 
 
--- a/tests/test_unknown_commits.py
+++ b/tests/test_unknown_commits.py
@@ -10,6 +10,7 @@
 
 from .session_support import MILLISECOND, SECOND
 from .test_leaving_primary import (
+    NAMES,
     LeavingNetwork,
     check_writes,
     crash,
@@ -47,6 +48,24 @@
     check_recovery(network)
 
 
+def test_replica_that_still_calls_itself_the_primary() -> None:
+    """Guards against commits that only a deposed primary has received.
+
+    Its entry in the registry is old: it does not reach the store.
+    """
+    network = make_group()
+    network.mute.add("e1")
+    network.transit["e2"] = 5 * SECOND
+    network.partitions.update(frozenset((name, "e1")) for name in NAMES)
+    network.play(3 * SECOND)
+    network.partitions.clear()
+    network.play(2 * SECOND)
+    assert network.leader == "e3"
+    crash(network, "e3")
+    network.play(6 * SECOND)
+    assert not network.dropped and not network.wrong
+
+
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_replicas_that_go_on_receiving(seed: int) -> None:
     """Guards against a choice by positions that are old when it takes effect.
