Count replicas that have left until their commits are known elsewhere

Acknowledged commits were missing after a promotion.

Cause: only replicas in the registry counted. One that crashed with the primary, or started again without its log, may be the only one that has received a commit. 2.5 s after its entry had gone, the log of the other one was taken for complete.

Change: each instance records which replicas have left, and a position that the primary told later. Without such a position, the replica counts as one that was not asked; with it, the chosen log must reach the position. The next database at the address of a replica that left as planned has its log. PrimaryReport carries what the sender has seen, since the coordinator may have started later; a report of the build before has none.

Evidence: test_lost_replica_with_the_only_copy (twice), test_restarted_replica_with_the_only_copy and test_coordinator_that_did_not_know_the_lost_replica failed before: the replica without the commits was promoted.

Why this works: what a replica acknowledged before it left is at or below each position that the primary told after that. test_replica_that_was_lost_before shows that a group does not wait for a replica whose commits others have.

test_replica_that_is_lost_with_the_primary expected a promotion of the other replica, without anything that shows that this has all commits. It now expects none until the lost replica is back.

--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -9,7 +9,7 @@
 
 from datetime import timedelta
 
-from . import leadership, membership, peers, pools, sync_replicas, view
+from . import former_replicas, leadership, membership, peers, pools, sync_replicas, view
 from .clock import NEVER
 from .dispatch import handle_peer
 from .evacuation import permissions as evacuation
@@ -64,6 +64,8 @@
     """Check a group's primary; report or replace it if it fails or is leaving."""
     primary = leadership.primary(row.group, state)
     update_missing_since(row, primary, state)
+    if sync_replicas.are_required(row.group, state):
+        former_replicas.track(row, state)
     record_newest_token(row, state)
     drop_old_reports(row, state)
     failing = is_failing(row, primary, state)
@@ -195,7 +197,8 @@
         return
     name = primary.name if primary is not None else ""
     for asker in row.askers:
-        peers.send(asker, PrimaryReport(row.group, name, failing), state)
+        left = former_replicas.report(row, state)
+        peers.send(asker, PrimaryReport(row.group, name, failing, left), state)
     row.askers.clear()
 
 
@@ -231,7 +234,8 @@
         return
     row.reported_at = now
     name = primary.name if primary is not None else ""
-    peers.send(leader, PrimaryReport(row.group, name, True), state)
+    left = former_replicas.report(row, state)
+    peers.send(leader, PrimaryReport(row.group, name, True, left), state)
 
 
 def is_failure_agreed(
@@ -278,5 +282,6 @@
     name = primary.name if primary is not None else ""
     if name == message.endpoint:
         now = state.clock.monotonic()
-        reports = promotion_row(message.group, state).reports
-        reports[sender] = (now, message.is_failing)
+        row = promotion_row(message.group, state)
+        row.reports[sender] = (now, message.is_failing)
+        former_replicas.record_report(row, message.left, state)
--- a/pimentodrift/promotion_messages.py
+++ b/pimentodrift/promotion_messages.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from .messages import PeerMessage
+from .messages import PeerMessage, Position
 
 
 @frozen
@@ -15,13 +15,32 @@
     endpoint: str
 
 
+@frozen
+class LeftReplica:
+    """A replica that has left its group, and may have acknowledged commits before.
+
+    `covered_by` is a position that the primary told later, None if none is known. The
+    next endpoint at `successor_address` has its log; empty if none will.
+    """
+
+    endpoint: str
+    incarnation: int
+    age_ms: int  # Since it left.
+    successor_address: str
+    covered_by: Position | None
+
+
 @frozen
 class PrimaryReport(PeerMessage):
-    """Tell whether a group's primary fails for the sender."""
+    """Tell whether a group's primary fails for the sender.
+
+    `left` has the replicas that the sender has seen leave.
+    """
 
     group: str
     endpoint: str
     is_failing: bool
+    left: tuple[LeftReplica, ...] = ()
 
 
 @frozen
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -263,6 +263,17 @@
     samples: deque[tuple[timedelta, Position]] = field(factory=deque)
 
 
+@define
+class LeftReplicaRow:
+    """A replica that has left its group; see `former_replicas`."""
+
+    at: timedelta  # When it had left.
+    # The next endpoint there has its log; empty if it did not leave as planned.
+    successor_address: str
+    # A position that the primary told later; None if none is known.
+    covered_by: Position | None = None
+
+
 @define
 class PromotionRow:
     """Whether a group's primary fails, and the promotion of a replica in its place."""
@@ -293,3 +304,7 @@
     unclear_until: timedelta = NEVER
     seen_token: int = 0  # The highest token in the store; first seen at `seen_at`.
     seen_at: timedelta = NEVER
+    # Where commits wait for replicas: those in the registry, and those that have left,
+    # by name and incarnation.
+    replicas: dict[str, RegisteredEndpoint] = field(factory=dict)
+    left: dict[tuple[str, int], LeftReplicaRow] = field(factory=dict)
--- a/pimentodrift/sync_replicas.py
+++ b/pimentodrift/sync_replicas.py
@@ -10,7 +10,7 @@
 
 from datetime import timedelta
 
-from . import leadership, pools, registry
+from . import former_replicas, leadership, pools, registry
 from .clock import NEVER
 from .evacuation.permissions import evacuation_of, is_evacuated
 from .fencing.coordination import newest_term
@@ -63,11 +63,14 @@
             received[member.name] = position
         if may_demand(member, position, state):
             demand_stop(row, member.name, state)
+    missing, lowest = former_replicas.missing_logs(row)
     count = state.session_limits.sync_replicas[row.group]
     # A commit in none of these logs was received by fewer than `count` replicas.
-    if len(received) < max(1, len(members) - count + 1):
+    if len(received) < max(1, len(members) + missing - count + 1):
         return {}
     last = max(received.values())
+    if lowest is not None and last < lowest:
+        return {}
     complete = {
         member.name: last
         for member in members
--- a/tests/test_leaving_primary.py
+++ b/tests/test_leaving_primary.py
@@ -299,7 +299,10 @@
 
 
 def test_replica_that_is_lost_with_the_primary() -> None:
-    """Guards against a group that waits for ever for a replica that is gone."""
+    """Guards against a choice without a replica that is gone and may have a commit.
+
+    Nor may the group stay without a primary once that is back.
+    """
     network = make_group()
     crash(network, "e1")
     crash(network, "e3")
@@ -307,7 +310,12 @@
     assert network.leader == "e1"
     network.change(WatchedKind.REGISTRY, "e3", Gone())
     network.play(6 * SECOND)
-    assert network.leader == "e2"
+    assert network.leader == "e1"
+    network.members["e3"].is_up = True
+    network.register("e3")
+    network.play(3 * SECOND)
+    assert network.leader in ("e2", "e3")
+    assert not network.dropped
     check_writes(network)
 
 
--- a/tests/test_unknown_commits.py
+++ b/tests/test_unknown_commits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pimentodrift.evacuation.messages import Evacuation
-from pimentodrift.kind_messages import WatchedKind
+from pimentodrift.kind_messages import Gone, WatchedKind
 
 from .session_support import MILLISECOND, SECOND
 from .test_leaving_primary import (
@@ -48,6 +48,74 @@
     check_recovery(network)
 
 
+def leave_registry(network: LeavingNetwork, name: str) -> None:
+    """End a database, whose entry is gone with it."""
+    crash(network, name)
+    network.change(WatchedKind.REGISTRY, name, Gone())
+
+
+@pytest.mark.parametrize("returns", ["e1", "e3"])
+def test_lost_replica_with_the_only_copy(returns: str) -> None:
+    """Guards against commits that only a replica had which is gone with the primary."""
+    network = make_group()
+    network.transit["e2"] = 60 * SECOND
+    network.play(SECOND)
+    leave_registry(network, "e3")
+    crash(network, "e1")
+    network.play(12 * SECOND)
+    assert network.leader == "e1" and not network.dropped
+    recover(network, returns)
+    network.play(2 * SECOND)
+    network.transit.clear()
+    network.play(2 * SECOND)
+    assert network.leader == returns
+    check_recovery(network)
+
+
+def test_restarted_replica_with_the_only_copy() -> None:
+    """Guards against trust in the log of a replica that has started without one."""
+    network = make_group()
+    network.transit["e2"] = 60 * SECOND
+    network.play(SECOND)
+    crash(network, "e1")
+    network.restart_empty("e3")
+    network.play(6 * SECOND)
+    assert network.leader == "e1" and not network.dropped
+    recover(network, "e1")
+    network.transit.clear()
+    network.play(3 * SECOND)
+    check_recovery(network)
+
+
+@pytest.mark.parametrize("is_restarted", [True, False])
+def test_replica_that_was_lost_before(is_restarted: bool) -> None:
+    """Guards against a group that waits for a replica whose commits others have."""
+    network = make_group()
+    if is_restarted:
+        network.restart_empty("e3")
+    else:
+        leave_registry(network, "e3")
+    network.play(5 * SECOND)
+    crash(network, "e1")
+    network.play(4 * SECOND)
+    assert network.leader != "e1"
+    check_recovery(network)
+
+
+def test_coordinator_that_did_not_know_the_lost_replica() -> None:
+    """Guards against a choice by an instance that started after a replica had left."""
+    network = make_group()
+    network.transit["e2"] = 60 * SECOND
+    network.play(SECOND)
+    leave_registry(network, "e3")
+    crash(network, "e1")
+    network.play(6 * SECOND)
+    for name in NAMES[:1]:
+        network.restart(name)
+    network.play(6 * SECOND)
+    assert network.leader == "e1" and not network.dropped
+
+
 def test_replica_that_still_calls_itself_the_primary() -> None:
     """Guards against commits that only a deposed primary has received.
 
