Use no primary of a lossless group before this instance is listed

Acknowledged commits were missing after a planned change of primary.

Cause: the coordinator asks the listed instances to hold their work at a primary that leaves. One whose entry in the list could not be written, or was removed while it was only silent, is not asked and went on writing.

Why this works: where commits wait for replicas, an instance now has to be in its copy of the list to use a primary, as it has to where instances keep a replaced primary out of use. The other groups are not affected.

--- a/pimentodrift/fencing/permissions.py
+++ b/pimentodrift/fencing/permissions.py
@@ -51,12 +51,23 @@
     return newest if newest != stored else None
 
 
+def is_known_to_others(group: str, state: State) -> bool:
+    """Return whether this instance is asked to stop before a primary is replaced.
+
+    Where that matters, only listed instances are asked: where they keep a replaced
+    primary out of use, or commits that wait for replicas must not be lost.
+    """
+    is_lossless = state.session_limits.sync_replicas.get(group, 0) > 0
+    if not is_enabled(state) and not is_lossless:
+        return True
+    return state.settings.name in state.instances
+
+
 def may_lead(group: str, endpoint: str, state: State) -> bool:
     """Return whether this instance may use an endpoint as its group's primary."""
+    if not is_known_to_others(group, state):
+        return False
     if not is_enabled(state):
         return True
-    # Whoever waits for the instances to stop knows only those that are listed.
-    if state.settings.name not in state.instances:
-        return False
     decision = newest_decision(group, state)
     return decision is None or decision.target == endpoint
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -54,10 +54,10 @@
     """Watch the primaries and replace those that have failed."""
     if state.stopping or not view.is_copy_fresh(state):
         return
-    if permissions.is_enabled(state) and state.settings.name not in state.instances:
-        return  # No endpoint counts as the primary before this instance is listed.
     for group in {member.entry.group for member in state.registry.values()}:
-        check_primary(promotion_row(group, state), state)
+        # No endpoint counts as the primary before this instance is listed.
+        if permissions.is_known_to_others(group, state):
+            check_primary(promotion_row(group, state), state)
 
 
 def check_primary(row: PromotionRow, state: State) -> None:
--- a/tests/test_leaving_primary.py
+++ b/tests/test_leaving_primary.py
@@ -12,7 +12,7 @@
 from pimentodrift.evacuation.rows import SwitchoverStage
 from pimentodrift.fencing.decisions import PrimaryFencing
 from pimentodrift.kind_messages import Gone, WatchedKind
-from pimentodrift.messages import Position
+from pimentodrift.messages import Position, WriteStore
 from pimentodrift.session_messages import (
     ApplyStep,
     Fault,
@@ -53,6 +53,7 @@
     dropped: set[str] = field(factory=set)  # Acknowledged commits that were lost.
     mute: set[str] = field(factory=set)  # Databases that can't reach the store.
     starts: Counter[str] = field(factory=Counter)  # Starts after the first, by name.
+    unlisted: set[str] = field(factory=set)  # Instances that fail to list themselves.
     # When connections were opened, by database.
     uses: defaultdict[str, list[timedelta]] = field(factory=lambda: defaultdict(list))
 
@@ -76,6 +77,11 @@
             del self.links[key]
         self.register(name)
 
+    def perform(self, name: str, message: object) -> None:
+        is_listing = isinstance(message, WriteStore) and message.kind == "instance"
+        if not (is_listing and name in self.unlisted):
+            super().perform(name, message)
+
     def open(self, name: str, message: OpenPooled) -> None:
         self.uses[message.endpoint].append(self.time)
         super().open(name, message)
--- a/tests/test_unknown_commits.py
+++ b/tests/test_unknown_commits.py
@@ -151,3 +151,23 @@
     network.play(4 * SECOND)
     assert network.leader != "e1"
     assert not network.dropped and not network.wrong
+
+
+@pytest.mark.parametrize("seed", [1, 4, 8, 12])
+def test_instance_that_is_not_listed(seed: int) -> None:
+    """Guards against commits at a primary that the listed instances have left.
+
+    The coordinator does not know an instance whose entry in the list is missing.
+    """
+    network = make_group(seed=seed)
+    network.jitter = 700 * MILLISECOND
+    network.unlisted.add("c")
+    network.put("instance", "c", None)
+    network.play(SECOND)
+    network.leave("e1")
+    network.play(4 * SECOND)
+    assert network.leader != "e1"
+    assert not network.dropped and not network.wrong
+    network.unlisted.clear()
+    network.play(3 * SECOND)
+    check_recovery(network)
