Decide that a primary stays before its replicas receive again

Acknowledged commits were missing after a promotion.

Cause: a coordinator that is cut off from the other instances, and for which the primary works again, told the replicas that it had stopped to resume. Another coordinator went on counting them as stopped, and chose by positions that were no longer their last ones. The postmortem on leaving primaries had this as suspected.

Why this works: the first coordinator writes the decision that the primary stays, with a new token, and resumes the replicas only once that is written. The other one's decision is a conditional write on the object that it has seen; a newer decision makes it ask all replicas again. Nothing is written while the call of another decision may still take effect. The write is made only after a failure that ended without a promotion, in groups whose commits wait for replicas.

--- a/pimentodrift/log_events.py
+++ b/pimentodrift/log_events.py
@@ -177,6 +177,14 @@
     waited_ms: int
 
 
+@frozen
+class PrimaryKept(Event):
+    """The decision that a primary stays was written to the store, or that failed."""
+
+    group: str
+    outcome: str
+
+
 @frozen
 class PromotionEnded(Event):
     """The platform answered the call for a promotion, or the call failed."""
--- a/pimentodrift/promotion.py
+++ b/pimentodrift/promotion.py
@@ -16,7 +16,7 @@
 from .evacuation import switchover
 from .fencing import permissions
 from .promotion_decisions import (
-    is_busy,
+    keep_primary,
     may_take_effect,
     promotion_row,
     replace_primary,
@@ -86,9 +86,9 @@
         probe_primary(row, primary, state)
     if primary is not None and not needs_switchover:
         switchover.settle(row.group, primary, state)
-    if row.stopped and is_sound and not is_unclear and not is_busy(row, state):
+    if row.stopped and is_sound and not is_unclear and primary is not None:
         row.choosing_since = None
-        sync_replicas.resume(row, state)
+        keep_primary(row, primary, state)
     if is_sound and not is_leaving and not needs_switchover:
         row.choosing_since = None
         return
@@ -134,11 +134,15 @@
 
 
 def record_newest_token(row: PromotionRow, state: State) -> None:
-    """Record the newest token and when it was first seen."""
+    """Record the newest token and when it was first seen.
+
+    Replicas that stopped before may receive again since the decision.
+    """
     token = stored_token(row.group, state)[0]
     if token > row.seen_token:
         row.seen_token = token
         row.seen_at = state.clock.monotonic()
+        row.choosing_since = None
 
 
 def drop_old_reports(row: PromotionRow, state: State) -> None:
--- a/pimentodrift/promotion_decisions.py
+++ b/pimentodrift/promotion_decisions.py
@@ -20,7 +20,7 @@
 from .fencing.decisions import PromotionDecision, lease_end
 from .fencing.messages import FenceCompleted
 from .homes.limits import prefers_region
-from .log_events import PromotionDecided, PromotionEnded
+from .log_events import PrimaryKept, PromotionDecided, PromotionEnded
 from .messages import Position
 from .promotion_messages import PromoteEnded, PromoteEndpoint, PromoteOutcome
 from .session_rows import EndpointRole, PromotionRow, RegistryRow
@@ -39,6 +39,8 @@
 PROMOTION_TIMEOUT = timedelta(seconds=3)
 # The coordinator's wait after a decision that could not be written or carried out.
 RETRY_DELAY = timedelta(milliseconds=300)
+# Marks a decision that the primary stays; nothing is carried out for it.
+STAYS = "stays"
 # Another instance's decision blocks a new one for this long, unless its process ended.
 DECISION_LIFETIME = timedelta(seconds=5)
 # The platform may carry out a call without an answer up to this much later.
@@ -55,6 +57,13 @@
     previous: PromotionDecision | None  # The decision that it replaces.
 
 
+@frozen
+class StayWrite:
+    """The purpose of the store write that a primary stays."""
+
+    group: str
+
+
 def promotion_row(group: str, state: State) -> PromotionRow:
     """Return the row of a group, creating it if needed."""
     row = state.promotions.get(group)
@@ -106,6 +115,9 @@
     _, holder = stored_token(row.group, state)
     if holder in ("", state.settings.name):
         return False
+    item = state.view.objects["promotion", row.group]
+    if item.value is not None and STAYS in item.value:
+        return False
     if membership.has_ended_since(holder, row.seen_at, state):
         return False
     return state.clock.monotonic() - row.seen_at < decision_lifetime(state)
@@ -140,19 +152,78 @@
     """Write the decision to promote an endpoint, with a token that no other has."""
     if is_busy(row, state):
         return
-    row.is_writing = True
     row.old_primary = old
     previous = permissions.newest_decision(row.group, state)
+    token = unused_token(row, state)
+    write_decision(
+        row, token, target, TokenWrite(row.group, token, target, previous), state
+    )
+
+
+def unused_token(row: PromotionRow, state: State) -> int:
+    """Return a token above all that this instance knows."""
+    previous = permissions.newest_decision(row.group, state)
     known = [stored_token(row.group, state)[0], row.seen_token]
     if previous is not None:
         known.append(previous.token)
-    token = next_token(state.view.era, *known)
-    value = {"token": token, "holder": state.settings.name, "target": target}
-    purpose = TokenWrite(row.group, token, target, previous)
+    return next_token(state.view.era, *known)
+
+
+def write_decision(
+    row: PromotionRow,
+    token: int,
+    target: str,
+    purpose: object,
+    state: State,
+    stays: bool = False,
+) -> None:
+    """Write a decision, unless there is one that this instance does not know."""
+    row.is_writing = True
+    value: dict[str, object] = {
+        "token": token,
+        "holder": state.settings.name,
+        "target": target,
+    }
+    if stays:
+        value[STAYS] = True
     item = writable_object("promotion", row.group, state)
     write_object(item, value, purpose, state)
 
 
+def keep_primary(row: PromotionRow, primary: RegistryRow, state: State) -> None:
+    """Decide that a primary stays, after which its replicas may receive again.
+
+    Another coordinator that still counts them as stopped can't write its decision then.
+    No decision is needed if there was one for this primary since they stopped.
+    """
+    if is_busy(row, state):
+        return
+    decision = permissions.stored_decision(row.group, state)
+    is_target = decision is not None and decision.target == primary.name
+    if is_target and row.seen_token > row.stopped_token:
+        sync_replicas.resume(row, state)
+        return
+    # The call of another decision may still take effect, unless this process knows that
+    # it was not carried out.
+    is_own = decision is None or decision.token == row.token
+    age = state.clock.monotonic() - row.seen_at
+    if is_target or is_own or age > LATE_CALL_LIFETIME:
+        token = unused_token(row, state)
+        purpose = StayWrite(row.group)
+        write_decision(row, token, primary.name, purpose, state, stays=True)
+
+
+@write_ended.register
+def _(purpose: StayWrite, outcome: StoreOutcome, state: State) -> None:
+    row = promotion_row(purpose.group, state)
+    row.is_writing = False
+    state.log_event(PrimaryKept(purpose.group, outcome))
+    if outcome is StoreOutcome.WRITTEN:
+        sync_replicas.resume(row, state)
+    else:
+        row.next_at = state.clock.monotonic() + RETRY_DELAY
+
+
 def decision_lifetime(state: State) -> timedelta:
     """Return how long another instance's decision blocks a new one."""
     if not permissions.is_enabled(state):
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -292,6 +292,7 @@
     is_writing: bool = False  # The write of the fencing token is in flight.
     next_at: timedelta = NEVER  # No decision before this time.
     stopped: set[str] = field(factory=set)  # Replicas that were told to stop receiving.
+    stopped_token: int = 0  # The highest token in the store when the first was told.
     rejected: set[str] = field(factory=set)  # Endpoints that could not be promoted.
     # The last decision: the replaced primary, the endpoint to promote, and the fencing
     # token. Empty or 0 if there is none.
--- a/pimentodrift/sync_replicas.py
+++ b/pimentodrift/sync_replicas.py
@@ -113,6 +113,8 @@
     term = newest_term(row.group, state)
     pool = state.pools[endpoint]
     pool.stop_sent_at = state.clock.monotonic()
+    if not row.stopped:
+        row.stopped_token = row.seen_token
     row.stopped.add(endpoint)
     state.counters["promotion.stops"] += 1
     stop = ReplicaCommand.STOP_RECEIVING
--- a/tests/test_unknown_commits.py
+++ b/tests/test_unknown_commits.py
@@ -8,7 +8,7 @@
 from pimentodrift.evacuation.messages import Evacuation
 from pimentodrift.kind_messages import Gone, WatchedKind
 
-from .session_support import MILLISECOND, SECOND
+from .session_support import GROUP, MILLISECOND, SECOND
 from .test_leaving_primary import (
     NAMES,
     LeavingNetwork,
@@ -171,3 +171,31 @@
     network.unlisted.clear()
     network.play(3 * SECOND)
     check_recovery(network)
+
+
+@pytest.mark.parametrize("seed", [65, 85, 98, 106, 127, 148])
+def test_two_coordinators(seed: int) -> None:
+    """Guards against a replica that receives again while another instance chooses.
+
+    The first coordinator is cut off from the others and reaches the primary again.
+    """
+    network = make_group(seed=seed)
+    network.jitter = 100 * MILLISECOND
+    for name in NAMES:
+        network.partitions.update(frozenset((name, other)) for other in ("e1", "e3"))
+    network.play(2 * SECOND)
+    first = next(
+        name
+        for name, node in network.nodes.items()
+        if node.state.promotions[GROUP].stopped
+    )
+    others = [name for name in NAMES if name != first]
+    network.partitions.update(frozenset((first, name)) for name in others)
+    network.partitions.discard(frozenset((first, "e1")))
+    network.play(network.random.uniform(1, 3.5) * SECOND)
+    network.partitions.difference_update(frozenset((name, "e3")) for name in NAMES)
+    network.play(4 * SECOND)
+    assert not network.dropped and not network.wrong
+    network.partitions.clear()
+    network.play(8 * SECOND)
+    check_recovery(network)
