Check the copy of the registry, and tell followers its age

After all open connections to the store had gone silent, a primary that left 5.5 s later got writes until it exited, 3 s after the allowed 7 s, and the writes that ran then ended in doubt.

Cause: the age of the copies of the store was that of the configuration and of the product's own objects. The registry was confirmed by the answers to its watch only, which come after 20 s, or 20.7 s on a silent connection, if nothing changes. Nothing else told that this copy was old, and relays sent it on as current.

Change: the copy of the registry is checked once it is 1.4 s old, unless the store has not changed since its revision, which the check of the configuration tells. Relays tell the age of their copy in a new last field of RegistryUpdate and send none that is older than 3 s. A follower's copy that its relay has not confirmed for 3 s, as by a relay of the build before, is checked like a relay's. While the check of the configuration fails, no other is sent.

Why this works: each kind of object now has a proof of its age that does not depend on the connection of its watch, and each instance asks again when the proof is old.

--- a/pimentodrift/kind_rows.py
+++ b/pimentodrift/kind_rows.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from .clock import NEVER
+from .clock import MILLISECOND, NEVER
 from .kind_messages import Entry, WatchedKind, stored_name
 from .messages import StoreObject
 from .peer_messages import RegistryUpdate, RelayedEndpoint
@@ -19,6 +19,8 @@
 # Once its copy is older, a subscriber checks the store itself and a relay stops sending
 # its registry.
 MAX_RELAYED_AGE = timedelta(milliseconds=1500)
+# The same for the copy of the registry, which is checked at longer intervals.
+MAX_RELAYED_REGISTRY_AGE = timedelta(seconds=3)
 MAX_DELETIONS = 4096  # Deletions remembered for each kind; bounds their memory.
 # The age of the view is that of the older copy of these kinds.
 VIEW_KINDS = (WatchedKind.CONFIGURATION, WatchedKind.OWN)
@@ -158,11 +160,15 @@
     or only confirmed by neighbours: their registry may come from this instance.
     """
     row = state.kinds.get(WatchedKind.REGISTRY)
-    age = state.clock.monotonic() - state.view.confirmed_at
-    asked = state.clock.monotonic() - state.view.peer_asked_at
+    now = state.clock.monotonic()
+    age = now - state.view.confirmed_at
+    asked = now - state.view.peer_asked_at
     is_old = age > MAX_RELAYED_AGE or asked <= MAX_RELAYED_AGE
     if row is None or not row.revision or is_old:
         return None
+    registry_age = now - row.confirmed_at
+    if registry_age > MAX_RELAYED_REGISTRY_AGE:
+        return None
     after = max(known, row.complete_from)
     changes: list[RelayedEndpoint] = []
     if after < row.changed_revision:
@@ -173,7 +179,8 @@
                 changes.append(RelayedEndpoint(entry.name, entry.revision, content))
         gone = [(name, at) for name, at in row.gone.items() if at > after]
         changes += [RelayedEndpoint(name, at, None) for name, at in gone]
-    return RegistryUpdate(after, row.revision, tuple(changes))
+    age_ms = registry_age // MILLISECOND
+    return RegistryUpdate(after, row.revision, tuple(changes), age_ms)
 
 
 def configuration_changed_revision(state: State) -> int:
--- a/pimentodrift/kind_watch.py
+++ b/pimentodrift/kind_watch.py
@@ -35,12 +35,14 @@
 )
 from .kind_rows import (
     MAX_RELAYED_AGE,
+    MAX_RELAYED_REGISTRY_AGE,
     KindRow,
     confirm_kind,
     record_deletion,
     row_of,
     view_kinds,
     watched_kinds,
+    watched_rows,
 )
 from .log_events import (
     CheckLost,
@@ -66,6 +68,9 @@
 # is short because an outage of the store is tolerated only for the configuration lease
 # less the age of the last confirmation.
 CHECK_INTERVAL = timedelta(milliseconds=700)
+# Age at which the copy of the registry is checked. Its watch alone confirms it only
+# after WATCH_WAIT, and never on a connection that is silent.
+REGISTRY_CHECK_AGE = 2 * CHECK_INTERVAL
 # Age at which a copy is checked because an answer shows that the store has changed.
 # Checks of two kinds would otherwise follow each other for as long as anybody writes.
 FOLLOW_UP_AGE = CHECK_INTERVAL / 2
@@ -123,9 +128,23 @@
         row = row_of(kind, state)
         if not (is_following and is_relayed(row, state)):
             start_call(row, state)
+    start_checks(is_following, state)
+
+
+def start_checks(is_following: bool, state: State) -> None:
+    """Check the copies that neither the store nor a relay has confirmed lately.
+
+    While the check of the configuration fails, it is the only one.
+    """
+    configuration = row_of(WatchedKind.CONFIGURATION, state)
     if not is_following or view.copy_age(state) > MAX_RELAYED_AGE:
-        configuration = row_of(WatchedKind.CONFIGURATION, state)
         start_check(configuration, state, CHECK_INTERVAL)
+    if configuration.is_unchecked:
+        return
+    registry = row_of(WatchedKind.REGISTRY, state)
+    is_registry_relayed = is_following and is_relayed(registry, state)
+    age = MAX_RELAYED_REGISTRY_AGE if is_registry_relayed else REGISTRY_CHECK_AGE
+    start_check(registry, state, age)
 
 
 def is_relayed(row: KindRow, state: State) -> bool:
@@ -320,12 +339,17 @@
         return
     apply_changes(row, message, state)
     confirm_kind(row, sent_at, state)
-    for kind in view_kinds(state):
-        other = row_of(kind, state)
+    if row.kind is WatchedKind.REGISTRY:
+        return  # The pace of the other checks follows from that of the configuration.
+    for other in watched_rows(state):
         if other.revision >= message.revision:
             # The store has not changed since the revision of this copy.
             confirm_kind(other, sent_at, state)
-        elif other is not row and row.kind is not WatchedKind.EVACUATIONS:
+        elif (
+            other is not row
+            and other.kind in view_kinds(state)
+            and row.kind is not WatchedKind.EVACUATIONS
+        ):
             # The answer to a check of the evacuations comes last and starts no other.
             other.check_after = NEVER
             start_check(other, state, FOLLOW_UP_AGE)
@@ -401,3 +425,5 @@
         for item in update.changes
     )
     apply_changes(row, KindChanged(row.kind, entries, update.revision), state)
+    if message.since is not None:
+        confirm_kind(row, message.since, state)
--- a/pimentodrift/notices.py
+++ b/pimentodrift/notices.py
@@ -143,9 +143,13 @@
 
 @frozen
 class RegistryRelayed(Notice):
-    """A relay sent changes of the registry of endpoints."""
+    """A relay sent changes of the registry of endpoints.
+
+    Its copy was current at `since` (None: at an unknown time).
+    """
 
     update: RegistryUpdate
+    since: timedelta | None
 
 
 @frozen
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -147,11 +147,16 @@
 
 @frozen
 class RegistryUpdate:
-    """All changes of the registry after the revision `after`, up to `revision`."""
+    """All changes of the registry after the revision `after`, up to `revision`.
+
+    `age_ms` is the time since the store last confirmed the relay's copy of the
+    registry; None from a build that does not tell it.
+    """
 
     after: int
     revision: int
     changes: tuple[RelayedEndpoint, ...]
+    age_ms: int | None = None
 
 
 @frozen
--- a/pimentodrift/relay_versions.py
+++ b/pimentodrift/relay_versions.py
@@ -101,8 +101,11 @@
         RelayedEndpoint(item.name, revision_of(item.revision), item.content)
         for item in update.changes
     )
-    return RegistryUpdate(
-        revision_of(update.after), revision_of(update.revision), tuple(changes)
+    return evolve(
+        update,
+        after=revision_of(update.after),
+        revision=revision_of(update.revision),
+        changes=tuple(changes),
     )
 
 
@@ -114,8 +117,11 @@
         RelayedEndpoint(item.name, to_version(item.revision, era), item.content)
         for item in update.changes
     )
-    return RegistryUpdate(
-        to_version(update.after, era), to_version(update.revision, era), tuple(changes)
+    return evolve(
+        update,
+        after=to_version(update.after, era),
+        revision=to_version(update.revision, era),
+        changes=tuple(changes),
     )
 
 
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -437,7 +437,10 @@
         else:
             kind_rows.confirm_view(since, state)
     if message.registry is not None:
-        handle(RegistryRelayed(message.registry), state)
+        confirmed_at = None
+        if sent_at is not None and message.registry.age_ms is not None:
+            confirmed_at = sent_at - message.registry.age_ms * MILLISECOND
+        handle(RegistryRelayed(message.registry, confirmed_at), state)
     if message.evacuations is not None and kind_rows.follows_evacuations(state):
         age = timedelta(milliseconds=message.age_ms)
         current_at = sent_at - age if sent_at is not None else None
