Don't count a replica that knows a newer term than its demand to stop

Acknowledged commits were missing after a promotion.

Cause: a replica stops receiving if the term of the command is above the newest term; otherwise it answers with its status and goes on. The coordinator took any answer for a stop. It may not know the newest term if it has lost a new primary before a replica has applied the first commit of its term.

Why this works: the answer has the newest term that the replica knows. It has stopped only if that is below the term of the command, and the next command is above it.

--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -215,7 +215,9 @@
     known = [pool.position for pool in rows] + [
         leadership.row_of(group, state).position
     ]
-    return max((item.term for item in known if item is not None), default=None)
+    terms = [item.term for item in known if item is not None]
+    terms += [pool.newest_term for pool in rows if pool.newest_term]
+    return max(terms, default=None)
 
 
 def record_refusal(group: str, endpoint: str, sent_at: timedelta, state: State) -> None:
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -287,7 +287,13 @@
     entry = state.registry[pool.endpoint].entry
     now = state.clock.monotonic()
     state.pooled[number] = PooledRow(
-        number, pool.endpoint, pool.group, workspace, opened_at=now, command=command
+        number,
+        pool.endpoint,
+        pool.group,
+        workspace,
+        opened_at=now,
+        command=command,
+        term=term,
     )
     pool.connections.add(number)
     state.counters["pools.opened"] += 1
@@ -384,7 +390,9 @@
     pool.position, pool.position_at = message.position, now
     pool.position_asked_at = row.opened_at
     if row.command is ReplicaCommand.STOP_RECEIVING:
-        pool.received, pool.has_stopped = message.received, message.has_stopped
+        pool.received = message.received
+        pool.has_stopped = message.has_stopped and message.term < row.term
+        pool.newest_term = message.term
         pool.stop_asked_at = row.opened_at
     record_recovery(pool, state)
     serve_waiting(pool, state)
--- a/pimentodrift/session_messages.py
+++ b/pimentodrift/session_messages.py
@@ -318,13 +318,15 @@
     """A pooled connection is ready; `position` is the end of the endpoint's log.
 
     `received` is what a replica has received, if it was told to stop receiving and is
-    one; `has_stopped` tells that it did.
+    one; `has_stopped` tells that it accepted that, and `term` the newest term that it
+    knows (0: not told). It has not stopped if it was told so with no higher term.
     """
 
     connection: int
     position: Position | None = None
     received: Position | None = None
     has_stopped: bool = False
+    term: int = 0
 
 
 @frozen
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -177,6 +177,7 @@
     assigned_at: timedelta = NEVER
     charged: timedelta = timedelta(0)
     command: ReplicaCommand = ReplicaCommand.NONE  # Sent with its opening.
+    term: int = 0  # Of the command.
 
 
 @define
@@ -205,9 +206,10 @@
     # Refused attempts to connect since it last opened a connection; sets the backoff.
     refusals: int = 0
     position_asked_at: timedelta = NEVER  # When the opening began that told `position`.
-    # What a replica that was told to stop receiving has received, and when the opening
-    # of the connection began on which it was told.
+    # What a replica that was told to stop receiving has received, the newest term that
+    # it knew, and when the opening of the connection began on which it was told.
     received: Position | None = None
+    newest_term: int = 0
     has_stopped: bool = False  # It receives nothing more.
     stop_asked_at: timedelta = NEVER
     stop_sent_at: timedelta = NEVER  # When it was last told so.
--- a/tests/split_group.py
+++ b/tests/split_group.py
@@ -172,17 +172,17 @@
                 opened = PooledOpened(
                     message.connection,
                     member.position(),
-                    *self.carry_out(member, message.command),
+                    *self.carry_out(member, message.command, message.term),
                 )
                 self.deliver(name, opened)
 
         self.schedule(STATEMENT_TIME, answer)
 
     def carry_out(
-        self, member: Member, command: ReplicaCommand
-    ) -> tuple[Position | None, bool]:
-        """Carry out a command; return what was received and whether that stopped."""
-        return None, False
+        self, member: Member, command: ReplicaCommand, term: int
+    ) -> tuple[Position | None, bool, int]:
+        """Return what was received, whether a command was accepted, and the term."""
+        return None, False, 0
 
     def run_steps(self, name: str, message: RunSteps) -> None:
         endpoint = self.links.get((name, message.connection))
--- a/tests/test_leaving_primary.py
+++ b/tests/test_leaving_primary.py
@@ -48,6 +48,7 @@
     lags: dict[str, timedelta] = field(factory=dict)  # Of replicas; else `lag`.
     jitter: timedelta = timedelta(0)  # Longest addition to a commit's transit.
     received: Counter[str] = field(factory=Counter)  # Last offset, by replica.
+    received_terms: Counter[str] = field(factory=Counter)  # Of the last commit.
     knows_commands: bool = True  # Replicas stop receiving when they are told so.
     stopped: set[str] = field(factory=set)  # Replicas that receive nothing.
     dropped: set[str] = field(factory=set)  # Acknowledged commits that were lost.
@@ -106,6 +107,7 @@
         def receive() -> None:
             if source == self.leader and name not in {*self.stopped, source}:
                 self.received[name] = max(self.received[name], offset)
+                self.received_terms[name] = self.members[source].term
                 self.schedule(self.lags.get(name, self.lag), apply)
 
         def apply() -> None:
@@ -120,18 +122,20 @@
         return lambda: None  # A replica applies what it has received.
 
     def carry_out(
-        self, member: Member, command: ReplicaCommand
-    ) -> tuple[Position | None, bool]:
+        self, member: Member, command: ReplicaCommand, term: int
+    ) -> tuple[Position | None, bool, int]:
+        newest = max(item.term for item in self.members.values())
         if command is ReplicaCommand.NONE or member.believes:
-            return None, False
+            return None, False, newest
         if command is ReplicaCommand.RESUME_RECEIVING:
             self.stopped.discard(member.name)
             last = self.members[self.leader].offset
             self.reception(self.leader, member.name, last)()
-        elif self.knows_commands:
+        elif self.knows_commands and term > newest:
             self.stopped.add(member.name)
         last = max(member.offset, self.received[member.name])
-        return Position(member.term, last), member.name in self.stopped
+        log_term = max(member.term, self.received_terms[member.name])
+        return Position(log_term, last), self.knows_commands, newest
 
     def take_over(self, name: str) -> None:
         """Make a database the leader; what it has not received is dropped."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -401,21 +401,21 @@
     assert database_connections.parse_received(rows, fault) == received
 
 
-STATUS = "ROW replica 3 3.5 0 12 2 17"
+STATUS = "ROW replica 4 3.5 0 12 2 17"
 
 
 @pytest.mark.parametrize(
-    ("answers", "received", "has_stopped"),
+    ("answers", "received", "has_stopped", "term"),
     [
-        ([[STATUS, "DONE -"], [STATUS, "DONE -"]], Position(3, 5), True),
-        ([[STATUS, "DONE -"], ["ERROR BUSY -"]], Position(3, 5), True),
-        ([["DONE -"], [STATUS, "DONE -"]], Position(3, 5), False),
-        ([["ERROR MALFORMED -"], [STATUS, "DONE -"]], Position(3, 5), False),
-        ([["ERROR BUSY -"], ["ERROR BUSY -"]], None, False),
+        ([[STATUS, "DONE -"], [STATUS, "DONE -"]], Position(3, 5), True, 4),
+        ([[STATUS, "DONE -"], ["ERROR BUSY -"]], Position(3, 5), True, 4),
+        ([["DONE -"], [STATUS, "DONE -"]], Position(3, 5), False, 4),
+        ([["ERROR MALFORMED -"], [STATUS, "DONE -"]], Position(3, 5), False, 4),
+        ([["ERROR BUSY -"], ["ERROR BUSY -"]], None, False, 0),
     ],
 )
 def test_connection_with_a_command_is_ready_once_it_is_answered(
-    answers: list[list[str]], received: Position | None, has_stopped: bool
+    answers: list[list[str]], received: Position | None, has_stopped: bool, term: int
 ) -> None:
     """Guards against a position that is taken from the answer to STARTUP."""
     connection = database_connections.CommandConnection(
@@ -428,7 +428,7 @@
         lines += [*answer, "READY I 3.2"]
     *early, opened = map(connection.decode, lines)
     assert not any(early)
-    assert opened == m.PooledOpened(7, Position(3, 2), received, has_stopped)
+    assert opened == m.PooledOpened(7, Position(3, 2), received, has_stopped, term)
     lines = ["ROW x", "DONE signed", "READY I 3.6"]
     assert [connection.decode(line) for line in lines][-1] == m.StepAnswered(
         7, m.Phase.IDLE, ("x",), "signed", Position(3, 6)
--- a/tests/test_unknown_commits.py
+++ b/tests/test_unknown_commits.py
@@ -199,3 +199,26 @@
     network.partitions.clear()
     network.play(8 * SECOND)
     check_recovery(network)
+
+
+@pytest.mark.parametrize("seed", [23, 60, 78, 85, 94])
+def test_stop_in_a_term_that_is_not_new(seed: int) -> None:
+    """Guards against a replica that goes on receiving since it knows a newer term.
+
+    The coordinator has lost the primary of that term before it had its positions.
+    """
+    network = make_group(seed=seed)
+    network.lag = 3 * SECOND
+    network.jitter = 100 * MILLISECOND
+    crash(network, "e1")
+    while network.leader == "e1":
+        network.play(40 * MILLISECOND)
+    leader, coordinator = network.leader, network.tokens[-1][1]
+    recover(network, "e1")
+    others = [name for name in NAMES if name != coordinator]
+    network.partitions.update(
+        frozenset((name, leader)) for name in (coordinator, others[-1])
+    )
+    network.play(4 * SECOND)
+    assert network.leader != leader
+    assert not network.dropped and not network.wrong
