Ask a replica that has left before it counts as gone

Acknowledged commits were missing after a promotion.

Cause: a replica whose entry is gone may run: it does not reach the store, but goes on receiving commits and acknowledging them. Once another replica had what it had acknowledged before it left, it was not needed any more.

Change: the coordinator also tells replicas that have left, at their last address and with their id, to receive nothing more. One that answers counts like a replica with an entry, but is not promoted.

Evidence: test_replica_that_runs_without_an_entry failed before: the replica without the commits was promoted.

Why this works: the log of a replica that still acknowledges commits is now among those compared. The connection names the expected id, so another service at the address refuses it.

--- a/pimentodrift/former_replicas.py
+++ b/pimentodrift/former_replicas.py
@@ -2,16 +2,16 @@
 
 Such a replica counts among those whose logs `sync_replicas` needs until this instance
 has seen a position that the primary told later: another log that reaches it has all
-that the replica could have acknowledged. One whose process has started again has left,
-too, since it may have lost its log.
+that the replica had acknowledged. One whose process has started again has left, too,
+since it may have lost its log. One that may run without an entry is asked like others.
 
 Each instance remembers the replicas that it has seen leave, and those that others have
 reported with a failing primary: its own process may have started later.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
-from . import leadership, registry
+from . import leadership, pools, registry
 from .clock import MILLISECOND
 from .messages import Position
 from .promotion_messages import LeftReplica
@@ -28,8 +28,9 @@
     for name, entry in row.replicas.items():
         member = members.get(name)
         if member is None or registry.is_restarted(entry, member.entry):
-            address = entry.address if entry.is_leaving else ""
-            row.left[name, entry.incarnation] = LeftReplicaRow(now, address)
+            row.left[name, entry.incarnation] = LeftReplicaRow(
+                now, entry.address, entry.data_centre, entry.is_leaving
+            )
     primary = leadership.row_of(row.group, state).primary
     row.replicas = {
         name: member.entry for name, member in members.items() if name != primary
@@ -40,13 +41,15 @@
         is_back = any(is_log_of(member, key, left) for member in members.values())
         if is_back or is_outdated(left, row, state):
             del row.left[key]
+            if key[0] not in state.registry:
+                pools.drop_endpoint(key[0], state)
 
 
 def is_log_of(member: RegistryRow, key: tuple[str, int], left: LeftReplicaRow) -> bool:
     """Return whether a member has the log of a replica that has left."""
     if (member.name, member.entry.incarnation) == key:
         return True
-    return member.entry.address == left.successor_address
+    return left.is_planned and member.entry.address == left.address
 
 
 def is_outdated(left: LeftReplicaRow, row: PromotionRow, state: State) -> bool:
@@ -65,7 +68,9 @@
             name,
             incarnation,
             (now - left.at) // MILLISECOND,
-            left.successor_address,
+            left.address,
+            left.data_centre,
+            left.is_planned,
             left.covered_by,
         )
         for (name, incarnation), left in sorted(row.left.items())
@@ -81,15 +86,37 @@
         at = now - replica.age_ms * MILLISECOND
         known = row.left.setdefault(
             (replica.endpoint, replica.incarnation),
-            LeftReplicaRow(at, replica.successor_address),
+            LeftReplicaRow(
+                at, replica.address, replica.data_centre, replica.is_planned
+            ),
         )
         known.covered_by = known.covered_by or replica.covered_by
 
 
-def missing_logs(row: PromotionRow) -> tuple[int, Position | None]:
+def may_run(key: tuple[str, int], state: State) -> bool:
+    """Return whether a replica that has left may still run and receive commits.
+
+    Its entry may be gone because it does not reach the store.
+    """
+    return key[0] not in state.registry
+
+
+def missing_logs(
+    row: PromotionRow, answered: Container[str], is_asked: bool, state: State
+) -> tuple[int, Position | None]:
     """Return how many logs of replicas that left are needed, and a lowest position.
 
-    A log that reaches the position has what the others of them could have acknowledged.
+    A log that reaches the position has what the others of them acknowledged before they
+    left. Those in `answered` are not needed. With `is_asked`, one that has not answered
+    counts as gone: it acknowledges nothing more.
     """
-    covered = [left.covered_by for left in row.left.values() if left.covered_by]
-    return len(row.left) - len(covered), max(covered, default=None)
+    missing = 0
+    covered = []
+    for key, left in row.left.items():
+        if may_run(key, state) and key[0] in answered:
+            continue
+        if left.covered_by is None or (may_run(key, state) and not is_asked):
+            missing += 1
+        else:
+            covered.append(left.covered_by)
+    return missing, max(covered, default=None)
--- a/pimentodrift/pools.py
+++ b/pimentodrift/pools.py
@@ -276,15 +276,19 @@
     state: State,
     command: ReplicaCommand = ReplicaCommand.NONE,
     term: int = 0,
+    address: str = "",
 ) -> int:
     """Open a connection for a workspace and return its number.
 
-    Return 0 if the endpoint is evacuated.
+    `address` is that of an endpoint that is not in the registry. Return 0 if the
+    endpoint is evacuated.
     """
     if not permissions.may_connect(pool, state):
         return 0
     number = state.new_number()
-    entry = state.registry[pool.endpoint].entry
+    known = state.registry.get(pool.endpoint)
+    if known is not None:
+        address = known.entry.address
     now = state.clock.monotonic()
     state.pooled[number] = PooledRow(
         number,
@@ -297,7 +301,7 @@
     )
     pool.connections.add(number)
     state.counters["pools.opened"] += 1
-    address, endpoint = entry.address, pool.endpoint
+    endpoint = pool.endpoint
     state.outbox.append(
         OpenPooled(number, address, pool.group, workspace, endpoint, command, term)
     )
@@ -309,15 +313,16 @@
     state: State,
     command: ReplicaCommand = ReplicaCommand.NONE,
     term: int = 0,
+    address: str = "",
 ) -> int:
     """Open a connection to learn whether an endpoint answers, and its log position.
 
     A replica can be told to stop or resume receiving with it; `term` is above all terms
-    so far.
+    so far. `address` is that of an endpoint that is not in the registry.
     """
     workspace = next(iter(state.configuration.workspaces), "")
     state.counters["pools.probes"] += 1
-    return open_connection(workspace, pool, state, command, term)
+    return open_connection(workspace, pool, state, command, term, address)
 
 
 def release(row: PooledRow, state: State) -> None:
--- a/pimentodrift/promotion_messages.py
+++ b/pimentodrift/promotion_messages.py
@@ -19,14 +19,16 @@
 class LeftReplica:
     """A replica that has left its group, and may have acknowledged commits before.
 
-    `covered_by` is a position that the primary told later, None if none is known. The
-    next endpoint at `successor_address` has its log; empty if none will.
+    If that was planned, the next endpoint at its address has its log. `covered_by` is a
+    position that the primary told later, None if none is known.
     """
 
     endpoint: str
     incarnation: int
     age_ms: int  # Since it left.
-    successor_address: str
+    address: str
+    data_centre: str
+    is_planned: bool
     covered_by: Position | None
 
 
--- a/pimentodrift/session_rows.py
+++ b/pimentodrift/session_rows.py
@@ -270,8 +270,9 @@
     """A replica that has left its group; see `former_replicas`."""
 
     at: timedelta  # When it had left.
-    # The next endpoint there has its log; empty if it did not leave as planned.
-    successor_address: str
+    address: str
+    data_centre: str
+    is_planned: bool  # It announced that; the next endpoint at its address has its log.
     # A position that the primary told later; None if none is known.
     covered_by: Position | None = None
 
--- a/tests/test_unknown_commits.py
+++ b/tests/test_unknown_commits.py
@@ -222,3 +222,28 @@
     network.play(4 * SECOND)
     assert network.leader != leader
     assert not network.dropped and not network.wrong
+
+
+@pytest.mark.parametrize("is_delivered", [True, False])
+def test_replica_that_runs_without_an_entry(is_delivered: bool) -> None:
+    """Guards against commits that only a replica has which does not reach the store.
+
+    Its entry is gone, but it goes on receiving commits.
+    """
+    network = make_group()
+    network.mute.add("e3")
+    network.change(WatchedKind.REGISTRY, "e3", Gone())
+    network.play(5 * SECOND)
+    if not is_delivered:
+        network.transit["e2"] = 60 * SECOND
+    network.play(SECOND)
+    crash(network, "e1")
+    network.play(6 * SECOND)
+    assert network.leader == ("e2" if is_delivered else "e1")
+    assert not network.dropped and not network.wrong
+    network.mute.clear()
+    network.register("e3")
+    network.play(4 * SECOND)
+    network.transit.clear()
+    network.play(SECOND)
+    check_recovery(network)
