Call the platform only while a newer decision would be known

Cause: a refused connection counted as the end of a process, so the next coordinator decided and promoted in place of one that was only cut off. That one still had its decision, and called the platform after its wait without a look at the age of its copy.

Its successor may still decide on a refusal, but before its own call the holder of the decision before has confirmed, its next process has answered, or its lease has ended. Pong tells the age of the process for that; builds before tell none.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -98,7 +98,7 @@
     now = state.clock.monotonic()
     for name, holding in list(row.holdings.items()):
         silent = now - holding.heard_at > SILENCE_LIMIT
-        if silent or membership.has_ended_since(name, holding.heard_at, state):
+        if silent or membership.has_refused_since(name, holding.heard_at, state):
             del row.holdings[name]
             state.counters["allocator.reclaimed"] += 1
 
--- a/pimentodrift/allocator_claims.py
+++ b/pimentodrift/allocator_claims.py
@@ -184,7 +184,7 @@
 
     An instance that stops does not take a role back, so there is nothing to wait for.
     """
-    if membership.has_ended_since(seen.epoch.holder, seen.since, state):
+    if membership.has_refused_since(seen.epoch.holder, seen.since, state):
         return False
     holder = state.instances.get(seen.epoch.holder)
     if holder is not None and holder.presence is Presence.LEAVING:
--- a/pimentodrift/evacuation/switchover.py
+++ b/pimentodrift/evacuation/switchover.py
@@ -116,7 +116,7 @@
     return [
         item
         for item in state.instances.values()
-        if not membership.has_ended_since(item.name, item.last_heard, state)
+        if not membership.has_refused_since(item.name, item.last_heard, state)
     ]
 
 
--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -6,7 +6,7 @@
 
 from datetime import timedelta
 
-from .. import leadership, peers, pools, registry, view
+from .. import leadership, membership, peers, pools, registry, view
 from ..clock import MILLISECOND
 from ..dispatch import handle, handle_peer
 from ..log_events import PrimaryFenced
@@ -17,15 +17,18 @@
 from ..store_versions import era_of
 from ..tables import InstanceRow, State
 from ..warmup.statements import spend_all
+from .contact import may_use_primary
 from .decisions import (
     CONTACT_LEASE,
     FenceProgress,
     FenceResult,
+    PreviousDecision,
     PromotionDecision,
     fence_result,
     lease_end,
 )
 from .messages import DemoteEndpoint, FenceCompleted, FenceConfirmed, FenceRequest
+from .permissions import newest_decision
 from .rows import CoordinationRow
 
 # Between two requests to the instances that did not confirm yet.
@@ -40,17 +43,13 @@
     group: str,
     decision: PromotionDecision,
     version: int,
-    previous: PromotionDecision | None,
-    previous_age: timedelta,
+    previous: PreviousDecision | None,
     state: State,
 ) -> None:
-    """Begin to wait until only the target of a decision can be in use.
-
-    `previous_age` is the time since this instance first saw the previous decision.
-    """
+    """Begin to wait until only the target of a decision can be in use."""
     now = state.clock.monotonic()
-    row = CoordinationRow(group, decision, version, started_at=now)
-    row.only_primary = only_primary(group, previous, previous_age, state)
+    row = CoordinationRow(group, decision, version, now, previous)
+    row.only_primary = only_primary(group, previous, state)
     state.coordinations[group] = row
     for pool in old_primaries(row, state):
         if not pools.idle_connections(pool, state):
@@ -58,16 +57,12 @@
     request_stops(row, state)
 
 
-def only_primary(
-    group: str,
-    previous: PromotionDecision | None,
-    previous_age: timedelta,
-    state: State,
-) -> str:
+def only_primary(group: str, previous: PreviousDecision | None, state: State) -> str:
     """Return the only endpoint that can be in use as primary; empty if unknown."""
     if previous is not None:
-        lease = state.settings.configuration_lease
-        return previous.target if previous_age >= lease else ""
+        age = state.clock.monotonic() - previous.seen_at
+        is_known = age >= state.settings.configuration_lease
+        return previous.decision.target if is_known else ""
     claimants = [
         member.name
         for member in registry.group_members(group, state)
@@ -101,6 +96,10 @@
         # The store was restored, perhaps from a copy without the decision.
         del state.coordinations[row.group]
         return
+    if newest_decision(row.group, state) != row.decision:
+        del state.coordinations[row.group]
+        state.counters["fencing.superseded"] += 1
+        return
     now = state.clock.monotonic()
     unconfirmed = unconfirmed_instances(row, state)
     progress = FenceProgress(
@@ -108,10 +107,10 @@
         # The list of instances must be as new as the decision.
         len(unconfirmed) if state.view.version >= row.version else len(unconfirmed) + 1,
         time_since_majority(row, state),
-        bool(row.only_primary) and row.only_primary in row.deposed,
+        row.only_primary in row.deposed and is_previous_ended(row, state),
     )
     result = fence_result(progress, state.settings.configuration_lease)
-    if result is not None:
+    if result is not None and may_carry_out(row, state):
         complete(row, result, len(unconfirmed), state)
         return
     if now - row.requested_at >= REQUEST_INTERVAL:
@@ -119,6 +118,27 @@
     demand_step_down(row, state)
 
 
+def may_carry_out(row: CoordinationRow, state: State) -> bool:
+    """Return whether this instance would know of a decision after its own by now.
+
+    Otherwise another coordinator may have carried out a newer one.
+    """
+    may_use = may_use_primary(row.group, row.decision.target, state)
+    return may_use and view.is_copy_fresh(state)
+
+
+def is_previous_ended(row: CoordinationRow, state: State) -> bool:
+    """Return whether the decision before can't be carried out by its holder any more.
+
+    The holder confirms once it knows of this decision, and its next process knows
+    nothing of its own. Without either, its lease has to end.
+    """
+    previous = row.previous
+    if previous is None or previous.holder in (state.settings.name, *row.confirmed):
+        return True
+    return membership.has_restarted_since(previous.holder, previous.seen_at, state)
+
+
 def unconfirmed_instances(row: CoordinationRow, state: State) -> list[str]:
     """Return the listed instances that did not confirm that they stopped."""
     return [name for name in state.instances if name not in row.confirmed]
--- a/pimentodrift/fencing/decisions.py
+++ b/pimentodrift/fencing/decisions.py
@@ -10,6 +10,9 @@
 store, or answers of more than half of the listed instances that know of no newer
 decision, to something sent within `CONTACT_LEASE`. Once a majority knows a decision,
 an instance that does not can have contact for that time only.
+
+The call to the platform is bound by the same lease: an instance carries its decision
+out only while it would know of a newer one.
 """
 
 from datetime import timedelta
@@ -41,6 +44,15 @@
     target: str
 
 
+@frozen
+class PreviousDecision:
+    """What a coordinator knows of the decision that it replaces."""
+
+    decision: PromotionDecision
+    holder: str  # Empty if it is unknown.
+    seen_at: timedelta  # When this instance first saw it.
+
+
 @frozen
 class FenceProgress:
     """What is known of the work at endpoints other than the target of a decision."""
@@ -50,7 +62,9 @@
     # Time since so many had confirmed that the others get no answers from a majority;
     # None if that is not known.
     since_majority: timedelta | None
-    is_deposed: bool  # The only endpoint that could be in use refused to be primary.
+    # The only endpoint that could be in use refused to be primary, and the decision
+    # before can't be carried out any more.
+    is_deposed: bool
 
 
 class FenceResult(StrEnum):
--- a/pimentodrift/fencing/rows.py
+++ b/pimentodrift/fencing/rows.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from ..clock import NEVER
-from .decisions import PromotionDecision
+from .decisions import PreviousDecision, PromotionDecision
 
 
 @define
@@ -30,6 +30,8 @@
     decision: PromotionDecision
     version: int  # Of the object in the store that has the decision.
     started_at: timedelta
+    # The decision before, which its holder may not have carried out yet.
+    previous: PreviousDecision | None = None
     # The endpoint whose deposition suffices; empty if others may be in use as well.
     only_primary: str = ""
     confirmed: set[str] = field(factory=set)  # Instances that stopped.
--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -6,13 +6,13 @@
 
 from datetime import timedelta
 
-from .clock import MILLISECOND, NEVER
+from .clock import CLOCK_DRIFT_FACTOR, MILLISECOND, NEVER
 from .dispatch import handle, handle_peer
 from .failover_rows import ContactRow
 from .fencing import contact
 from .fencing.decisions import CONTACT_LEASE
 from .membership import (
-    has_ended_since,
+    has_refused_since,
     instances_with_heartbeat,
     is_instance_usable,
     owned_endpoints,
@@ -142,7 +142,7 @@
         return
     waited = state.clock.monotonic() - left_at
     is_over = waited > state.settings.stop_timeout + STOP_MARGIN
-    if not is_over and not has_ended_since(instance.name, left_at, state):
+    if not is_over and not has_refused_since(instance.name, left_at, state):
         return
     instance.presence, instance.left_at = Presence.LIVE, None
     recheck_unusable(state)
@@ -170,7 +170,11 @@
     record_sign_of_life(instance, state)
     store_age = (now - state.view.confirmed_at) // MILLISECOND
     pong = Pong(
-        message.number, store_age, owned_samples(state), contact.known_decisions(state)
+        message.number,
+        store_age,
+        owned_samples(state),
+        contact.known_decisions(state),
+        uptime_ms=max(1, (now - state.started_at) // MILLISECOND),
     )
     send_heartbeat(instance, pong, state)
 
@@ -205,12 +209,24 @@
     contact_row = state.contacts.get(sender)
     if contact_row is not None:
         contact_row.unanswered = 0
+        record_start(instance, contact_row, message)
         contact.record_answer(contact_row, message)
     end_suspicion(instance, message.number, state)
     for received in message.samples:
         apply_sample(received, now - received.age_ms * MILLISECOND, state)
 
 
+def record_start(instance: InstanceRow, contact_row: ContactRow, pong: Pong) -> None:
+    """Record when an instance's process started, at the earliest.
+
+    The answer may be late, so its age counts from the sending of the ping.
+    """
+    sent_at = contact_row.pings_sent.get(pong.number)
+    if sent_at is not None and pong.uptime_ms:
+        uptime = pong.uptime_ms * MILLISECOND * CLOCK_DRIFT_FACTOR
+        instance.started_after = max(instance.started_after, sent_at - uptime)
+
+
 def end_suspicion(instance: InstanceRow, number: int, state: State) -> None:
     """End a suspicion if the instance answered a ping sent after it began.
 
--- a/pimentodrift/ledger_takeover.py
+++ b/pimentodrift/ledger_takeover.py
@@ -31,7 +31,7 @@
     is_own = row.predecessor == state.settings.name
     if is_own or now - row.ledger_asked_at < ASK_INTERVAL:
         return
-    if membership.has_ended_since(row.predecessor, row.taken_at, state):
+    if membership.has_refused_since(row.predecessor, row.taken_at, state):
         return
     row.ledger_asked_at = now
     peers.send(row.predecessor, evolve(renewal(row), asks_ledger=True), state)
--- a/pimentodrift/locked_shares.py
+++ b/pimentodrift/locked_shares.py
@@ -77,7 +77,7 @@
     return {
         name
         for name in expected - row.holdings.keys() - row.without_share.keys()
-        if not membership.has_ended_since(name, row.taken_at, state)
+        if not membership.has_refused_since(name, row.taken_at, state)
     }
 
 
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -182,13 +182,23 @@
     state.vacancies.hasten_all()
 
 
-def has_ended_since(name: str, since: timedelta, state: State) -> bool:
-    """Return whether the process of an instance has ended since a time or before it.
+def has_refused_since(name: str, since: timedelta, state: State) -> bool:
+    """Return whether an instance has refused a connection since a time.
 
-    A refusal before that time tells nothing: the instance may have started again.
+    Its process has probably ended, but a partition may refuse connections as well. That
+    is enough to stop waiting for the instance, not to act in its place.
     """
-    ended_at = state.ended.get(name)
-    return ended_at is not None and ended_at >= since
+    refused_at = state.ended.get(name)
+    return refused_at is not None and refused_at >= since
+
+
+def has_restarted_since(name: str, since: timedelta, state: State) -> bool:
+    """Return whether a process of an instance has told that it started after a time.
+
+    Whatever an earlier process held or intended then has ended with it.
+    """
+    row = state.instances.get(name)
+    return row is not None and row.started_after >= since
 
 
 def data_centre_leaders(
--- a/pimentodrift/notices.py
+++ b/pimentodrift/notices.py
@@ -125,13 +125,10 @@
     """An instance is suspected: its stream closed or it does not answer.
 
     `unsent` has the numbers of requests of which no byte was sent to the instance.
-    `refused` tells that its machine refused a connection, which proves that the process
-    has ended.
     """
 
     instance: str
     unsent: frozenset[int]
-    refused: bool = False
 
 
 @frozen
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -63,12 +63,14 @@
     `store_age_ms` is the time since the sender last had its configuration confirmed
     by the store, directly or through a relay. `decisions` are all that it knows; None
     if it has not read the store yet, or keeps no replaced primary out of use.
+    `uptime_ms` is the age of its process; 0 of a build that does not tell it.
     """
 
     number: int
     store_age_ms: int
     samples: tuple[EndpointSample, ...] = ()
     decisions: tuple[KnownDecision, ...] | None = None
+    uptime_ms: int = 0
 
 
 @frozen
--- a/pimentodrift/peers.py
+++ b/pimentodrift/peers.py
@@ -27,11 +27,11 @@
 @handle.register
 def _(message: PeerLost, state: State) -> None:
     if message.refused:
-        # The process has ended, so the next answer comes from a new one.
+        # The next answer comes from a new process, or after a partition.
         suspect(message.instance, state, timedelta(0))
         state.ended[message.instance] = state.clock.monotonic()
         state.vacancies.hasten_all()
     else:
         suspect(message.instance, state)
-    handle(InstanceDown(message.instance, message.unsent, message.refused), state)
+    handle(InstanceDown(message.instance, message.unsent), state)
     handle(PeerUnreachable(message.instance, message.unsent), state)
--- a/pimentodrift/promotion_decisions.py
+++ b/pimentodrift/promotion_decisions.py
@@ -12,12 +12,18 @@
 
 from attrs import frozen
 
-from . import leadership, membership, pools, registry, sync_replicas
-from .clock import MILLISECOND, NEVER
+from . import leadership, membership, pools, registry, sync_replicas, view
+from .clock import CLOCK_DRIFT_FACTOR, MILLISECOND, NEVER
 from .dispatch import handle
 from .evacuation import permissions as evacuation
 from .fencing import coordination, permissions
-from .fencing.decisions import PromotionDecision, lease_end
+from .fencing.decisions import (
+    CONTACT_LEASE,
+    IN_FLIGHT_MARGIN,
+    PreviousDecision,
+    PromotionDecision,
+    lease_end,
+)
 from .fencing.messages import FenceCompleted
 from .homes.limits import prefers_region
 from .log_events import PrimaryKept, PromotionDecided, PromotionEnded
@@ -41,8 +47,12 @@
 RETRY_DELAY = timedelta(milliseconds=300)
 # Marks a decision that the primary stays; nothing is carried out for it.
 STAYS = "stays"
-# Another instance's decision blocks a new one for this long, unless its process ended.
+# Another instance's decision blocks a new one for this long, unless that instance has
+# probably ended.
 DECISION_LIFETIME = timedelta(seconds=5)
+# How long after it began to write a decision an instance may still carry it out, where
+# no fencing tells it of a newer one.
+CALL_LEASE = CONTACT_LEASE
 # The platform may carry out a call without an answer up to this much later.
 LATE_CALL_LIFETIME = timedelta(seconds=12)
 
@@ -54,7 +64,8 @@
     group: str
     token: int
     target: str
-    previous: PromotionDecision | None  # The decision that it replaces.
+    previous: PreviousDecision | None  # The decision that it replaces.
+    sent_at: timedelta
 
 
 @frozen
@@ -118,9 +129,22 @@
     item = state.view.objects["promotion", row.group]
     if item.value is not None and STAYS in item.value:
         return False
-    if membership.has_ended_since(holder, row.seen_at, state):
+    if membership.has_restarted_since(holder, row.seen_at, state):
         return False
-    return state.clock.monotonic() - row.seen_at < decision_lifetime(state)
+    age = state.clock.monotonic() - row.seen_at
+    if membership.has_refused_since(holder, row.seen_at, state):
+        return age < call_lease_end(state)
+    return age < decision_lifetime(state)
+
+
+def call_lease_end(state: State) -> timedelta:
+    """Return how long a decision may be carried out by an instance that is cut off.
+
+    With fencing, that is part of what the next decision waits for.
+    """
+    if permissions.is_enabled(state):
+        return timedelta(0)
+    return CALL_LEASE * CLOCK_DRIFT_FACTOR + IN_FLIGHT_MARGIN
 
 
 def is_in_progress(row: PromotionRow) -> bool:
@@ -153,11 +177,21 @@
     if is_busy(row, state):
         return
     row.old_primary = old
-    previous = permissions.newest_decision(row.group, state)
+    previous = previous_decision(row, state)
     token = unused_token(row, state)
-    write_decision(
-        row, token, target, TokenWrite(row.group, token, target, previous), state
-    )
+    now = state.clock.monotonic()
+    purpose = TokenWrite(row.group, token, target, previous, now)
+    write_decision(row, token, target, purpose, state)
+
+
+def previous_decision(row: PromotionRow, state: State) -> PreviousDecision | None:
+    """Return the newest known decision of a group with its holder, if there is one."""
+    newest = permissions.newest_decision(row.group, state)
+    if newest is None:
+        return None
+    token, holder = stored_token(row.group, state)
+    known_holder = holder if token == newest.token else ""
+    return PreviousDecision(newest, known_holder, row.seen_at)
 
 
 def unused_token(row: PromotionRow, state: State) -> int:
@@ -334,6 +368,10 @@
         return
     if permissions.is_enabled(state):
         begin_fencing(row, purpose, state)
+    elif now - purpose.sent_at > CALL_LEASE or not view.is_copy_fresh(state):
+        # Another instance may have replaced the decision by now.
+        row.next_at = now + RETRY_DELAY
+        state.counters["promotion.given_up"] += 1
     else:
         request_promotion(row, state)
 
@@ -342,10 +380,7 @@
     """Wait until the old primary is out of use."""
     decision = PromotionDecision(purpose.token, purpose.target)
     item = state.view.objects["promotion", purpose.group]
-    previous_age = state.clock.monotonic() - row.seen_at
-    coordination.begin(
-        purpose.group, decision, item.version, purpose.previous, previous_age, state
-    )
+    coordination.begin(purpose.group, decision, item.version, purpose.previous, state)
 
 
 @handle.register
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -133,6 +133,7 @@
     suspected_until: timedelta = NEVER
     last_heard: timedelta = NEVER
     store_age: timedelta | None = None  # Age of its view, from its last `Pong`.
+    started_after: timedelta = NEVER  # Its process started at this time or later.
     # Set when the instance is suspected, until it answers a ping with a higher number.
     suspected_number: int | None = None
     can_fence: bool = False  # Its build keeps replaced primaries out of use.
@@ -381,8 +382,7 @@
     instances: dict[str, InstanceRow] = field(factory=dict)
     # When each instance was removed from the list, for recent removals.
     removed_at: dict[str, timedelta] = field(factory=dict)
-    # When the machine of an instance last refused a connection; its process of before
-    # had ended then.
+    # When a connection to an instance was last refused, which a partition may do too.
     ended: dict[str, timedelta] = field(factory=dict)
     endpoints: dict[str, EndpointRow] = field(factory=dict)
     index: Index = field(factory=Index, repr=False)
--- a/tests/network.py
+++ b/tests/network.py
@@ -67,6 +67,8 @@
     order: int = 0
     # Pairs that cannot communicate, of instances or of an instance and "store".
     partitions: set[frozenset[str]] = field(factory=set)
+    # Connections across a partition are refused, as by a machine without the process.
+    partitions_refuse: bool = False
     loss: float = 0.0  # Probability that a message is lost.
     doubled: float = 0.0  # Probability that a message is delivered twice.
     store_down: bool = False
@@ -169,10 +171,12 @@
     def send(self, sender: str, message: SendPeer) -> None:
         target = message.instance
         delay = self.delay(sender, target)
-        if target not in self.nodes or not self.nodes[target].alive:
+        is_cut = frozenset((sender, target)) in self.partitions
+        is_down = target not in self.nodes or not self.nodes[target].alive
+        if is_down or (is_cut and self.partitions_refuse):
             lost = PeerLost(target, refused=True)
             self.schedule(delay, lambda: self.deliver(sender, lost))
-        elif frozenset((sender, target)) in self.partitions:
+        elif is_cut:
             return
         elif self.random.random() >= self.loss:
             received = PeerReceived(sender, message.message)
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -1,7 +1,9 @@
 """A replaced primary is out of use before another endpoint is promoted."""
 
 from collections import Counter
+from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from itertools import pairwise
 from random import Random
 from unittest.mock import patch
@@ -19,7 +21,7 @@
 )
 from pimentodrift.fencing.messages import FenceRequest
 from pimentodrift.kind_messages import WatchedKind
-from pimentodrift.messages import SendPeer
+from pimentodrift.messages import SendPeer, WriteStore
 from pimentodrift.promotion_messages import PromoteOutcome
 from pimentodrift.session_rows import EndpointRole
 
@@ -128,6 +130,103 @@
     assert not network.wrong
 
 
+def run_until_decision(network: SplitNetwork) -> str:
+    """Play until a promotion is decided on, and return the instance that decided."""
+    while not network.objects.get(("promotion", GROUP)):
+        network.play(20 * MILLISECOND)
+    decision = network.objects["promotion", GROUP].value
+    assert decision is not None
+    return str(decision["holder"])
+
+
+def cut_off(network: SplitNetwork, name: str) -> set[frozenset[str]]:
+    """Cut an instance off from all others and from the store, and return the cuts."""
+    others = [other for other in (*network.nodes, "store") if other != name]
+    cuts = {frozenset((name, other)) for other in others}
+    network.partitions |= cuts
+    return cuts
+
+
+@pytest.mark.parametrize("heals_after", [1.2 * SECOND, 5 * SECOND])
+@pytest.mark.parametrize("refuses", [True, False])
+@pytest.mark.parametrize("is_planned", [True, False])
+@pytest.mark.parametrize("seed", range(2))
+def test_coordinator_that_is_cut_off_after_its_decision(
+    seed: int, is_planned: bool, refuses: bool, heals_after: timedelta
+) -> None:
+    """Guards against two coordinators that promote, the later one with an older token.
+
+    A partition that refuses connections looks like the end of the process.
+    """
+    network = make_split_network(NAMES, seed=seed)
+    network.partitions_refuse = refuses
+    network.play(6 * SECOND)
+    if is_planned:
+        leave(network)
+    else:
+        network.members["e1"].is_up = False
+    coordinator = run_until_decision(network)
+    cuts = cut_off(network, coordinator)
+    network.play(heals_after)
+    network.partitions -= cuts
+    network.play(10 * SECOND)
+    tokens = [token for token, _ in network.tokens]
+    assert tokens and tokens == sorted(set(tokens))
+    assert network.leader != "e1"
+    assert not network.wrong
+
+
+def lose_coordinator(network: SplitNetwork, lose: Callable[[str], None]) -> str:
+    """Play until a decision is written, lose its coordinator then, and return it.
+
+    The platform deposes the old primary, so the call would follow the store's answer.
+    """
+    lost: list[str] = []
+    original = SplitNetwork.write
+
+    def write(self: SplitNetwork, name: str, message: WriteStore) -> None:
+        original(self, name, message)
+        if message.kind == "promotion" and not lost:
+            lost.append(name)
+            lose(name)
+
+    with patch.object(SplitNetwork, "write", write):
+        run_until_decision(network)
+    return lost[0]
+
+
+def pause(network: SplitNetwork, name: str) -> None:
+    network.nodes[name].paused = True
+
+
+def test_coordinator_paused_before_its_call() -> None:
+    """Guards against a call on a decision that another one has replaced by then."""
+    network = make_split_network(NAMES, PrimaryFencing.PLATFORM)
+    network.play(6 * SECOND)
+    network.members["e1"].is_up = False
+    coordinator = lose_coordinator(network, partial(pause, network))
+    network.play(10 * SECOND)
+    network.resume(coordinator)
+    network.play(5 * SECOND)
+    tokens = [token for token, _ in network.tokens]
+    assert tokens and tokens == sorted(set(tokens))
+
+
+def test_coordinator_that_ends_after_its_decision() -> None:
+    """Guards against a failover that waits for as long as a live coordinator may take.
+
+    Its machine refuses connections and does not start it again.
+    """
+    network = make_split_network(NAMES, PrimaryFencing.PLATFORM)
+    network.play(6 * SECOND)
+    network.members["e1"].is_up = False
+    lose_coordinator(network, network.kill)
+    decided = network.time
+    while not network.tokens:
+        network.play(40 * MILLISECOND)
+    assert network.time - decided <= 2.5 * SECOND
+
+
 @pytest.mark.parametrize("store_down", [True, False])
 def test_primary_is_used_with_either_kind_of_contact(store_down: bool) -> None:
     """Guards against writes that stop with the store or with most instances."""
--- a/tests/test_restarted_instance.py
+++ b/tests/test_restarted_instance.py
@@ -247,6 +247,25 @@
     assert second.contacts[other].attested_at < network.time
 
 
+@pytest.mark.parametrize("tells_age", [True, False])
+def test_answer_of_the_next_process(tells_age: bool) -> None:
+    """Guards against an end that is concluded from less than the next process's word.
+
+    The answer may be late, and a build before tells no age of its process.
+    """
+    network = make_fleet()
+    state, other = network.nodes[network.entry()].state, network.owner()
+    membership.track_contact(other, state)
+    heartbeats.check_contact(state.contacts[other], state)
+    (number,) = state.contacts[other].pings_sent
+    asked_at = network.time
+    network.time += 800 * MILLISECOND
+    handle_peer(Pong(number, 0, uptime_ms=200 * tells_age), other, state)
+    started = asked_at - 220 * MILLISECOND  # The other clock may be slower.
+    assert membership.has_restarted_since(other, started, state) is tells_age
+    assert not membership.has_restarted_since(other, asked_at, state)
+
+
 @pytest.mark.parametrize("seeds", [(1, 2), (2, 1)])
 def test_suspicion_after_a_heartbeat_answer_to_an_earlier_process(
     seeds: tuple[int, int],
