Free shares only when their lease has ended or their holder reports

Cause: an allocator freed the share of a holder, and a successor unlocked it, as soon as a connection to the holder was refused. A partition may refuse connections as well.

A share is now free once its holder reports, has handed it back, or was silent for longer than its lease can last.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -8,8 +8,8 @@
 A successor does not know the shares that its predecessor gave out. At first it treats
 the whole rate and burst as locked, that is, possibly held by another instance. Each
 report unlocks what its sender holds. The remainder is unlocked once every listed
-instance has reported or has certainly ended: its machine refuses connections to its
-address, or it has been silent for longer than its lease can last.
+instance has reported, or has been silent for longer than its lease can last. A refused
+connection does not prove that a holder has ended: a network partition may refuse, too.
 """
 
 from datetime import timedelta
@@ -97,8 +97,7 @@
         return
     now = state.clock.monotonic()
     for name, holding in list(row.holdings.items()):
-        silent = now - holding.heard_at > SILENCE_LIMIT
-        if silent or membership.has_refused_since(name, holding.heard_at, state):
+        if now - holding.heard_at > SILENCE_LIMIT:
             del row.holdings[name]
             state.counters["allocator.reclaimed"] += 1
 
--- a/pimentodrift/locked_shares.py
+++ b/pimentodrift/locked_shares.py
@@ -10,7 +10,7 @@
 
 from attrs import evolve
 
-from . import membership, peers, view
+from . import peers, view
 from .allocator_claims import renewal
 from .clock import CLOCK_DRIFT_FACTOR, MILLISECOND
 from .peer_messages import ShareReport
@@ -74,11 +74,7 @@
     expected = state.instances.keys() | {row.predecessor}
     if row.ledger is not None and row.knows_holders:
         expected = set(row.ledger)
-    return {
-        name
-        for name in expected - row.holdings.keys() - row.without_share.keys()
-        if not membership.has_refused_since(name, row.taken_at, state)
-    }
+    return expected - row.holdings.keys() - row.without_share.keys()
 
 
 def max_predecessor_lease(state: State) -> timedelta:
--- a/tests/rate_support.py
+++ b/tests/rate_support.py
@@ -190,6 +190,10 @@
         name = self.names[other] if isinstance(other, int) else other
         self.load.network.partitions.add(frozenset((self.names[one], name)))
 
+    @rule(refuses=st.booleans())
+    def refuse(self, refuses: bool) -> None:
+        self.load.network.partitions_refuse = refuses
+
     @rule()
     def heal(self) -> None:
         self.load.network.partitions.clear()
--- a/tests/test_rates_allocators.py
+++ b/tests/test_rates_allocators.py
@@ -331,6 +331,29 @@
     assert load.worst_excess() <= 1e-6
 
 
+@pytest.mark.parametrize("cuts_allocator", [True, False])
+@pytest.mark.parametrize("seed", range(3))
+def test_holders_behind_a_cut_that_refuses(seed: int, cuts_allocator: bool) -> None:
+    """Guards against giving out the shares of holders that are only cut off.
+
+    Their connections are refused on the other side, as those of an ended process are.
+    """
+    load = make_window_load(50.0, seed)
+    network, allocator = load.network, allocator_name(load)
+    network.partitions_refuse = True
+    names = list(network.nodes)
+    others = [name for name in names if name != allocator]
+    lost = [allocator, others[0]] if cuts_allocator else others[:2]
+    load.offer(4 * load.rate, 2 * SECOND, lambda: network.random.choice(names))
+    for name in lost:
+        rest = [other for other in names if other not in lost]
+        network.partitions.update(frozenset((name, other)) for other in rest)
+    load.offer(4 * load.rate, 6 * SECOND, lambda: network.random.choice(names))
+    network.partitions.clear()
+    load.offer(4 * load.rate, 6 * SECOND, lambda: network.random.choice(names))
+    assert load.worst_excess() <= 1e-6
+
+
 def test_restarted_holder_is_not_taken_for_ended() -> None:
     """Guards against giving out the share of a holder that had only restarted before.
 
