Ask all listed instances to hold their work in a planned change of primary

In a group whose commits wait for replicas, acknowledged commits of an instance that was cut off were missing after a planned change of primary.

Cause: an instance that had refused a connection since its last message counted as ended, so it was neither asked to hold its work nor waited for. The cut refused, and the instance went on with the old primary.

All listed instances have to confirm now. For one that is silent for 2 s and refuses, the coordinator deletes its object in the store, and goes on after the lease in which the instance may not know it. So a process that ends for good delays the change by 6 to 7 s where it took part at once before, and one that starts again confirms itself.

--- a/pimentodrift/evacuation/switchover.py
+++ b/pimentodrift/evacuation/switchover.py
@@ -8,7 +8,7 @@
 longest log is promoted.
 """
 
-from .. import membership, peers, pools
+from .. import instance_removal, membership, peers, pools
 from ..clock import MILLISECOND, NEVER
 from ..dispatch import handle_peer
 from ..log_events import SwitchoverBegun, SwitchoverEnded
@@ -95,6 +95,9 @@
         return False
     if state.settings.name not in state.instances:
         return False
+    instance_removal.remove_refusing(state)
+    if membership.recently_removed(state):
+        return False
     return all(
         membership.is_instance_usable(item, state)
         and reads_holds(item, primary.name, state)
@@ -112,12 +115,11 @@
 
 
 def participants(state: State) -> list[InstanceRow]:
-    """Return the instances that may use the primary."""
-    return [
-        item
-        for item in state.instances.values()
-        if not membership.has_refused_since(item.name, item.last_heard, state)
-    ]
+    """Return the instances that may use the primary.
+
+    One that refuses connections may only be cut off.
+    """
+    return list(state.instances.values())
 
 
 def begin(group: str, endpoint: str, state: State) -> None:
@@ -177,15 +179,24 @@
 
 def await_confirmations(attempt: SwitchoverRow, state: State) -> None:
     """Go on once every instance holds its work; end the attempt if that takes long."""
-    if permissions.is_hold_certain(attempt, participants(state), state):
+    if are_holds_certain(attempt, state):
         set_stage(attempt, SwitchoverStage.CATCHING_UP, state)
     elif state.clock.monotonic() - attempt.staged_at >= CONFIRM_TIMEOUT:
         end(attempt, "not-confirmed", state)
 
 
+def are_holds_certain(attempt: SwitchoverRow, state: State) -> bool:
+    """Return whether no instance may have had work at the primary since it confirmed.
+
+    One that was removed from the list may not know it yet.
+    """
+    is_certain = permissions.is_hold_certain(attempt, participants(state), state)
+    return is_certain and not membership.recently_removed(state)
+
+
 def await_replica(attempt: SwitchoverRow, row: PromotionRow, state: State) -> None:
     """Promote a replica once it has the primary's last position."""
-    if not permissions.is_hold_certain(attempt, participants(state), state):
+    if not are_holds_certain(attempt, state):
         end(attempt, "hold-lost", state)
         return
     if is_decided_elsewhere(row, state):
--- a/pimentodrift/instance_removal.py
+++ b/pimentodrift/instance_removal.py
@@ -93,10 +93,33 @@
     """Delete the objects of members that have been silent for `REMOVE_AFTER`."""
     now = state.clock.monotonic()
     for name, since in list(state.silent_since.items()):
-        item = state.view.objects.get(("instance", name))
-        if now - since > REMOVE_AFTER and item is not None and item.value is not None:
+        if now - since > REMOVE_AFTER and remove(name, state):
             state.silent_since[name] = now
-            delete_object(item, Removal(name), state)
+
+
+def remove_refusing(state: State) -> None:
+    """Delete the objects of silent instances that refuse connections.
+
+    For work that can't go on while they are listed. One that was only cut off stops
+    using primaries once it knows, and lists itself again.
+    """
+    now = state.clock.monotonic()
+    if not view.reaches_half(state) or now < state.refusing_removal_at:
+        return
+    for row in list(state.instances.values()):
+        is_silent = now - row.last_heard > MAX_HEARTBEAT_AGE
+        if is_silent and membership.has_refused_since(row.name, row.last_heard, state):
+            state.refusing_removal_at = now + REMOVE_AFTER
+            remove(row.name, state)
+
+
+def remove(name: str, state: State) -> bool:
+    """Delete an instance's object; return whether there is one."""
+    item = state.view.objects.get(("instance", name))
+    if item is None or item.value is None:
+        return False
+    delete_object(item, Removal(name), state)
+    return True
 
 
 @write_ended.register
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -10,6 +10,7 @@
 from .clock import MILLISECOND, NEVER
 from .dispatch import handle
 from .failover_rows import ContactRow
+from .fencing.decisions import lease_end
 from .messages import StoreObject
 from .notices import PrimaryChanged
 from .rendezvous import (
@@ -38,6 +39,7 @@
     "owner_candidates",
     "owns",
     "ranked",
+    "recently_removed",
     "recheck_unusable",
     "record_heartbeat",
     "suspect",
@@ -89,6 +91,16 @@
         del state.removed_at[other]
 
 
+def recently_removed(state: State) -> set[str]:
+    """Return the removed instances that may not know it yet and act as listed ones."""
+    limit = state.clock.monotonic() - lease_end(state.settings.configuration_lease)
+    return {
+        name
+        for name, at in state.removed_at.items()
+        if at >= limit and name not in state.instances
+    }
+
+
 def apply_instance(name: str, value: dict[str, str], state: State) -> None:
     """Add or change an instance; keep what was observed about it."""
     row = state.instances.get(name)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -444,6 +444,8 @@
     # Sessions on client connections, and the connection pools behind them.
     registration_at: timedelta = NEVER  # Earliest next write of the own object.
     removal_at: timedelta = NEVER  # Earliest next search for lost instances.
+    # No instance is removed for refusing connections before this time.
+    refusing_removal_at: timedelta = NEVER
     silent_since: dict[str, timedelta] = field(factory=dict)  # By instance.
     kinds: dict[str, Any] = field(factory=dict)  # Copies of store objects, by kind.
     routes: dict[str, Route] = field(factory=dict)  # By database.
--- a/tests/test_leaving_primary.py
+++ b/tests/test_leaving_primary.py
@@ -248,6 +248,27 @@
     check_writes(network)
 
 
+@pytest.mark.parametrize("lone", NAMES)
+def test_instance_that_is_cut_off_as_the_primary_leaves(lone: str) -> None:
+    """Guards against a change of primary while an instance writes at the old one.
+
+    The cut refuses connections, as the machine of an ended process does.
+    """
+    for seed in range(1, 4):
+        network = make_group(seed=seed)
+        network.jitter = 60 * MILLISECOND
+        network.partitions_refuse = True
+        for name in (*NAMES, "store"):
+            network.partitions.add(frozenset((lone, name)))
+        network.leave("e1")
+        network.play(6 * SECOND)
+        assert not network.dropped and not network.wrong
+        network.partitions.clear()
+        network.play(6 * SECOND)
+        assert network.leader != "e1"
+        check_writes(network)
+
+
 def test_instance_that_does_not_confirm() -> None:
     """Guards against a change of primary while an instance writes at the old one."""
     network = make_group()
