Wait for removed instances before a promotion

A write could be acknowledged at a replaced primary, and lost, by an instance that had just been removed from the list.

Cause: the coordinator waited for the confirmations of the listed instances. A removed one may not know of its removal until its copy of the store is as old as its lease, and uses the old primary meanwhile.

--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -140,8 +140,12 @@
 
 
 def unconfirmed_instances(row: CoordinationRow, state: State) -> list[str]:
-    """Return the listed instances that did not confirm that they stopped."""
-    return [name for name in state.instances if name not in row.confirmed]
+    """Return the instances that did not confirm that they stopped.
+
+    One that was removed from the list may not know it yet.
+    """
+    names = state.instances.keys() | membership.recently_removed(state)
+    return sorted(names - row.confirmed)
 
 
 def time_since_majority(row: CoordinationRow, state: State) -> timedelta | None:
@@ -204,8 +208,9 @@
     row.requested_at = state.clock.monotonic()
     message = FenceRequest(row.group, row.decision.token, row.decision.target)
     for name in unconfirmed_instances(row, state):
+        instance = state.instances.get(name)
         # A build that knows no fencing would close the stream.
-        if state.instances[name].can_fence:
+        if instance is not None and instance.can_fence:
             peers.send(name, message, state)
 
 
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -22,10 +22,19 @@
 from pimentodrift.fencing.messages import FenceRequest
 from pimentodrift.kind_messages import WatchedKind
 from pimentodrift.messages import SendPeer, WriteStore
+from pimentodrift.owners.decisions import EndpointOwners
 from pimentodrift.promotion_messages import PromoteOutcome
-from pimentodrift.session_rows import EndpointRole
-
-from .session_support import GROUP, MILLISECOND, SECOND, make_endpoint
+from pimentodrift.session_messages import SessionOpened
+from pimentodrift.session_rows import Consistency, EndpointRole
+
+from .session_support import (
+    GROUP,
+    MILLISECOND,
+    SECOND,
+    make_configuration,
+    make_endpoint,
+    make_route,
+)
 from .split_group import DATABASES, SplitNetwork, make_split_network, restart
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -227,6 +236,33 @@
     assert network.time - decided <= 2.5 * SECOND
 
 
+def test_removed_instance_in_a_large_fleet() -> None:
+    """Guards against writes of an instance that does not know of its removal yet.
+
+    It reaches only the old primary. Its client has no key, so no rate limits it.
+    """
+    names = tuple(f"i{number:02}" for number in range(18))
+    network = make_split_network(names)
+    for node in network.nodes.values():
+        node.state.settings = evolve(
+            node.state.settings, endpoint_owners=EndpointOwners.NEVER
+        )
+    route = make_route(
+        database="own-db", consistency=Consistency.OWN_WRITES, is_open=True
+    )
+    network.configure(make_configuration(2, routes=[route], rate=1e6, burst=1e6))
+    restart(network, names[0])
+    network.play(3 * SECOND)
+    network.deliver(names[0], SessionOpened(1, "own-db", ""))
+    cut_off(network, names[0])
+    network.put("instance", names[0], None)
+    for name in (*names[1:], *DATABASES[1:]):
+        network.partitions.add(frozenset((name, "e1")))
+    network.play(7 * SECOND)
+    assert network.leader != "e1"
+    assert not network.wrong
+
+
 @pytest.mark.parametrize("store_down", [True, False])
 def test_primary_is_used_with_either_kind_of_contact(store_down: bool) -> None:
     """Guards against writes that stop with the store or with most instances."""
