Let sessions follow the holder of their key

On a protected route, a session whose key had moved was refused although the key was in force.

Cause: a session stored its workspace when it was opened, and each statement copied it.

Statements now run for the workspace that holds the key when they start, and are admitted again if it has changed when they get their token, endpoint or connection. An owner compares with its own copy and gives the statement back. A transaction that has begun at a database is refused with the promise that nothing is kept.

--- a/pimentodrift/operation_completion.py
+++ b/pimentodrift/operation_completion.py
@@ -40,10 +40,7 @@
     if not view.is_copy_fresh(state):
         detail = "the configuration is not confirmed"
         return Refusal(Fault.OVERLOADED, detail, UNCONFIRMED_RETRY_AFTER)
-    if route.is_open:
-        return None
-    key = state.configuration.keys.get(session.key_digest)
-    if key is None or key.workspace != session.workspace:
+    if not route.is_open and session.key_digest not in state.configuration.keys:
         return Refusal(Fault.KEY_INVALID, "the key is unknown or withdrawn")
     return None
 
--- a/pimentodrift/operation_steps.py
+++ b/pimentodrift/operation_steps.py
@@ -6,7 +6,7 @@
 
 from datetime import timedelta
 
-from . import connection_setup, leadership, pools
+from . import connection_setup, leadership, pools, session_workspaces
 from .dispatch import handle
 from .ejection import results
 from .evacuation import permissions
@@ -86,6 +86,10 @@
         refuse(operation, refusal, state)
         pools.release(connection, state)
         return
+    if session_workspaces.has_moved(session, state):
+        pools.release(connection, state)
+        handle(PlacementNeeded(operation.operation), state)
+        return
     # Without a minimum position, only the group's primary may run the statement.
     connection.needs_primary = operation.minimum is None
     if not permissions.may_send(connection, state):
@@ -180,6 +184,7 @@
 ) -> None:
     """Send a statement on the connection of its transaction."""
     refusal = access_refusal(session, operation.route, state)
+    refusal = refusal or session_workspaces.moved_refusal(session, state)
     if refusal is not None:
         refuse(operation, refusal, state)
         return
@@ -292,9 +297,10 @@
 ) -> None:
     """Send a statement whose transaction has begun, if it may still run there."""
     session = state.sessions[operation.session]
-    if is_fenced(connection, state) or not allows_connection(
+    may_run = allows_connection(
         operation.route, operation.workspace, connection, state
-    ):
+    ) and not session_workspaces.has_moved(session, state)
+    if is_fenced(connection, state) or not may_run:
         if not permissions.may_send(connection, state):
             pools.close_connection(connection, state)
         elif not connection.session:
--- a/pimentodrift/operations.py
+++ b/pimentodrift/operations.py
@@ -7,7 +7,15 @@
 
 from datetime import timedelta
 
-from . import leadership, operation_steps, placement, pools, rates, registry
+from . import (
+    leadership,
+    operation_steps,
+    placement,
+    pools,
+    rates,
+    registry,
+    session_workspaces,
+)
 from .dispatch import handle
 from .ejection import judgement
 from .errors import Failure, Problem
@@ -116,11 +124,24 @@
         if statements.on_cold_refused(row, failure, state):
             operation_steps.resume_cold(row, state)
         return
+    session = state.sessions[row.session]
+    if session_workspaces.has_moved(session, state):
+        admit_again(row, state)
+        return
     is_unconfirmed = failure.problem is Problem.RATE_UNCONFIRMED
     detail = RATE_UNCONFIRMED if is_unconfirmed else RATE_EXCEEDED
     refuse(row, Refusal(Fault.OVERLOADED, detail, failure.retry_after), state)
 
 
+def admit_again(operation: OperationRow, state: State) -> None:
+    """Admit a statement whose session's key has moved within its new workspace's rate.
+
+    The token that it may have taken is lost.
+    """
+    session_workspaces.move(operation, state.sessions[operation.session], state)
+    start(operation, state)
+
+
 # --- Placement of a statement on an endpoint
 
 
@@ -136,6 +157,9 @@
     if refusal is not None:
         refuse(operation, refusal, state)
         return
+    if session_workspaces.has_moved(session, state):
+        admit_again(operation, state)
+        return
     target = choose_endpoint(operation, state)
     if target is None:
         hold_or_refuse(operation, state)
--- a/pimentodrift/owners/forwarding.py
+++ b/pimentodrift/owners/forwarding.py
@@ -9,7 +9,14 @@
 from datetime import timedelta
 from functools import singledispatch
 
-from .. import leadership, membership, operation_steps, peers, pools
+from .. import (
+    leadership,
+    membership,
+    operation_steps,
+    peers,
+    pools,
+    session_workspaces,
+)
 from ..clock import MILLISECOND
 from ..dispatch import handle, handle_peer
 from ..fencing.contact import may_use_primary
@@ -81,6 +88,7 @@
 ) -> None:
     """Send a later statement of a transaction to the owner that it is pinned to."""
     refusal = access_refusal(session, operation.route, state)
+    refusal = refusal or session_workspaces.moved_refusal(session, state)
     group, endpoint = operation.route.group, session.owner_endpoint
     operation.endpoint = endpoint
     if refusal is None and session.owner not in state.instances:
--- a/pimentodrift/owners/serving.py
+++ b/pimentodrift/owners/serving.py
@@ -9,7 +9,15 @@
 
 from attrs import evolve
 
-from .. import membership, operation_steps, operations, peers, pools, registry
+from .. import (
+    membership,
+    operation_steps,
+    operations,
+    peers,
+    pools,
+    registry,
+    session_workspaces,
+)
 from ..clock import MILLISECOND
 from ..dispatch import handle, handle_peer
 from ..ejection import judgement
@@ -123,6 +131,7 @@
         replies.send_return(message.request, origin, None, detail, state)
         return
     refusal = access_refusal(session, route, state)
+    refusal = refusal or session_workspaces.moved_refusal(session, state)
     if refusal is not None:
         # The entry's copy of the configuration allows it: one of them is older.
         replies.send_return(message.request, origin, None, refusal.detail, state)
--- a/pimentodrift/session_opening.py
+++ b/pimentodrift/session_opening.py
@@ -24,6 +24,7 @@
     SessionOpened,
 )
 from .session_rows import OpeningRow, SessionRow
+from .session_workspaces import holder
 from .stop_times import STOPPED, accepts_work
 from .tables import State
 from .view import copy_age, is_copy_fresh
@@ -83,13 +84,10 @@
     if refusal is not None:
         refuse_session(row, refusal, state)
         return False
-    route = state.routes[row.database]
-    key = state.configuration.keys.get(row.key_digest)
-    workspace = key.workspace if key is not None else ""
     state.sessions[row.session] = SessionRow(
         row.session,
         row.database,
-        "" if route.is_open and key is None else workspace,
+        holder(row.key_digest, state),
         row.key_digest,
         state.clock.monotonic(),
     )
--- a/pimentodrift/sessions.py
+++ b/pimentodrift/sessions.py
@@ -7,7 +7,7 @@
 
 from functools import singledispatch
 
-from . import operations, rates
+from . import operations, rates, session_workspaces
 from .clock import MILLISECOND
 from .dispatch import handle
 from .messages import Access
@@ -254,6 +254,7 @@
             message, session, Fault.DATABASE_UNKNOWN, "there is no such database", state
         )
         return
+    session_workspaces.follow(session, state)
     refusal = access_refusal(session, route, state)
     if refusal is None and not accepts_work(state):
         refusal = STOPPED
@@ -347,6 +348,7 @@
             message, session, Fault.DATABASE_UNKNOWN, "there is no such database", state
         )
         return
+    session_workspaces.follow(session, state)
     now = state.clock.monotonic()
     row = OperationRow(
         state.new_number(),
--- a/tests/owner_support.py
+++ b/tests/owner_support.py
@@ -34,6 +34,10 @@
     # Endpoint of each connection; how many statements ran at each.
     endpoints: dict[tuple[str, int], str] = field(factory=dict)
     ran_at: Counter[str] = field(factory=Counter)
+    # The workspace of each connection; by which instance and for which one each
+    # statement ran.
+    workspaces: dict[tuple[str, int], str] = field(factory=dict)
+    ran_for: dict[str, tuple[str, str]] = field(factory=dict)
     replica_position: Position = POSITION
 
     def start(self, workspaces: int) -> None:
@@ -115,6 +119,7 @@
             case m.RunStatement():
                 self.ran_at[self.endpoints[key]] += 1
                 self.executed.append(step.statement_id)
+                self.ran_for[step.statement_id] = key[0], self.workspaces[key]
                 if key in self.open_work:
                     self.open_work[key].append(step.statement_id)
                 else:
@@ -138,6 +143,7 @@
             case m.OpenPooled():
                 self.opened_connections += 1
                 self.endpoints[name, message.connection] = message.endpoint
+                self.workspaces[name, message.connection] = message.workspace
                 super().perform(name, message)
             case _:
                 super().perform(name, message)
