Free no share that its holder may use in an outage of the store

Requests of a workspace could run beyond its rate while most instances were without the store: 274 beyond rate and burst in a model of seven instances at 200 requests/s.

Cause: a holder goes on with a share beyond its lease while it takes the store to be down. Its allocator, which still had the store and didn't hear the holder, took the end of the lease as the proof that the share was free. A holder also took up a share again whose lease had ended long before an outage began.

The allocator and its successor now free nothing of silent holders while a majority may be without the store, and a holder goes on only if it lost the store before its lease ended.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -91,9 +91,9 @@
     """Free the shares of holders whose lease has certainly ended.
 
     None are freed while this instance hears from less than half of all instances, since
-    the fault may then be its own.
+    the fault may then be its own, or while holders may take the store to be down.
     """
-    if not view.is_copy_fresh(state) or not view.reaches_half(state):
+    if not view.is_copy_fresh(state) or view.may_seem_down(state):
         return
     now = state.clock.monotonic()
     for name, holding in list(row.holdings.items()):
--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -97,11 +97,13 @@
     """Return whether the share may be used: its lease holds, or the store is down.
 
     While the store is down, no instance can become the allocator and reclaim shares, so
-    an expired lease does no harm.
+    an expired lease does no harm. A lease that ended before may have been reclaimed.
     """
-    if state.clock.monotonic() - row.renewed_at <= SHARE_LEASE:
+    lease_end = row.renewed_at + SHARE_LEASE
+    if state.clock.monotonic() <= lease_end:
         return True
-    return row.epoch.number > 0 and view.is_store_outage(state)
+    is_lost_since = state.view.confirmed_at <= lease_end
+    return row.epoch.number > 0 and is_lost_since and view.is_store_outage(state)
 
 
 def spend_token(row: ShareRow, state: State) -> bool:
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -139,6 +139,27 @@
     return reached * 2 >= len(others) + 1
 
 
+def lacks_store(row: InstanceRow, state: State) -> bool:
+    """Return whether an instance's last heartbeat is recent and told of an old copy."""
+    silence = state.clock.monotonic() - row.last_heard
+    if silence > PEER_TIMEOUT or row.store_age is None:
+        return False
+    return row.store_age + silence > PEER_CONFIGURATION_LEASE
+
+
+def may_seem_down(state: State) -> bool:
+    """Return whether an instance without the store may take the store to be down.
+
+    Instances that this one does not hear may be without it.
+    """
+    now = state.clock.monotonic()
+    others = quorum_peers(state)
+    without_store = sum(
+        lacks_store(row, state) or now - row.last_heard > PEER_TIMEOUT for row in others
+    )
+    return without_store * 2 > len(others) + 1
+
+
 def is_store_outage(state: State) -> bool:
     """Return whether a majority of the instances is cut off from the store.
 
@@ -146,15 +167,8 @@
     """
     if is_copy_fresh(state):
         return False
-    now = state.clock.monotonic()
     others = quorum_peers(state)
-    without_store = 1
-    for row in others:
-        silence = now - row.last_heard
-        if silence > PEER_TIMEOUT or row.store_age is None:
-            continue
-        if row.store_age + silence > PEER_CONFIGURATION_LEASE:
-            without_store += 1
+    without_store = 1 + sum(lacks_store(row, state) for row in others)
     return without_store * 2 > len(others) + 1
 
 
