--- a/pimentodrift/evacuation/holding.py
+++ b/pimentodrift/evacuation/holding.py
@@ -8,7 +8,7 @@
 from .. import peers, pools, sessions, sync_replicas
 from ..dispatch import handle, handle_peer
 from ..fencing.permissions import stored_decision
-from ..promotion_decisions import LATE_CALL_LIFETIME
+from ..promotion_targets import LATE_CALL_LIFETIME
 from ..session_messages import PlacementNeeded
 from ..session_rows import PooledRow
 from ..tables import State
--- a/pimentodrift/evacuation/switchover.py
+++ b/pimentodrift/evacuation/switchover.py
@@ -17,12 +17,11 @@
     is_busy,
     is_decided_elsewhere,
     may_take_effect,
-    preferred_target,
-    promotable_members,
     promotion_row,
     replace_primary,
     take_token,
 )
+from ..promotion_targets import preferred_target, promotable_members
 from ..session_rows import PoolRow, PromotionRow, RegistryRow
 from ..tables import InstanceRow, State
 from . import permissions
--- a/pimentodrift/promotion_decisions.py
+++ b/pimentodrift/promotion_decisions.py
@@ -1,8 +1,7 @@
 """Decides which replica replaces a group's primary, and asks the platform for it.
 
-The coordinator chooses the replica with the longest log and takes the next token by a
-conditional update of the group's `promotion` object. Where an acknowledged commit must
-not be lost, it chooses among those that `sync_replicas` tells. Where the platform does
+The coordinator chooses a replica (`promotion_targets`) and takes the next token by a
+conditional update of the group's `promotion` object. Where the platform does
 not depose the old primary, the call waits until `fencing` has put that out of use.
 `promotion` tells when a primary has to be replaced. A token is used for one decision of
 one instance; the platform refuses older tokens where it checks them.
@@ -12,7 +11,7 @@
 
 from attrs import frozen
 
-from . import leadership, membership, pools, registry, sync_replicas, view
+from . import leadership, membership, pools, sync_replicas, view
 from .clock import CLOCK_DRIFT_FACTOR, MILLISECOND, NEVER
 from .dispatch import handle
 from .evacuation import permissions as evacuation
@@ -25,11 +24,15 @@
     lease_end,
 )
 from .fencing.messages import FenceCompleted
-from .homes.limits import prefers_region
 from .log_events import PrimaryKept, PromotionDecided, PromotionEnded
-from .messages import Position
 from .promotion_messages import PromoteEnded, PromoteEndpoint, PromoteOutcome
-from .session_rows import EndpointRole, PromotionRow, RegistryRow
+from .promotion_targets import (
+    LATE_CALL_LIFETIME,
+    best_target,
+    choose_replica,
+    promotable_members,
+)
+from .session_rows import PromotionRow, RegistryRow
 from .store_versions import next_token
 from .store_writes import (
     StoreOutcome,
@@ -39,8 +42,6 @@
 )
 from .tables import State
 
-# How long the coordinator waits for the replicas' positions.
-POSITIONS_TIMEOUT = timedelta(milliseconds=400)
 # If a promotion does not show in the registry within this time, it is decided anew.
 PROMOTION_TIMEOUT = timedelta(seconds=3)
 # The coordinator's wait after a decision that could not be written or carried out.
@@ -53,8 +54,6 @@
 # How long after it began to write a decision an instance may still carry it out, where
 # no fencing tells it of a newer one.
 CALL_LEASE = CONTACT_LEASE
-# The platform may carry out a call without an answer up to this much later.
-LATE_CALL_LIFETIME = timedelta(seconds=12)
 
 
 @frozen
@@ -265,81 +264,6 @@
     return DECISION_LIFETIME + lease_end(state.settings.configuration_lease)
 
 
-def promotable_members(row: PromotionRow, old: str, state: State) -> list[RegistryRow]:
-    """Return the endpoints of a group that can be promoted in place of `old`."""
-    rows = [
-        member
-        for member in registry.group_members(row.group, state)
-        if member.name != old
-        and member.leaving_since is None
-        and member.missing_since is None
-        and not evacuation.is_evacuated(member, state)
-    ]
-    if not permissions.is_enabled(state):
-        return rows
-    # Of two that call themselves the primary, only the target of the last decision is.
-    decision = permissions.newest_decision(row.group, state)
-    target = decision.target if decision is not None else ""
-    return [
-        member
-        for member in rows
-        if member.entry.role is not EndpointRole.PRIMARY or member.name == target
-    ]
-
-
-def preferred_target(
-    row: PromotionRow, found: dict[str, Position], state: State
-) -> str | None:
-    """Return the target of the last decision if its call may still take effect.
-
-    Such a call would depose another endpoint that was promoted meanwhile, or that one
-    would be deposed with what it has acknowledged since.
-    """
-    is_lossless = sync_replicas.are_required(row.group, state)
-    if not permissions.is_enabled(state) and not is_lossless:
-        return None
-    decision = permissions.newest_decision(row.group, state)
-    is_recent = state.clock.monotonic() - row.seen_at <= LATE_CALL_LIFETIME
-    if decision is None or not is_recent or decision.target not in found:
-        return None
-    return decision.target
-
-
-def choose_replica(
-    row: PromotionRow, rows: list[RegistryRow], state: State
-) -> str | None:
-    """Return the replica with the longest log, once enough positions are known."""
-    since = row.choosing_since
-    if since is None:
-        return None
-    found: dict[str, Position] = {}
-    for member in rows:
-        pool = state.pools[member.name]
-        is_new = pool.position_at >= since and pool.position is not None
-        if is_new and member.name not in row.rejected and pool.position is not None:
-            found[member.name] = pool.position
-    waited = state.clock.monotonic() - since
-    if len(found) < len(rows) and waited < POSITIONS_TIMEOUT:
-        return None
-    if not found:
-        row.choosing_since = None
-        row.rejected.clear()
-        return None
-    return best_target(row, found, state)
-
-
-def best_target(
-    row: PromotionRow, found: dict[str, Position], state: State
-) -> str | None:
-    """Return the replica to promote of those found, by their positions."""
-    preferred = preferred_target(row, found, state)
-    return preferred or max(
-        found,
-        key=lambda name: (found[name], prefers_region(name, row.group, state), name),
-        default=None,
-    )
-
-
 @write_ended.register
 def _(purpose: TokenWrite, outcome: StoreOutcome, state: State) -> None:
     row = promotion_row(purpose.group, state)
