--- a/pimentodrift/http_client.py
+++ b/pimentodrift/http_client.py
@@ -37,6 +37,7 @@
     part_depth: int = 0
     convert_unsent: Callable[[str], object] | None = None
     timer: Timer | None = None
+    send_timer: Timer | None = None
     is_sent: bool = False  # At least in part.
 
 
@@ -75,12 +76,20 @@
         self.status = 0
         self.parser: Any = httptools.HttpResponseParser(self)
 
-    def add(self, call: Call, timeout_s: float) -> None:
-        """Queue a call; its timeout includes the time in the queue."""
+    def add(
+        self, call: Call, timeout_s: float, send_timeout_s: float | None = None
+    ) -> None:
+        """Queue a call; its timeout includes the time in the queue.
+
+        After `send_timeout_s`, a call of which no byte was sent fails.
+        """
         self.state.counters[f"{self.service}.calls"] += 1
-        call.timer = self.poller.timers.call_later(
-            timeout_s, lambda: self.time_out(call)
-        )
+        timers = self.poller.timers
+        call.timer = timers.call_later(timeout_s, lambda: self.time_out(call))
+        if send_timeout_s is not None:
+            call.send_timer = timers.call_later(
+                send_timeout_s, lambda: self.time_out_unsent(call)
+            )
         self.calls.append(call)
         self.send_next()
 
@@ -120,11 +129,16 @@
 
     def report(self, call: Call, message: object) -> None:
         """Deliver the message about a call that ended and send the next call."""
-        if call.timer is not None:
-            call.timer.cancel()
+        cancel_timers(call)
         self.deliver_all([message])
         self.send_next()
 
+    def time_out_unsent(self, call: Call) -> None:
+        """Fail a call of which no byte was sent."""
+        self.record_sending()
+        if not call.is_sent:
+            self.time_out(call)
+
     def time_out(self, call: Call) -> None:
         """Fail a call after its timeout.
 
@@ -150,8 +164,7 @@
     def abandon(self) -> None:
         """Drop all calls without delivering messages, and close the connection."""
         for call in self.calls:
-            if call.timer is not None:
-                call.timer.cancel()
+            cancel_timers(call)
         self.calls.clear()
         self.is_in_flight = False
         self.disconnect()
@@ -219,6 +232,13 @@
             self.fail_first_call("connection closed")
 
 
+def cancel_timers(call: Call) -> None:
+    """Cancel the timeouts of a call that has ended."""
+    for timer in (call.timer, call.send_timer):
+        if timer is not None:
+            timer.cancel()
+
+
 def http_request(
     method: str, host: str, path: str, headers: str = "", body: bytes = b""
 ) -> bytes:
--- a/tests/test_promote_client.py
+++ b/tests/test_promote_client.py
@@ -86,12 +86,33 @@
 def test_service_that_does_not_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a call that counts as not done because its time is over."""
     monkeypatch.setattr(promote_client, "CALL_TIMEOUT_S", 1.0)
+    with socket.create_server((HOST, 0)) as server, running() as rig:
+        _, received = run_calls(rig, server.getsockname()[1])
+        connection = accept_first(rig, server)
+        rig.until(lambda: len(received) == len(CALLS))
+        connection.close()
+    assert outcomes(received) == [
+        (2, PromoteOutcome.NOT_DONE),  # It waited for the first one.
+        (1, PromoteOutcome.UNCLEAR),
+    ]
+
+
+def test_call_that_waits_for_the_one_before(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a call that is sent when its decision may have been replaced."""
+    monkeypatch.setattr(promote_client, "SEND_TIMEOUT_S", 0.1)
     with socket.create_server((HOST, 0)) as server, running() as rig:
         _, received = run_calls(rig, server.getsockname()[1])
         connection = accept_first(rig, server)
         rig.until(lambda: received)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        rig.until(lambda: len(received) == len(CALLS))
+        with pytest.raises(BlockingIOError):
+            connection.recv(1)
         connection.close()
-    assert outcomes(received)[0] == (1, PromoteOutcome.UNCLEAR)
+    assert outcomes(received) == [
+        (2, PromoteOutcome.NOT_DONE),
+        (1, PromoteOutcome.ACCEPTED),
+    ]
 
 
 def test_answer_that_cannot_be_read() -> None:
