Let refusals of waiting requests change their queue

A tick could end with a ValueError after a refused client's next request, which is handled within the refusal, had admitted others of the same queue: the systems after the rates then ran a tick later.

Evidence: test_refusal_whose_client_goes_on_at_once failed before.

--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -222,6 +222,8 @@
     """Refuse requests that reached their deadline or the longest wait."""
     now = state.clock.monotonic()
     for item in token_waits.expired(row, now):
+        if item not in row.waiting:
+            continue  # Admitted by the next request of a refused client.
         row.waiting.remove(item)
         problem = refusal(row, state)
         refuse_request(item.request, retry_after(row, state), state, problem)
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -6,6 +6,11 @@
 
 import pytest
 
+from pimentodrift import rates
+from pimentodrift.notices import Admitted, Refused
+from pimentodrift.rate_rows import WaitingRequest
+from pimentodrift.tables import State
+
 from .rate_support import (
     MACHINE_SETTINGS,
     NAMES,
@@ -196,3 +201,32 @@
 TestRateMachine = RateMachine.TestCase
 SmallBurstMachine.TestCase.settings = MACHINE_SETTINGS
 TestSmallBurstMachine = SmallBurstMachine.TestCase
+
+
+def test_refusal_whose_client_goes_on_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an error that ends the tick, with all systems after the rates.
+
+    The next request of a refused client is handled within the refusal, and may admit
+    others that wait as long.
+    """
+    load = make_load()
+    state = load.network.nodes["a"].state
+    row = rates.get_or_create_share("w", state)
+    row.tokens = 0.0
+    for number in (1, 2):
+        deadline = state.clock.monotonic() + SECOND
+        row.waiting.append(WaitingRequest(number, state.clock.monotonic(), deadline))
+    ended: list[object] = []
+
+    def handle(message: object, state: State) -> None:
+        ended.append(message)
+        if isinstance(message, Refused):
+            row.tokens = 1.0
+            rates.admit_waiting(row, state)
+
+    monkeypatch.setattr(rates, "handle", handle)
+    load.network.time += SECOND
+    row.renewed_at = row.refilled_at = state.clock.monotonic()
+    rates.refuse_expired(row, state)
+    assert [type(message) for message in ended] == [Refused, Admitted]
+    assert not row.waiting
