Look for silent holders before the state of the store is judged

In a large fleet, an allocator went through all heartbeats ten times a second for each workspace; now only when a holder has been silent. Behaviour is the same.

--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -93,13 +93,13 @@
     None are freed while this instance hears from less than half of all instances, since
     the fault may then be its own, or while holders may take the store to be down.
     """
-    if not view.is_copy_fresh(state) or view.may_seem_down(state):
+    limit = state.clock.monotonic() - SILENCE_LIMIT
+    silent = [name for name, item in row.holdings.items() if item.heard_at < limit]
+    if not silent or not view.is_copy_fresh(state) or view.may_seem_down(state):
         return
-    now = state.clock.monotonic()
-    for name, holding in list(row.holdings.items()):
-        if now - holding.heard_at > SILENCE_LIMIT:
-            del row.holdings[name]
-            state.counters["allocator.reclaimed"] += 1
+    for name in silent:
+        del row.holdings[name]
+        state.counters["allocator.reclaimed"] += 1
 
 
 @handle_peer.register
