Don't wait for the lease of a removed instance that knows of its removal

Such an instance uses no primary. Its pings now carry the version at which it was removed, and it counts as out of use once its statements in flight have ended. Builds before send none, so they are waited for.

--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -15,9 +15,11 @@
     has_refused_since,
     instances_with_heartbeat,
     is_instance_usable,
+    own_removal,
     owned_endpoints,
     recheck_unusable,
     record_heartbeat,
+    record_own_word,
     suspect,
     track_contact,
 )
@@ -109,7 +111,7 @@
     for old in [key for key, at in row.pings_sent.items() if now - at > CONTACT_LEASE]:
         del row.pings_sent[old]
     row.pings_sent[number] = now
-    send_heartbeat(instance, Ping(number), state)
+    send_heartbeat(instance, Ping(number, own_removal(state)), state)
 
 
 def record_sign_of_life(instance: InstanceRow, state: State) -> None:
@@ -166,6 +168,7 @@
     now = state.clock.monotonic()
     instance = state.instances.get(sender)
     if instance is None:
+        record_own_word(sender, message.removal, state)
         return
     record_sign_of_life(instance, state)
     store_age = (now - state.view.confirmed_at) // MILLISECOND
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -10,7 +10,7 @@
 from .clock import MILLISECOND, NEVER
 from .dispatch import handle
 from .failover_rows import ContactRow
-from .fencing.decisions import lease_end
+from .fencing.decisions import IN_FLIGHT_MARGIN, lease_end
 from .messages import StoreObject
 from .notices import PrimaryChanged
 from .rendezvous import (
@@ -84,6 +84,7 @@
 def remove_instance(name: str, state: State) -> None:
     """Remove an instance; remember when, for as long as it may count as listed."""
     now = state.clock.monotonic()
+    state.removals_known.pop(name, None)
     if state.instances.pop(name, None) is not None:
         state.removed_at[name] = now
     limit = now - REMEMBERED_LEASES * state.settings.configuration_lease
@@ -92,17 +93,37 @@
 
 
 def recently_removed(state: State) -> set[str]:
-    """Return the removed instances that may not know it yet and act as listed ones."""
-    limit = state.clock.monotonic() - lease_end(state.settings.configuration_lease)
+    """Return the removed instances that may not know it yet and act as listed ones.
+
+    So may one that knows, until its statements in flight have ended.
+    """
+    now = state.clock.monotonic()
+    limit = now - lease_end(state.settings.configuration_lease)
     return {
         name
         for name, at in state.removed_at.items()
-        if at >= limit and name not in state.instances
+        if at >= limit
+        and name not in state.instances
+        and now - state.removals_known.get(name, now) < IN_FLIGHT_MARGIN
     }
 
 
+def own_removal(state: State) -> int:
+    """Return the version at which this instance was removed; 0 if it is listed."""
+    item = state.view.objects.get(("instance", state.settings.name))
+    return item.version if item is not None and item.value is None else 0
+
+
+def record_own_word(name: str, removal: int, state: State) -> None:
+    """Record that a removed instance knows of a removal, if it is this one or later."""
+    item = state.view.objects.get(("instance", name))
+    if item is not None and item.value is None and 0 < item.version <= removal:
+        state.removals_known.setdefault(name, state.clock.monotonic())
+
+
 def apply_instance(name: str, value: dict[str, str], state: State) -> None:
     """Add or change an instance; keep what was observed about it."""
+    state.removals_known.pop(name, None)
     row = state.instances.get(name)
     if row is None:
         row = InstanceRow(name, "", "", "", listed_at=state.clock.monotonic())
--- a/pimentodrift/peer_messages.py
+++ b/pimentodrift/peer_messages.py
@@ -33,9 +33,14 @@
 
 @frozen
 class Ping(PeerMessage):
-    """Ask for a `Pong` with the same number."""
+    """Ask for a `Pong` with the same number.
+
+    `removal` is the version at which the sender was removed from the list of instances,
+    as it knows; 0 if it is listed.
+    """
 
     number: int
+    removal: int = 0
 
 
 @frozen
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -382,6 +382,8 @@
     instances: dict[str, InstanceRow] = field(factory=dict)
     # When each instance was removed from the list, for recent removals.
     removed_at: dict[str, timedelta] = field(factory=dict)
+    # When removed instances first told that they know of it.
+    removals_known: dict[str, timedelta] = field(factory=dict)
     # When a connection to an instance was last refused, which a partition may do too.
     ended: dict[str, timedelta] = field(factory=dict)
     endpoints: dict[str, EndpointRow] = field(factory=dict)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,7 @@
 from pimentodrift import membership, rendezvous
 from pimentodrift.dispatch import handle_peer
 from pimentodrift.messages import StoreObject
-from pimentodrift.peer_messages import Pong
+from pimentodrift.peer_messages import Ping, Pong
 from pimentodrift.tables import Presence, State
 
 from .support import ManualClock, make_state
@@ -120,3 +120,22 @@
             names = [e.name for e in membership.group_endpoints(group, state)]
             rows = state.endpoints.values()
             assert names == sorted(row.name for row in rows if row.group == group)
+
+
+@pytest.mark.parametrize(("removal", "counts"), [(0, True), (4, True), (5, False)])
+def test_word_of_a_removed_instance(removal: int, counts: bool) -> None:
+    """Guards against a removed instance that counts as out of use on an older word.
+
+    It was removed at version 5, and before that at version 4.
+    """
+    state = make_state()
+    value = {"address": "127.0.0.1:1", "region": "r1", "data_centre": "r1-1"}
+    for version, content in ((3, value), (4, None), (4, value), (5, None)):
+        item = StoreObject("instance", "i1", version, content)
+        state.view.objects["instance", "i1"] = item
+        membership.apply(item, state)
+    handle_peer(Ping(1, removal), "i1", state)
+    assert membership.recently_removed(state) == {"i1"}
+    assert isinstance(state.clock, ManualClock)
+    state.clock.advance(timedelta(seconds=1))
+    assert (membership.recently_removed(state) == {"i1"}) is counts
