Remove an instance for refusing connections only on a recent refusal

After a pause of the coordinator's process, when nobody has been heard yet, an instance that had refused a connection at any time before could be removed from the list, and the planned change of primary would wait for its lease. Found by reading the change; test_removal_of_a_refusing_instance failed before.

--- a/pimentodrift/instance_removal.py
+++ b/pimentodrift/instance_removal.py
@@ -106,9 +106,12 @@
     now = state.clock.monotonic()
     if not view.reaches_half(state) or now < state.refusing_removal_at:
         return
+    # An instance that does not answer is pinged each second. After a pause of this
+    # process, nobody has been heard, and an older refusal tells nothing.
+    since = now - MAX_HEARTBEAT_AGE
     for row in list(state.instances.values()):
-        is_silent = now - row.last_heard > MAX_HEARTBEAT_AGE
-        if is_silent and membership.has_refused_since(row.name, row.last_heard, state):
+        is_silent = row.last_heard < since
+        if is_silent and membership.has_refused_since(row.name, since, state):
             state.refusing_removal_at = now + REMOVE_AFTER
             remove(row.name, state)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from pimentodrift import membership, rendezvous
+from pimentodrift import instance_removal, membership, rendezvous
 from pimentodrift.dispatch import handle_peer
-from pimentodrift.messages import StoreObject
+from pimentodrift.messages import DeleteStore, StoreObject
 from pimentodrift.peer_messages import Ping, Pong
 from pimentodrift.tables import Presence, State
 
@@ -139,3 +139,23 @@
     assert isinstance(state.clock, ManualClock)
     state.clock.advance(timedelta(seconds=1))
     assert (membership.recently_removed(state) == {"i1"}) is counts
+
+
+@pytest.mark.parametrize(("refused", "is_removed"), [(1, False), (9, True)])
+def test_removal_of_a_refusing_instance(refused: int, is_removed: bool) -> None:
+    """Guards against the removal of an instance for a refusal of long ago.
+
+    After a pause of this process, none has been heard yet.
+    """
+    state = make_state()
+    assert isinstance(state.clock, ManualClock)
+    value = {"address": "127.0.0.1:1", "region": "r1", "data_centre": "r1-1"}
+    for version, name in enumerate(("i1", state.settings.name), 1):
+        item = StoreObject("instance", name, version, value)
+        state.view.objects["instance", name] = item
+        membership.apply(item, state)
+    state.ended["i1"] = state.clock.monotonic() + timedelta(seconds=refused)
+    state.clock.advance(timedelta(seconds=10))
+    instance_removal.remove_refusing(state)
+    removed = [item.name for item in state.outbox if isinstance(item, DeleteStore)]
+    assert removed == (["i1"] if is_removed else [])
