Wait for the call of a coordinator of the build before

In a rolling update, a coordinator of the last landing that was cut off could still promote after its successor, with the older token: it calls without contact, at the latest when the lease of a silent instance has ended.

A successor now waits that long after it first saw a decision of an instance that tells no age of its process. After the update nothing waits for it.

--- a/pimentodrift/fencing/coordination.py
+++ b/pimentodrift/fencing/coordination.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from .. import leadership, membership, peers, pools, registry, view
-from ..clock import MILLISECOND
+from ..clock import MILLISECOND, NEVER
 from ..dispatch import handle, handle_peer
 from ..log_events import PrimaryFenced
 from ..operation_completion import send_steps
@@ -20,6 +20,7 @@
 from .contact import may_use_primary
 from .decisions import (
     CONTACT_LEASE,
+    IN_FLIGHT_MARGIN,
     FenceProgress,
     FenceResult,
     PreviousDecision,
@@ -96,7 +97,7 @@
         # The store was restored, perhaps from a copy without the decision.
         del state.coordinations[row.group]
         return
-    if newest_decision(row.group, state) != row.decision:
+    if is_superseded(row, state):
         del state.coordinations[row.group]
         state.counters["fencing.superseded"] += 1
         return
@@ -110,7 +111,8 @@
         row.only_primary in row.deposed and is_previous_ended(row, state),
     )
     result = fence_result(progress, state.settings.configuration_lease)
-    if result is not None and may_carry_out(row, state):
+    is_ready = may_carry_out(row, state) and not may_still_call(row, state)
+    if result is not None and is_ready:
         complete(row, result, len(unconfirmed), state)
         return
     if now - row.requested_at >= REQUEST_INTERVAL:
@@ -118,6 +120,27 @@
     demand_step_down(row, state)
 
 
+def is_superseded(row: CoordinationRow, state: State) -> bool:
+    """Return whether there is a newer decision than this instance's own."""
+    return newest_decision(row.group, state) != row.decision
+
+
+def may_still_call(row: CoordinationRow, state: State) -> bool:
+    """Return whether a holder of the build before may carry out its decision yet.
+
+    That build calls without contact, at the latest when the lease of a silent instance
+    has ended. It tells no age of its process, as this one does.
+    """
+    previous = row.previous
+    if previous is None or previous.holder == state.settings.name:
+        return False
+    instance = state.instances.get(previous.holder)
+    if instance is not None and instance.started_after != NEVER:
+        return False
+    latest = lease_end(state.settings.configuration_lease) + IN_FLIGHT_MARGIN
+    return state.clock.monotonic() - previous.seen_at < latest
+
+
 def may_carry_out(row: CoordinationRow, state: State) -> bool:
     """Return whether this instance would know of a decision after its own by now.
 
--- a/tests/split_group.py
+++ b/tests/split_group.py
@@ -87,8 +87,9 @@
     stray: set[str] = field(factory=set)
     acknowledged: set[str] = field(factory=set)
     sent: dict[str, str] = field(factory=dict)  # Statement in flight, by instance.
-    # Instances of the build before, which knows nothing of contact.
+    # Instances of a build before, which knows nothing of contact.
     old_builds: set[str] = field(factory=set)
+    tells_age: bool = True  # Instances tell the age of their process.
     statements: int = 0
 
     @property
@@ -138,6 +139,8 @@
     def perform(self, name: str, message: object) -> None:
         if name in self.old_builds:
             message = as_build_before(message)
+        if not self.tells_age and isinstance(message, SendPeer):
+            message = without_age(message)
         match message:
             case OpenPooled():
                 self.open(name, message)
@@ -266,6 +269,13 @@
         self.schedule(STEP_DOWN_TIME, reach_new)
 
 
+def without_age(message: SendPeer) -> SendPeer:
+    """Return what a build that doesn't tell the age of its process would have sent."""
+    if not isinstance(message.message, Pong):
+        return message
+    return evolve(message, message=evolve(message.message, uptime_ms=0))
+
+
 def as_build_before(message: object) -> object:
     """Return what a build that knows nothing of contact would have sent."""
     match message:
@@ -282,9 +292,12 @@
     fencing: PrimaryFencing = PrimaryFencing.INSTANCES,
     seed: int = 1,
     old_builds: Iterable[str] = (),
+    tells_age: bool = True,
 ) -> SplitNetwork:
     """Return a network whose instances serve writes."""
-    network = SplitNetwork(Random(seed), old_builds=set(old_builds))
+    network = SplitNetwork(
+        Random(seed), old_builds=set(old_builds), tells_age=tells_age
+    )
     network.configure(make_configuration(rate=1e6, burst=1e6))
     for index, name in enumerate(names):
         state = network.add(name, f"r{index % 2}")
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from contextlib import ExitStack
 from datetime import timedelta
 from functools import partial
 from itertools import pairwise
@@ -11,6 +12,7 @@
 import pytest
 from attrs import evolve
 
+from pimentodrift.fencing import coordination
 from pimentodrift.fencing.decisions import (
     CONTACT_LEASE,
     FenceProgress,
@@ -20,12 +22,14 @@
     lease_end,
 )
 from pimentodrift.fencing.messages import FenceRequest
+from pimentodrift.fencing.rows import CoordinationRow
 from pimentodrift.kind_messages import WatchedKind
 from pimentodrift.messages import SendPeer, WriteStore
 from pimentodrift.owners.decisions import EndpointOwners
 from pimentodrift.promotion_messages import PromoteOutcome
 from pimentodrift.session_messages import SessionOpened
 from pimentodrift.session_rows import Consistency, EndpointRole
+from pimentodrift.tables import State
 
 from .session_support import (
     GROUP,
@@ -185,6 +189,36 @@
     assert not network.wrong
 
 
+def test_coordinator_of_the_build_before() -> None:
+    """Guards against a coordinator of the last landing, which calls without contact."""
+    network = make_split_network(NAMES, tells_age=False)
+    network.partitions_refuse = True
+    network.play(6 * SECOND)
+    network.members["e1"].is_up = False
+    first = run_until_decision(network)
+    cut_off(network, first)
+    checks = {"may_carry_out": True, "is_superseded": False}
+    with ExitStack() as patches:
+        for name, result in checks.items():
+            check = partial(unless_of, first, result, getattr(coordination, name))
+            patches.enter_context(patch.object(coordination, name, check))
+        network.play(12 * SECOND)
+    tokens = [token for token, _ in network.tokens]
+    assert len(tokens) == 2 and tokens == sorted(tokens)
+    assert not network.wrong
+
+
+def unless_of(
+    name: str,
+    result: bool,
+    check: Callable[[CoordinationRow, State], bool],
+    row: CoordinationRow,
+    state: State,
+) -> bool:
+    """Return `result` for an instance, else what a check of the coordinator returns."""
+    return result if state.settings.name == name else check(row, state)
+
+
 def lose_coordinator(network: SplitNetwork, lose: Callable[[str], None]) -> str:
     """Play until a decision is written, lose its coordinator then, and return it.
 
--- a/tests/test_rolling_update.py
+++ b/tests/test_rolling_update.py
@@ -120,9 +120,14 @@
 
 def test_changed_messages_are_known() -> None:
     """Guards against a list of changed messages that has become empty by mistake."""
-    assert {"Pong", "ShareReport", "ShareRenew", "Subscribe", "ViewUpdate"} <= set(
-        CHANGED
-    )
+    assert {
+        "Ping",
+        "Pong",
+        "ShareReport",
+        "ShareRenew",
+        "Subscribe",
+        "ViewUpdate",
+    } <= set(CHANGED)
 
 
 @pytest.mark.parametrize("name", CHANGED)
