Admit from a grant only what still waits

An admitted client's next statement may admit others of the same queue, so a grant could end with an IndexError (found by looking for the cause of the error in refuse_expired).

Evidence: test_grant_whose_client_goes_on_at_once failed before. The two tests of instances that are cut off while a primary leaves share their steps now.

--- a/pimentodrift/rates.py
+++ b/pimentodrift/rates.py
@@ -215,7 +215,8 @@
 
 def admit_from_grant(row: ShareRow, tokens: int, state: State) -> None:
     """Admit as many waiting requests as tokens were granted; discard unused tokens."""
-    for _ in range(min(tokens, len(row.waiting))):
+    while tokens > 0 and row.waiting:
+        tokens -= 1
         count_admitted(row, state)
         handle(Admitted(row.waiting.popleft().request), state)
 
--- a/tests/test_leaving_primary.py
+++ b/tests/test_leaving_primary.py
@@ -248,6 +248,20 @@
     check_writes(network)
 
 
+def leave_without(lone: str, network: LeavingNetwork) -> None:
+    """Let the primary leave while an instance is cut off from the others."""
+    for name in NAMES:
+        network.partitions.add(frozenset((lone, name)))
+    network.leave("e1")
+    network.play(6 * SECOND)
+    assert not network.dropped and not network.wrong
+    network.partitions.clear()
+    network.play(6 * SECOND)
+    assert network.leader != "e1"
+    assert not network.dropped and not network.wrong
+    check_writes(network)
+
+
 @pytest.mark.parametrize("lone", NAMES)
 def test_instance_that_is_cut_off_as_the_primary_leaves(lone: str) -> None:
     """Guards against a change of primary while an instance writes at the old one.
@@ -258,30 +272,13 @@
         network = make_group(seed=seed)
         network.jitter = 60 * MILLISECOND
         network.partitions_refuse = True
-        for name in (*NAMES, "store"):
-            network.partitions.add(frozenset((lone, name)))
-        network.leave("e1")
-        network.play(6 * SECOND)
-        assert not network.dropped and not network.wrong
-        network.partitions.clear()
-        network.play(6 * SECOND)
-        assert network.leader != "e1"
-        check_writes(network)
+        network.partitions.add(frozenset((lone, "store")))
+        leave_without(lone, network)
 
 
 def test_instance_that_does_not_confirm() -> None:
     """Guards against a change of primary while an instance writes at the old one."""
-    network = make_group()
-    for name in NAMES[1:]:
-        network.partitions.add(frozenset(("a", name)))
-    network.leave("e1")
-    network.play(6 * SECOND)
-    assert not network.dropped and not network.wrong
-    network.partitions.clear()
-    network.play(6 * SECOND)
-    assert network.leader != "e1"
-    assert not network.dropped and not network.wrong
-    check_writes(network)
+    leave_without("a", make_group())
 
 
 # --- A primary that fails
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -230,3 +230,21 @@
     rates.refuse_expired(row, state)
     assert [type(message) for message in ended] == [Refused, Admitted]
     assert not row.waiting
+
+
+def test_grant_whose_client_goes_on_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an error as an admitted client's next request admits the others."""
+    load = make_load()
+    state = load.network.nodes["a"].state
+    row = rates.get_or_create_share("w", state)
+    now = state.clock.monotonic()
+    row.waiting += [WaitingRequest(number, now, now + SECOND) for number in (1, 2)]
+    ended: list[object] = []
+
+    def handle(message: object, state: State) -> None:
+        ended.append(message)
+        row.waiting.clear()
+
+    monkeypatch.setattr(rates, "handle", handle)
+    rates.admit_from_grant(row, 2, state)
+    assert ended == [Admitted(1)]
