Compare a request's workspace with the holder of its key

Entry and owner now compare the key's id and the workspace, at each attempt, at the start of the work and with each new configuration.

--- a/pimentodrift/configuration.py
+++ b/pimentodrift/configuration.py
@@ -53,6 +53,9 @@
         for name, declared in piece["workspaces"].items():
             add_workspace(result, name, declared)
     result.key_ids = frozenset(row.key_id for row in result.keys.values())
+    result.key_holders = frozenset(
+        (row.key_id, row.workspace) for row in result.keys.values()
+    )
     return result
 
 
--- a/pimentodrift/queueing.py
+++ b/pimentodrift/queueing.py
@@ -76,7 +76,8 @@
     endpoint = state.endpoints.get(forward.endpoint)
     if endpoint is None:
         return not_run(Problem.ENDPOINT_UNAVAILABLE, "the endpoint is not listed")
-    if forward.key_id and forward.key_id not in state.configuration.key_ids:
+    holder = forward.key_id, forward.workspace
+    if forward.key_id and holder not in state.configuration.key_holders:
         return key_failure(state)
     if not may_use_endpoint(forward.workspace, forward.endpoint, state):
         return not_run(Problem.REGION_FORBIDDEN, "the workspace's regions changed")
--- a/pimentodrift/route_configuration.py
+++ b/pimentodrift/route_configuration.py
@@ -87,6 +87,9 @@
             key_id = digest[:KEY_ID_LENGTH]
             result.keys[digest] = KeyRow(digest, key_id, workspace.name)
     result.key_ids = frozenset(row.key_id for row in result.keys.values())
+    result.key_holders = frozenset(
+        (row.key_id, row.workspace) for row in result.keys.values()
+    )
     return result
 
 
--- a/pimentodrift/routing.py
+++ b/pimentodrift/routing.py
@@ -67,7 +67,8 @@
         late = pending.failure or not_run(Problem.PRIMARY_UNAVAILABLE)
         finish_failure(pending, late, state)
         return
-    if pending.key_id and pending.key_id not in state.configuration.key_ids:
+    holder = pending.key_id, pending.workspace
+    if pending.key_id and holder not in state.configuration.key_holders:
         finish_failure(pending, not_run(Problem.KEY_INVALID), state)
         return
     session = session_after_dropped_write(pending, state)
--- a/pimentodrift/tables.py
+++ b/pimentodrift/tables.py
@@ -306,6 +306,7 @@
     workspaces: dict[str, WorkspaceRow] = field(factory=dict)
     keys: dict[str, KeyRow] = field(factory=dict)  # By digest.
     key_ids: frozenset[str] = frozenset()
+    key_holders: frozenset[tuple[str, str]] = frozenset()  # Key ids and workspaces.
     open_routes: dict[str, tuple[str, OpenRoute]] = field(factory=dict)
 
 
--- a/pimentodrift/transactions.py
+++ b/pimentodrift/transactions.py
@@ -300,7 +300,7 @@
     endpoint = state.endpoints.get(queue.endpoint)
     group = state.groups.get(endpoint.group) if endpoint is not None else None
     for row in open_transactions(queue, state):
-        if row.key_id not in state.configuration.key_ids:
+        if (row.key_id, row.workspace) not in state.configuration.key_holders:
             end(row, not_run(Problem.KEY_INVALID), state)
         elif not may_use_endpoint(row.workspace, queue.endpoint, state):
             detail = "the endpoint is not in an allowed region any more"
--- a/tests/entry_support.py
+++ b/tests/entry_support.py
@@ -28,14 +28,19 @@
 
 
 def configuration(keys: dict[str, str]) -> dict[str, Any]:
-    """Return a configuration in which beta allows stale reads and `keys` are valid."""
+    """Return a configuration in which beta allows stale reads and `keys` are valid.
+
+    A workspace may have several keys, separated by blanks.
+    """
     workspaces: dict[str, dict[str, Any]] = {}
     for name in KEYS:
         route = {f"route-{name}": {"group": "g", "statement": "get open"}}
         workspaces[name] = {"rate": 1000, "burst": 1000, "groups": ["g"]}
         workspaces[name]["open_routes"] = route
         if name in keys:
-            workspaces[name]["keys"] = [sha256(keys[name].encode()).hexdigest()]
+            workspaces[name]["keys"] = [
+                sha256(key.encode()).hexdigest() for key in keys[name].split()
+            ]
     workspaces["beta"]["stale_reads"] = {"g": 500}
     return {"workspaces": workspaces}
 
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -300,15 +300,19 @@
     assert cluster.endpoints["p"].log.count(("x", "1")) == (outcome == "ran")
 
 
-def test_withdrawn_keys_and_gone_callers_leave_the_queue() -> None:
-    """Guards against running queued work of withdrawn keys (requirement 6)."""
+@pytest.mark.parametrize("beta_keys", [KEYS["beta"], " ".join(KEYS.values())])
+def test_withdrawn_keys_and_gone_callers_leave_the_queue(beta_keys: str) -> None:
+    """Guards against running queued work of withdrawn keys (requirement 6).
+
+    The key of alpha is withdrawn, or beta has it now.
+    """
     cluster = make_cluster(slots=1)
     cluster.endpoints["p"].frozen = True
     cluster.statement("put x 1", "write", key=KEYS["beta"])
     withdrawn = cluster.statement("put x 2", "write")
     gone = cluster.statement("put x 3", "write", key=KEYS["beta"])
     core.handle(CallerGone(gone), cluster.states["a"])
-    cluster.configure({"beta": KEYS["beta"]})
+    cluster.configure({"beta": beta_keys})
     assert cluster.result(withdrawn)["type"].endswith("key-invalid")
     cluster.unfreeze("p")
     assert cluster.endpoints["p"].log == [("x", "1")]
--- a/tests/test_entry_transactions.py
+++ b/tests/test_entry_transactions.py
@@ -93,6 +93,12 @@
     cluster.configure(KEYS)
 
 
+def moved_key(cluster: Cluster, transaction: str) -> None:
+    cluster.configure({"beta": " ".join(KEYS.values())})
+    assert all(work is None for work in cluster.endpoints["p"].open.values())
+    cluster.configure(KEYS)
+
+
 def hung_statement(cluster: Cluster, transaction: str) -> None:
     cluster.endpoints["p"].frozen = True
     request = within(cluster, transaction, "put x 2")
@@ -102,7 +108,15 @@
 
 
 @pytest.mark.parametrize(
-    "cause", [idle, failed_statement, replaced_primary, withdrawn_key, hung_statement]
+    "cause",
+    [
+        idle,
+        failed_statement,
+        replaced_primary,
+        withdrawn_key,
+        moved_key,
+        hung_statement,
+    ],
 )
 def test_an_aborted_transaction_has_no_effect(cause: Any) -> None:
     """Guards against effects of a transaction that ended before its COMMIT.
@@ -114,7 +128,9 @@
     within(cluster, transaction, "put x 1")
     cause(cluster, transaction)
     result = end(cluster, transaction, "commit")
-    problem = "key-invalid" if cause is withdrawn_key else "transaction-ended"
+    problem = (
+        "key-invalid" if cause in (withdrawn_key, moved_key) else "transaction-ended"
+    )
     assert result["type"].endswith(problem)
     assert result["outcome"] == "not_run"
     assert ("x", "1") not in cluster.endpoints["p"].log
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -233,7 +233,7 @@
 
 
 def test_grant_whose_client_goes_on_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against an error as an admitted client's next request admits the others."""
+    """Guards against an error as an admitted client's next request admits others."""
     load = make_load()
     state = load.network.nodes["a"].state
     row = rates.get_or_create_share("w", state)
