--- a/pimentodrift/allocation.py
+++ b/pimentodrift/allocation.py
@@ -95,7 +95,7 @@
     """
     limit = state.clock.monotonic() - SILENCE_LIMIT
     silent = [name for name, item in row.holdings.items() if item.heard_at < limit]
-    if not silent or not view.is_copy_fresh(state) or view.may_seem_down(state):
+    if not silent or not view.is_copy_fresh(state) or view.may_appear_down(state):
         return
     for name in silent:
         del row.holdings[name]
--- a/pimentodrift/heartbeats.py
+++ b/pimentodrift/heartbeats.py
@@ -19,7 +19,7 @@
     owned_endpoints,
     recheck_unusable,
     record_heartbeat,
-    record_own_word,
+    record_known_removal,
     suspect,
     track_contact,
 )
@@ -168,7 +168,7 @@
     now = state.clock.monotonic()
     instance = state.instances.get(sender)
     if instance is None:
-        record_own_word(sender, message.removal, state)
+        record_known_removal(sender, message.removal, state)
         return
     record_sign_of_life(instance, state)
     store_age = (now - state.view.confirmed_at) // MILLISECOND
--- a/pimentodrift/locked_shares.py
+++ b/pimentodrift/locked_shares.py
@@ -42,7 +42,7 @@
         return
     missing = missing_holders(row, state)
     leases_ended = state.clock.monotonic() - row.taken_at > max_predecessor_lease(state)
-    if missing and not (leases_ended and not view.may_seem_down(state)):
+    if missing and not (leases_ended and not view.may_appear_down(state)):
         return
     row.free_tokens += refilled_tokens(row, state)
     row.locked_rate = 0.0
--- a/pimentodrift/membership.py
+++ b/pimentodrift/membership.py
@@ -114,8 +114,8 @@
     return item.version if item is not None and item.value is None else 0
 
 
-def record_own_word(name: str, removal: int, state: State) -> None:
-    """Record that a removed instance knows of a removal, if it is this one or later."""
+def record_known_removal(name: str, removal: int, state: State) -> None:
+    """Record that a removed instance knows of its removal, or of a later one."""
     item = state.view.objects.get(("instance", name))
     if item is not None and item.value is None and 0 < item.version <= removal:
         state.removals_known.setdefault(name, state.clock.monotonic())
--- a/pimentodrift/view.py
+++ b/pimentodrift/view.py
@@ -147,7 +147,7 @@
     return row.store_age + silence > PEER_CONFIGURATION_LEASE
 
 
-def may_seem_down(state: State) -> bool:
+def may_appear_down(state: State) -> bool:
     """Return whether an instance without the store may take the store to be down.
 
     Instances that this one does not hear may be without it.
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -123,8 +123,8 @@
 
 
 @pytest.mark.parametrize(("removal", "counts"), [(0, True), (4, True), (5, False)])
-def test_word_of_a_removed_instance(removal: int, counts: bool) -> None:
-    """Guards against a removed instance that counts as out of use on an older word.
+def test_ping_of_a_removed_instance(removal: int, counts: bool) -> None:
+    """Guards against a removed instance that counts as out of use on an older ping.
 
     It was removed at version 5, and before that at version 4.
     """
